--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,18 +1,28 @@
-// Bundles the programs into dist/: the two that ship, and the stand-ins that tests and the demo start.
+// Bundles the programs into dist/: the two that ship, and the stand-ins that tests and the demo start. With the
+// argument `platform`, bundles the daemon of the users' platform into target/ instead.
 import {build} from "esbuild"
 
 const REQUIRE_SHIM =
 	"import {createRequire as __createRequire} from 'node:module'; const require = __createRequire(import.meta.url);"
 
-await build({
-	entryPoints: {
+const PLATFORM = "platform"
+
+const ENTRY_POINTS = {
+	dist: {
 		cardamomhookd: "src/daemon.ts",
 		cardamomhook: "src/cli/main.ts",
 		"standin-platform": "standins/platform/main.ts",
 		"standin-worker": "standins/worker/main.ts",
 		"standin-endpoint": "standins/endpoint/main.ts"
 	},
-	outdir: "dist",
+	target: {"cardamomhook-platform": "platform/daemon.ts"}
+}
+
+const outdir = process.argv[2] === PLATFORM ? "target" : "dist"
+
+await build({
+	entryPoints: ENTRY_POINTS[outdir],
+	outdir,
 	outExtension: {".js": ".mjs"},
 	bundle: true,
 	platform: "node",
--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -2,7 +2,7 @@
  * JSON over HTTP to the platform, workers and endpoints. Every call has a deadline; a connection that answers
  * nothing within it is destroyed with the request and never reused.
  */
-import {err, type Result} from "neverthrow"
+import {err, ok, type Result} from "neverthrow"
 import {Agent, request} from "undici"
 import {type z} from "zod"
 import {
@@ -27,6 +27,21 @@
 	"ENETUNREACH"
 ])
 
+export interface HttpRequest {
+	readonly method: "GET" | "POST"
+	readonly url: string
+	readonly headers?: Readonly<Record<string, string>>
+	/** Sent as JSON; undefined for none. */
+	readonly body?: unknown
+	readonly timeoutMs: number
+}
+
+export interface HttpAnswer {
+	readonly status: number
+	/** The parsed JSON body; undefined where there is none. */
+	readonly body: unknown
+}
+
 interface RefusalBody {
 	readonly code?: unknown
 	readonly detail?: unknown
@@ -47,19 +62,36 @@
 		schema: z.ZodType<T>,
 		timeoutMs: number
 	): Promise<Result<T, CallError>> {
+		const answer = await this.exchange({method: "POST", url, body, timeoutMs})
+		return answer.andThen((answered): Result<T, CallError> => {
+			if (answered.status >= HTTP_SERVER_ERROR_MIN)
+				return err(new TransportError(url, `status ${answered.status}`, true))
+			if (answered.status >= HTTP_REFUSED_MIN) return err(buildRefused(url, answered.body))
+			return checkValue(`answer of ${url}`, schema, answered.body)
+		})
+	}
+
+	/** Sends one request and gives its answer, whatever its status. */
+	async exchange({
+		method,
+		url,
+		headers = {},
+		body,
+		timeoutMs
+	}: HttpRequest): Promise<Result<HttpAnswer, CallError>> {
 		try {
 			const response = await request(url, {
-				method: "POST",
+				method,
 				dispatcher: this.#agent,
-				headers: {"content-type": "application/json"},
-				body: JSON.stringify(body),
+				headers: body === undefined ? headers : {"content-type": "application/json", ...headers},
+				body: body === undefined ? null : JSON.stringify(body),
 				signal: AbortSignal.timeout(timeoutMs)
 			})
-			const answer: unknown = await response.body.json()
-			if (response.statusCode >= HTTP_SERVER_ERROR_MIN)
-				return err(new TransportError(url, `status ${response.statusCode}`, true))
-			if (response.statusCode >= HTTP_REFUSED_MIN) return err(buildRefused(url, answer))
-			return checkValue(`answer of ${url}`, schema, answer)
+			const text = await response.body.text()
+			return ok({
+				status: response.statusCode,
+				body: text === "" ? undefined : (JSON.parse(text) as unknown)
+			})
 		} catch (error) {
 			return err(describeFailure(url, error))
 		}
--- a/src/adapters/http-exchange.ts
+++ b/src/adapters/http-exchange.ts
@@ -1,6 +1,6 @@
 /** What the routes of callers and operators share: reading a request and sending the reply to it. */
 import {type Context} from "hono"
-import {type Reply, ReplyKind} from "../internal.js"
+import {type Reply, InvariantError, ReplyKind} from "../internal.js"
 import {type Gateway, type NewRequest} from "./gateway.js"
 import {sendProblem} from "./problems.js"
 
@@ -51,5 +51,8 @@
 			return context.json({bundles: reply.bundles})
 		case ReplyKind.refused:
 			return sendProblem(context, reply.refusal)
+		case ReplyKind.workflow:
+		case ReplyKind.pending:
+			throw new InvariantError(`not a reply to a caller of jobs: ${reply.kind}`)
 	}
 }
--- a/src/adapters/problems.ts
+++ b/src/adapters/problems.ts
@@ -26,6 +26,7 @@
 	[ReasonCode.keyConflict]: 409,
 	[ReasonCode.generationConflict]: 409,
 	[ReasonCode.alreadyEnded]: 409,
+	[ReasonCode.unknownWorkflow]: 410,
 	[ReasonCode.badSignature]: 422,
 	[ReasonCode.neverFits]: 422,
 	[ReasonCode.guaranteesDoNotFit]: 422,
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -11,6 +11,7 @@
 	type Controller,
 	type RowWrite,
 	type TableRow,
+	AUTHORITY_TIMEOUT_MS,
 	CommandKind,
 	EventLevel,
 	HOLDER_LEASE_MS,
@@ -18,6 +19,7 @@
 	Lifecycle,
 	RETRY_BASE_MS,
 	SectionName,
+	findAuthorityScope,
 	formatHolderKey,
 	formatLeaseKey,
 	issueTableCommit,
@@ -40,6 +42,8 @@
 	readonly reads = [SectionName.completions, SectionName.lifecycle]
 	#inFlight: string | undefined
 	#nextAt = 0
+	/** When the latest take-over was sent: another host may count from then on that the lease stands still. */
+	#takenAt = 0
 	/** No take-over before this monotonic time: the last one failed. */
 	#notBefore = 0
 	/** True while the row names this host from before it was restarted. */
@@ -49,7 +53,7 @@
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
 		const stopping = board.lifecycle.get("state") !== Lifecycle.serving
 		if (this.#inFlight !== undefined) return undefined
-		const entry = board.authority.get(board.settings.zone)
+		const entry = board.authority.get(findAuthorityScope(board.settings))
 		if (board.lifecycle.get("state") === Lifecycle.drained)
 			return this.#yieldZone(board, entry, now)
 		if (stopping && entry?.mine !== true) return undefined
@@ -75,13 +79,14 @@
 	}
 
 	#readRows(board: Board, now: number): void {
-		const {zone} = board.settings
+		const zone = findAuthorityScope(board.settings)
 		this.#inFlight = issueTableRead(
 			board,
 			this.name,
 			READ,
 			[formatHolderKey(zone), formatLeaseKey(zone)],
-			now
+			now,
+			AUTHORITY_TIMEOUT_MS
 		)
 	}
 
@@ -93,6 +98,7 @@
 	}
 
 	#takeOver(board: Board, entry: AuthorityEntry, now: number): void {
+		this.#takenAt = now
 		const row: HolderRow = {
 			holder: board.settings.hostId,
 			address: formatPeerUrl(board),
@@ -118,8 +124,23 @@
 		return undefined
 	}
 
+	/**
+	 * A read proves nothing about how long this host's own term lasts: others count from the last renewal. Another
+	 * host's lease is counted from when it was read here, not from when the read was sent, since the holder may have
+	 * renewed it in between.
+	 */
+	#findObservedAt(
+		known: AuthorityEntry | undefined,
+		mine: boolean,
+		unchanged: boolean,
+		now: number
+	): number {
+		if (mine) return known?.mine === true ? known.observedAt : this.#takenAt
+		return unchanged && known !== undefined ? known.observedAt : now
+	}
+
 	#commit(board: Board, now: number, subject: string, writes: readonly RowWrite[]): void {
-		this.#inFlight = issueTableCommit(board, this.name, subject, writes, now)
+		this.#inFlight = issueTableCommit(board, this.name, subject, writes, now, AUTHORITY_TIMEOUT_MS)
 	}
 
 	#settle(board: Board, completion: Completion, now: number): void {
@@ -131,7 +152,7 @@
 			return
 		}
 		if (completion.command.kind === CommandKind.tableRead) {
-			this.#adoptRows(board, completion.result.value as readonly TableRow[], command.issuedAt)
+			this.#adoptRows(board, completion.result.value as readonly TableRow[], now)
 		} else this.#settleCommit(board, completion as Completion<"table-commit">)
 	}
 
@@ -150,16 +171,17 @@
 			return
 		}
 		if (command.subject === YIELD) {
-			const entry = board.authority.get(board.settings.zone)
+			const entry = board.authority.get(findAuthorityScope(board.settings))
 			if (entry !== undefined) board.authority.set(entry.zone, {...entry, holder: "", mine: false})
-			board.record(EventLevel.info, "zone-yielded", {zone: board.settings.zone})
+			board.record(EventLevel.info, "zone-yielded", {zone: findAuthorityScope(board.settings)})
 			return
 		}
 		this.#adoptCommit(board, command.subject, result.value.versions, command.issuedAt)
 	}
 
 	#adoptCommit(board: Board, subject: string, versions: readonly number[], sentAt: number): void {
-		const {zone, hostId} = board.settings
+		const {hostId} = board.settings
+		const zone = findAuthorityScope(board.settings)
 		const entry = board.authority.get(zone)
 		if (entry === undefined) return
 		const [holderVersion = 0, leaseVersion = 0] = versions
@@ -178,8 +200,9 @@
 		if (subject === TAKE) board.record(EventLevel.info, "zone-taken", {zone, epoch})
 	}
 
-	#adoptRows(board: Board, rows: readonly TableRow[], sentAt: number): void {
-		const {zone, hostId} = board.settings
+	#adoptRows(board: Board, rows: readonly TableRow[], now: number): void {
+		const {hostId} = board.settings
+		const zone = findAuthorityScope(board.settings)
 		const holderRow = rows.find(row => row.key === formatHolderKey(zone))
 		const leaseRow = rows.find(row => row.key === formatLeaseKey(zone))
 		const known = board.authority.get(zone)
@@ -198,9 +221,11 @@
 			epoch: value.epoch,
 			holderVersion: holderRow?.version ?? 0,
 			leaseVersion,
-			observedAt: unchanged ? known.observedAt : sentAt,
+			observedAt: this.#findObservedAt(known, mine, unchanged, now),
 			mine
 		})
+		// A renewal whose answer was lost changed the lease row: the next one names the new version at once.
+		if (mine && !unchanged) this.#nextAt = now
 	}
 }
 
--- /dev/null
+++ b/src/controllers/catalog.ts
@@ -0,0 +1,93 @@
+/**
+ * Follows the operators' records of a domain. The catalog carries the age of its evidence: the time at which the
+ * answered call was sent. A follow-up that was not answered, or whose history is gone, is followed by a full read,
+ * since the platform may have been silent while something changed.
+ */
+import {
+	type Board,
+	type CatalogAnswer,
+	type Completion,
+	type Controller,
+	CommandKind,
+	EventLevel,
+	FOLLOW_ANSWER_TIMEOUT_MS,
+	FOLLOW_RETRY_DELAY_MS,
+	FOLLOW_WAIT_MS,
+	SectionName
+} from "../internal.js"
+
+export class CatalogController implements Controller {
+	readonly name = "catalog"
+	readonly reads = [SectionName.completions]
+	#inFlight = false
+	#nextAt = 0
+	/** Version from which to follow; undefined to read everything. */
+	#afterVersion: number | undefined
+	#failures = 0
+
+	step(board: Board, now: number): number | undefined {
+		for (const completion of board.takeCompletions(this.name))
+			this.#settle(board, completion as Completion<"catalog-follow">, now)
+		if (this.#inFlight) return undefined
+		if (now < this.#nextAt) return this.#nextAt
+		this.#follow(board, now)
+		return undefined
+	}
+
+	#follow(board: Board, now: number): void {
+		const waitMs = this.#afterVersion === undefined ? 0 : FOLLOW_WAIT_MS
+		this.#inFlight = true
+		board.issue<"catalog-follow">({
+			kind: CommandKind.catalogFollow,
+			owner: this.name,
+			subject: "",
+			target: "",
+			request: {afterVersion: this.#afterVersion, waitMs},
+			timeoutMs: waitMs + FOLLOW_ANSWER_TIMEOUT_MS,
+			issuedAt: now
+		})
+	}
+
+	#settle(board: Board, {command, result}: Completion<"catalog-follow">, now: number): void {
+		this.#inFlight = false
+		if (result.isErr()) {
+			if (this.#failures++ === 0) {
+				const detail = result.error.message
+				board.record(EventLevel.warn, "catalog-lost", {detail}, "platform-unavailable")
+			}
+			this.#afterVersion = undefined
+			this.#nextAt = now + FOLLOW_RETRY_DELAY_MS
+			return
+		}
+		if (this.#failures > 0)
+			board.record(EventLevel.info, "catalog-regained", {failures: this.#failures})
+		this.#failures = 0
+		this.#adopt(board, result.value, command.issuedAt)
+		this.#afterVersion = result.value.version
+	}
+
+	#adopt(board: Board, answer: CatalogAnswer, evidenceAt: number): void {
+		for (const why of answer.malformed)
+			board.record(EventLevel.warn, "catalog-malformed", {detail: why}, "malformed")
+		const known = board.catalog.get("current")
+		const isNewer =
+			answer.catalog !== undefined &&
+			(known === undefined || answer.catalog.version > known.catalog.version)
+		const catalog = isNewer ? answer.catalog : known?.catalog
+		if (catalog === undefined) return
+		const zonesOut = new Set(answer.isComplete ? [] : known?.zonesOut)
+		for (const {zone, isOut} of answer.zones) {
+			if (isOut) zonesOut.add(zone)
+			else zonesOut.delete(zone)
+		}
+		const entry = {catalog, zonesOut, recordVersion: answer.version, evidenceAt}
+		const haveZonesChanged = [...zonesOut].join() !== [...(known?.zonesOut ?? [])].join()
+		if (!isNewer && !haveZonesChanged) {
+			board.catalog.refresh("current", entry)
+			return
+		}
+		board.catalog.set("current", entry)
+		const fields = {version: catalog.version, zonesOut: [...zonesOut].join()}
+		board.record(EventLevel.info, "catalog-adopted", fields)
+	}
+}
--- /dev/null
+++ b/src/controllers/node.ts
@@ -0,0 +1,261 @@
+/**
+ * Keeps the leases of a domain's workers: one renewal at a time for each, held open by the worker until a run ends.
+ * Each answer lists what runs and what has ended; the ends are acknowledged once they are durable. While this host
+ * can't prove its term it only looks, and renews nothing, so that a successor knows when every lease has lapsed.
+ */
+import {
+	type Board,
+	type Completion,
+	type Controller,
+	type LeaseAnswer,
+	type NodeEntry,
+	type WorkerRegistration,
+	CommandKind,
+	EventLevel,
+	HOLDER_PROOF_MS,
+	NODE_ANSWER_TIMEOUT_MS,
+	NODE_RENEW_WAIT_MS,
+	NODE_RETRY_DELAY_MS,
+	NODE_UNSAVED_DELAY_MS,
+	PLATFORM_TIMEOUT_MS,
+	RefusedError,
+	SectionName,
+	WORKER_LIST_INTERVAL_MS,
+	computeLapse,
+	computeLeaseEnd,
+	findTerm,
+	isTermProven
+} from "../internal.js"
+
+const LIST = "list"
+
+export class NodeController implements Controller {
+	readonly name = "node"
+	readonly reads = [SectionName.completions, SectionName.authority, SectionName.acknowledgements]
+	#epoch = 0
+	#takenAt = 0
+	#listInFlight = false
+	#listAt = 0
+	/** Consecutive reads of the list that failed. */
+	#listFailures = 0
+	readonly #renewAt = new Map<string, number>()
+	readonly #inFlight = new Set<string>()
+	/** Position that the renewal under way acknowledges, by worker. */
+	readonly #acknowledged = new Map<string, number>()
+
+	step(board: Board, now: number): number | undefined {
+		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
+		const term = findTerm(board)
+		if (term === undefined) {
+			if (this.#epoch !== 0) this.#forgetAll(board)
+			return undefined
+		}
+		if (term.epoch !== this.#epoch) {
+			this.#forgetAll(board)
+			this.#epoch = term.epoch
+			this.#takenAt = now
+		}
+		return Math.min(this.#listWorkers(board, now), this.#renewAll(board, now))
+	}
+
+	#forgetAll(board: Board): void {
+		this.#epoch = 0
+		this.#renewAt.clear()
+		this.#acknowledged.clear()
+		this.#listAt = 0
+		for (const id of [...board.nodes.keys()]) board.nodes.delete(id)
+		for (const id of [...board.acknowledgements.keys()]) board.acknowledgements.take(id)
+	}
+
+	#listWorkers(board: Board, now: number): number {
+		if (this.#listInFlight) return Infinity
+		if (now < this.#listAt) return this.#listAt
+		this.#listAt = now + WORKER_LIST_INTERVAL_MS
+		this.#listInFlight = true
+		board.issue<"worker-list">({
+			kind: CommandKind.workerList,
+			owner: this.name,
+			subject: LIST,
+			target: "",
+			request: null,
+			timeoutMs: PLATFORM_TIMEOUT_MS,
+			issuedAt: now
+		})
+		return this.#listAt
+	}
+
+	#renewAll(board: Board, now: number): number {
+		let earliest = Infinity
+		for (const [id, node] of board.nodes.entries()) {
+			if (this.#inFlight.has(id)) continue
+			const dueAt = this.#computeRenewAt(board, node)
+			if (dueAt <= now) this.#renew(board, node, now)
+			else earliest = Math.min(earliest, dueAt)
+		}
+		return earliest
+	}
+
+	/** At once where an end has become durable since the last renewal; else when the last answer asked for. */
+	#computeRenewAt(board: Board, node: NodeEntry): number {
+		const {id} = node.registration
+		const acknowledged = this.#findAcknowledged(board, node)
+		if (acknowledged > (this.#acknowledged.get(id) ?? 0)) return 0
+		return this.#renewAt.get(id) ?? 0
+	}
+
+	#findAcknowledged(board: Board, {registration, incarnation}: NodeEntry): number {
+		const entry = board.acknowledgements.get(registration.id)
+		return entry !== undefined && entry.incarnation === incarnation ? entry.position : 0
+	}
+
+	#renew(board: Board, node: NodeEntry, now: number): void {
+		const {id, address} = node.registration
+		// A worker that does not answer is not granted more: what runs there has to lapse some time.
+		const isRenewed =
+			isTermProven(board, now) && node.incarnation !== undefined && node.failures === 0
+		const acknowledged = this.#findAcknowledged(board, node)
+		// The first answer brings the worker's clock; without it there is nothing to reckon a lease by.
+		const waitMs = node.incarnation === undefined ? 0 : NODE_RENEW_WAIT_MS
+		this.#acknowledged.set(id, acknowledged)
+		this.#inFlight.add(id)
+		board.issue<"node-renew">({
+			kind: CommandKind.nodeRenew,
+			owner: this.name,
+			subject: id,
+			target: address,
+			request: {
+				workerId: id,
+				epoch: this.#epoch,
+				leaseUntilMs: isRenewed ? computeLeaseEnd(node, now) : undefined,
+				acknowledged,
+				waitMs
+			},
+			timeoutMs: waitMs + NODE_ANSWER_TIMEOUT_MS,
+			issuedAt: now
+		})
+		if (isRenewed)
+			board.nodes.refresh(id, {...node, lapsesAt: Math.max(node.lapsesAt, computeLapse(now))})
+	}
+
+	#settle(board: Board, completion: Completion, now: number): void {
+		if (completion.command.kind === CommandKind.workerList)
+			this.#settleList(board, completion as Completion<"worker-list">, now)
+		else this.#settleRenewal(board, completion as Completion<"node-renew">, now)
+	}
+
+	#settleList(board: Board, {result}: Completion<"worker-list">, now: number): void {
+		this.#listInFlight = false
+		if (this.#epoch === 0) return
+		if (result.isErr()) {
+			if (this.#listFailures++ === 0)
+				board.record(EventLevel.warn, "worker-list-lost", {detail: result.error.message})
+			return
+		}
+		if (this.#listFailures > 0)
+			board.record(EventLevel.info, "worker-list-regained", {failures: this.#listFailures})
+		this.#listFailures = 0
+		for (const why of result.value.malformed)
+			board.record(EventLevel.debug, "worker-malformed", {detail: why})
+		const listed = new Set<string>()
+		for (const registration of result.value.workers) {
+			listed.add(registration.id)
+			this.#adoptRegistration(board, registration)
+		}
+		for (const [id, node] of [...board.nodes.entries()]) {
+			if (listed.has(id)) continue
+			if (now > node.lapsesAt) {
+				board.nodes.delete(id)
+				this.#renewAt.delete(id)
+				this.#acknowledged.delete(id)
+			} else if (node.listed) {
+				board.nodes.set(id, {...node, listed: false})
+				board.record(EventLevel.info, "worker-unlisted", {worker: id})
+			}
+		}
+	}
+
+	#adoptRegistration(board: Board, registration: WorkerRegistration): void {
+		const known = board.nodes.get(registration.id)
+		if (known === undefined) {
+			board.nodes.set(registration.id, {
+				registration,
+				listed: true,
+				incarnation: undefined,
+				clockMs: 0,
+				clockReadAt: 0,
+				answeredAt: 0,
+				lapsesAt: computeLapse(this.#takenAt + HOLDER_PROOF_MS),
+				failures: 0,
+				report: undefined
+			})
+			board.record(EventLevel.info, "worker-listed", {
+				worker: registration.id,
+				incarnation: registration.incarnation,
+				zone: registration.zone,
+				rack: registration.rack
+			})
+			return
+		}
+		const isSame =
+			known.listed &&
+			known.registration.isDraining === registration.isDraining &&
+			known.registration.incarnation === registration.incarnation &&
+			known.registration.address === registration.address
+		const entry = {...known, registration, listed: true}
+		if (isSame) {
+			board.nodes.refresh(registration.id, entry)
+			return
+		}
+		board.nodes.set(registration.id, entry)
+		const {id, isDraining, incarnation, remainingMs} = registration
+		board.record(EventLevel.info, "worker-changed", {
+			worker: id,
+			isDraining,
+			incarnation,
+			remainingMs
+		})
+		if (known.registration.incarnation !== incarnation) this.#renewAt.delete(id)
+	}
+
+	#settleRenewal(board: Board, {command, result}: Completion<"node-renew">, now: number): void {
+		const id = command.subject
+		this.#inFlight.delete(id)
+		const node = board.nodes.get(id)
+		if (node === undefined || command.request.epoch !== this.#epoch) return
+		if (result.isErr()) {
+			this.#renewAt.set(id, now + NODE_RETRY_DELAY_MS)
+			board.nodes.set(id, {...node, failures: node.failures + 1})
+			if (node.failures === 0) {
+				const reason = result.error instanceof RefusedError ? result.error.code : "no-answer"
+				const fields = {worker: id, detail: result.error.message}
+				board.record(EventLevel.info, "worker-unreachable", fields, reason)
+			}
+			return
+		}
+		this.#adoptAnswer(board, node, result.value, command.issuedAt, now)
+		const hasUnsaved = result.value.ends.length > 0
+		this.#renewAt.set(id, hasUnsaved ? now + NODE_UNSAVED_DELAY_MS : now)
+	}
+
+	#adoptAnswer(
+		board: Board,
+		node: NodeEntry,
+		{incarnation, clockMs, running, ends}: LeaseAnswer,
+		sentAt: number,
+		now: number
+	): void {
+		const {id} = node.registration
+		if (node.failures > 0)
+			board.record(EventLevel.info, "worker-reached", {worker: id, failures: node.failures})
+		if (node.incarnation !== incarnation) this.#acknowledged.set(id, 0)
+		board.nodes.set(id, {
+			...node,
+			incarnation,
+			clockMs,
+			clockReadAt: now,
+			answeredAt: now,
+			failures: 0,
+			report: {sentAt, receivedAt: now, running, ends}
+		})
+	}
+}
--- a/src/controllers/registry.ts
+++ b/src/controllers/registry.ts
@@ -1,5 +1,6 @@
 /** Every controller of a host, in the order in which one round steps them. */
 import {
+	type Board,
 	type Clock,
 	type Controller,
 	type Policies,
@@ -9,6 +10,7 @@
 	BundleController,
 	BundleHistoryController,
 	CallController,
+	CatalogController,
 	ClusterViewController,
 	DefragmentController,
 	EndpointController,
@@ -17,14 +19,20 @@
 	HostListController,
 	JobListController,
 	LedgerController,
+	NodeController,
 	NoticeController,
 	PeerController,
 	PlacementController,
 	ReclaimController,
 	RolloutController,
 	RehomeController,
+	RunOrderController,
+	RunPlacementController,
+	RunReportController,
 	RunTimesController,
 	WorkerController,
+	WorkflowIntakeController,
+	WorkflowLogController,
 	createPolicies
 } from "../internal.js"
 
@@ -57,3 +65,18 @@
 		new ClusterViewController()
 	]
 }
+
+/** Controllers of a host whose domain has one holder for several zones. */
+export function createDomainControllers(board: Board, clock: Clock): readonly Controller[] {
+	const readWallClock = () => clock.readWallClock()
+	return [
+		new CatalogController(),
+		new AuthorityController(),
+		new WorkflowLogController(board, readWallClock),
+		new NodeController(),
+		new RunReportController(board),
+		new RunOrderController(board),
+		new RunPlacementController(readWallClock),
+		new WorkflowIntakeController(readWallClock)
+	]
+}
--- /dev/null
+++ b/src/controllers/run-order.ts
@@ -0,0 +1,255 @@
+/**
+ * Gives workers their orders. A run is started once it is durable, the members of a gang together; a start without
+ * an answer is repeated and then ruled out by a stop, after which the worker refuses that run for good.
+ */
+import {
+	type Board,
+	type CallError,
+	type Completion,
+	type Controller,
+	type NodeEntry,
+	type TaskRef,
+	CATALOG_FRESH_MS,
+	CommandKind,
+	EventLevel,
+	RUN_ORDER_TIMEOUT_MS,
+	RUN_STARTS_MAX,
+	RUN_STOP_INTERVAL_MS,
+	ReasonCode,
+	RefusalCode,
+	RefusedError,
+	SectionName,
+	TaskPhase,
+	TransportError,
+	computeLapse,
+	computeLeaseEnd,
+	findTerm,
+	isNodeOpen,
+	isSaved,
+	isSchedulable,
+	isTermProven,
+	listTaskRefs,
+	noteRunning,
+	releaseRun,
+	stopRun
+} from "../internal.js"
+
+const START = "start"
+const STOP = "stop"
+const FOREIGN = "foreign"
+
+/** How often orders that wait for something other than a change are looked at. */
+const CHECK_INTERVAL_MS = 100
+
+export class RunOrderController implements Controller {
+	readonly name = "run-order"
+	readonly reads = [
+		SectionName.completions,
+		SectionName.runs,
+		SectionName.workflows,
+		SectionName.nodes,
+		SectionName.health,
+		SectionName.terms
+	]
+	readonly #changedRuns: Set<string>
+	/** Tasks whose run is not known to be running. */
+	readonly #unsettled = new Set<string>()
+	/** Stop orders that are under way, by task and run. */
+	readonly #stopping = new Set<string>()
+	readonly #foreignAt = new Map<string, number>()
+
+	constructor(board: Board) {
+		this.#changedRuns = board.runs.watch()
+	}
+
+	step(board: Board, now: number): number | undefined {
+		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
+		if (!board.terms.has("loaded")) {
+			this.#unsettled.clear()
+			return undefined
+		}
+		this.#stopUnwanted(board, now)
+		for (const id of this.#changedRuns) this.#unsettled.add(id)
+		this.#changedRuns.clear()
+		if (isTermProven(board, now)) {
+			for (const id of [...this.#unsettled]) this.#advance(board, id, now)
+			this.#stopForeign(board, now)
+		}
+		return this.#unsettled.size > 0 ? now + CHECK_INTERVAL_MS : undefined
+	}
+
+	/** Runs of workflows that were cancelled or have failed. */
+	#stopUnwanted(board: Board, now: number): void {
+		for (const ref of [...board.runs.values()])
+			if (!isSchedulable(ref.workflow)) stopRun(board, ref, ReasonCode.cancelled, now)
+	}
+
+	#advance(board: Board, taskId: string, now: number): void {
+		const ref = board.runs.get(taskId)
+		if (ref === undefined || ref.task.phase === TaskPhase.running) {
+			this.#unsettled.delete(taskId)
+			return
+		}
+		if (ref.task.phase === TaskPhase.planned) this.#startSaved(board, ref, now)
+		else if (ref.task.phase === TaskPhase.stopping) this.#sendStop(board, ref, now)
+	}
+
+	#startSaved(board: Board, ref: TaskRef, now: number): void {
+		const {workflow, occurrence, spec, stepIndex} = ref
+		const refs = spec.gang ? listTaskRefs(workflow, occurrence, stepIndex) : [ref]
+		const plannedRevision = Math.max(...refs.map(member => member.task.plannedRevision))
+		if (!isSaved(workflow, occurrence, plannedRevision)) return
+		const barred = refs.find(member => !this.#canStart(board, member, now))
+		if (barred !== undefined) {
+			releaseRun(board, barred, ReasonCode.workerRefused, now)
+			return
+		}
+		for (const member of refs) this.#sendStart(board, member, now)
+	}
+
+	#canStart(board: Board, {task}: TaskRef, now: number): boolean {
+		const node = board.nodes.get(task.workerId)
+		const catalog = board.catalog.get("current")
+		if (node === undefined || catalog === undefined) return false
+		if (now - catalog.evidenceAt > CATALOG_FRESH_MS) return false
+		return node.incarnation === task.incarnation && isNodeOpen(node, catalog)
+	}
+
+	#sendStart(board: Board, ref: TaskRef, now: number): void {
+		const {task, taskId, workflow} = ref
+		const node = board.nodes.get(task.workerId)
+		const term = findTerm(board)
+		if (node === undefined || term === undefined) return
+		task.phase = TaskPhase.starting
+		task.starts++
+		task.orderedAt = now
+		board.issue<"run-start">({
+			kind: CommandKind.runStart,
+			owner: this.name,
+			subject: `${START} ${taskId} ${task.run}`,
+			target: node.registration.address,
+			request: {
+				taskId,
+				run: task.run,
+				payload: workflow.record.spec.payload,
+				checkpoint: task.checkpoint,
+				leaseUntilMs: computeLeaseEnd(node, now),
+				epoch: term.epoch,
+				workerId: task.workerId
+			},
+			timeoutMs: RUN_ORDER_TIMEOUT_MS,
+			issuedAt: now
+		})
+		this.#noteGrant(board, node, now)
+		const fields = {
+			task: taskId,
+			run: task.run,
+			worker: task.workerId,
+			start: task.starts,
+			checkpoint: task.checkpoint,
+			workerAgeMs: Math.round(now - node.answeredAt),
+			epoch: term.epoch
+		}
+		board.record(EventLevel.info, "run-start-sent", fields)
+	}
+
+	/** A start renews the worker's lease, so that it also moves the time by which everything there has lapsed. */
+	#noteGrant(board: Board, node: NodeEntry, now: number): void {
+		const lapsesAt = Math.max(node.lapsesAt, computeLapse(now))
+		board.nodes.refresh(node.registration.id, {...node, lapsesAt})
+	}
+
+	#sendStop(board: Board, {task, taskId}: TaskRef, now: number): void {
+		const key = `${taskId} ${task.run}`
+		if (task.acknowledgedAt !== undefined || this.#stopping.has(key)) return
+		if (now - task.orderedAt < RUN_STOP_INTERVAL_MS) return
+		task.orderedAt = now
+		this.#stopping.add(key)
+		this.#issueStop(board, STOP, task.workerId, taskId, task.run, now)
+	}
+
+	#issueStop(
+		board: Board,
+		what: string,
+		workerId: string,
+		taskId: string,
+		run: number,
+		now: number
+	): void {
+		const node = board.nodes.get(workerId)
+		const term = findTerm(board)
+		if (node === undefined || term === undefined) {
+			this.#stopping.delete(`${taskId} ${run}`)
+			return
+		}
+		board.issue<"run-stop">({
+			kind: CommandKind.runStop,
+			owner: this.name,
+			subject: `${what} ${taskId} ${run}`,
+			target: node.registration.address,
+			request: {taskId, run, epoch: term.epoch, workerId},
+			timeoutMs: RUN_ORDER_TIMEOUT_MS,
+			issuedAt: now
+		})
+	}
+
+	/** Runs that a worker has and this holder knows nothing of, such as those of workflows that have ended. */
+	#stopForeign(board: Board, now: number): void {
+		for (const [workerId, {foreignRuns}] of board.health.entries()) {
+			if (foreignRuns.length === 0) {
+				this.#foreignAt.delete(workerId)
+				continue
+			}
+			if (now - (this.#foreignAt.get(workerId) ?? -Infinity) < RUN_STOP_INTERVAL_MS) continue
+			this.#foreignAt.set(workerId, now)
+			for (const {taskId, run} of foreignRuns)
+				this.#issueStop(board, FOREIGN, workerId, taskId, run, now)
+		}
+	}
+
+	#settle(board: Board, completion: Completion, now: number): void {
+		const [what, taskId = "", run = ""] = completion.command.subject.split(" ")
+		if (what === STOP) this.#stopping.delete(`${taskId} ${run}`)
+		const ref = board.runs.get(taskId)
+		if (what === FOREIGN || ref?.task.run !== Number(run)) return
+		if (what === START) this.#settleStart(board, ref, completion, now)
+		else this.#settleStop(board, ref, completion, now)
+	}
+
+	#settleStart(board: Board, ref: TaskRef, {result}: Completion, now: number): void {
+		if (ref.task.phase !== TaskPhase.starting) return
+		if (result.isOk()) {
+			ref.task.acknowledgedAt = now
+			noteRunning(board, ref, now)
+			return
+		}
+		this.#settleRefusedStart(board, ref, result.error, now)
+	}
+
+	#settleRefusedStart(board: Board, ref: TaskRef, error: CallError, now: number): void {
+		const {task, taskId} = ref
+		const reason = error instanceof RefusedError ? error.code : "no-answer"
+		const fields = {task: taskId, run: task.run, worker: task.workerId, detail: error.message}
+		board.record(EventLevel.info, "run-start-failed", fields, reason)
+		const isRefused = error instanceof RefusedError
+		const isUnsent = error instanceof TransportError && !error.sent
+		const mayHaveRun = task.starts > 1 || reason === RefusalCode.alreadyRan
+		if ((isRefused || isUnsent) && !mayHaveRun) {
+			task.failedOn.push(task.workerId)
+			releaseRun(board, ref, reason, now)
+		} else if (!isRefused && task.starts < RUN_STARTS_MAX && isTermProven(board, now))
+			this.#sendStart(board, ref, now)
+		else stopRun(board, ref, ReasonCode.workerRefused, now)
+	}
+
+	/** After this the worker refuses the run if it comes late; the next report tells whether it is still there. */
+	#settleStop(board: Board, ref: TaskRef, {result}: Completion, now: number): void {
+		if (ref.task.phase !== TaskPhase.stopping) return
+		if (result.isOk()) ref.task.acknowledgedAt = now
+		else {
+			const reason = result.error instanceof RefusedError ? result.error.code : "no-answer"
+			const fields = {task: ref.taskId, run: ref.task.run, worker: ref.task.workerId}
+			board.record(EventLevel.info, "run-stop-failed", fields, reason)
+		}
+	}
+}
--- /dev/null
+++ b/src/controllers/run-report.ts
@@ -0,0 +1,249 @@
+/**
+ * Learns from workers' reports what became of runs: which run, which ended and how, and which are gone. An end is
+ * acknowledged to its worker only once what follows from it is durable, so that a successor hears of it again.
+ */
+import {
+	type Board,
+	type Controller,
+	type EndReport,
+	type NodeEntry,
+	type NodeHealth,
+	type NodeReport,
+	type TaskRef,
+	EventLevel,
+	NODE_FAILURES_MAX,
+	NODE_QUARANTINE_MS,
+	RUN_STALL_MS,
+	ReasonCode,
+	RunEnd,
+	SectionName,
+	TaskPhase,
+	WorkflowState,
+	completeTask,
+	endWorkflow,
+	isRunOn,
+	isSaved,
+	listTaskRefs,
+	noteRunning,
+	releaseRun,
+	stopRun
+} from "../internal.js"
+
+/** Ends of one incarnation that were taken in, until all that follows from them is durable. */
+interface EndsOfWorker {
+	readonly incarnation: string
+	takenIn: number
+	readonly unsaved: {readonly position: number; readonly ref: TaskRef; readonly revision: number}[]
+}
+
+/** Added to the time by which everything left by an earlier holder has lapsed, for workers never listed here. */
+const UNLISTED_LAPSE_MS = 15000
+
+/** How often runs on workers that are out of reach are checked for having lapsed. */
+const LAPSE_CHECK_INTERVAL_MS = 200
+
+const NO_HEALTH: NodeHealth = {
+	failedWorkflows: [],
+	closedUntil: 0,
+	doubtedUntil: 0,
+	foreignRuns: []
+}
+
+export class RunReportController implements Controller {
+	readonly name = "run-report"
+	readonly reads = [SectionName.nodes, SectionName.workflows, SectionName.terms]
+	readonly #changedNodes: Set<string>
+	readonly #ends = new Map<string, EndsOfWorker>()
+	#lapseCheckAt = 0
+
+	constructor(board: Board) {
+		this.#changedNodes = board.nodes.watch()
+	}
+
+	step(board: Board, now: number): number | undefined {
+		const term = board.terms.get("loaded")
+		if (term === undefined) {
+			this.#ends.clear()
+			for (const id of [...board.health.keys()]) board.health.delete(id)
+			return undefined
+		}
+		if (this.#ends.size === 0) for (const id of board.nodes.keys()) this.#changedNodes.add(id)
+		for (const id of this.#changedNodes) {
+			const node = board.nodes.get(id)
+			if (node?.report !== undefined) this.#takeIn(board, node, node.report, now)
+		}
+		this.#changedNodes.clear()
+		this.#acknowledge(board)
+		if (now >= this.#lapseCheckAt) {
+			this.#lapseCheckAt = now + LAPSE_CHECK_INTERVAL_MS
+			this.#releaseLapsed(board, term.loadedAt, now)
+		}
+		return board.runs.size > 0 ? this.#lapseCheckAt : undefined
+	}
+
+	#takeIn(board: Board, node: NodeEntry, report: NodeReport, now: number): void {
+		const {id} = node.registration
+		if (node.incarnation === undefined) return
+		let ends = this.#ends.get(id)
+		if (ends?.incarnation !== node.incarnation) {
+			ends = {incarnation: node.incarnation, takenIn: 0, unsaved: []}
+			this.#ends.set(id, ends)
+		}
+		const present = new Set<string>()
+		const foreignRuns: {taskId: string; run: number}[] = []
+		for (const running of report.running) {
+			const ref = board.runs.get(running.taskId)
+			if (ref === undefined || !isRunOn(ref, node, running.run)) {
+				foreignRuns.push({taskId: running.taskId, run: running.run})
+				continue
+			}
+			present.add(running.taskId)
+			noteRunning(board, ref, now)
+			noteCheckpoint(ref, running.checkpoint)
+			if (running.percent !== ref.task.percent) {
+				ref.task.percent = running.percent
+				ref.task.progressAt = now
+			}
+		}
+		this.#noteForeign(board, id, foreignRuns)
+		for (const end of report.ends) {
+			if (end.position <= ends.takenIn) continue
+			ends.takenIn = end.position
+			this.#takeEnd(board, node, end, ends, now)
+		}
+		this.#releaseAbsent(board, node, report, present, now)
+		this.#stopStalled(board, node, report, now)
+	}
+
+	#noteForeign(board: Board, id: string, foreignRuns: NodeHealth["foreignRuns"]): void {
+		const health = board.health.get(id) ?? NO_HEALTH
+		if (foreignRuns.length === 0 && health.foreignRuns.length === 0) return
+		board.health.set(id, {...health, foreignRuns})
+	}
+
+	#takeEnd(board: Board, node: NodeEntry, end: EndReport, ends: EndsOfWorker, now: number): void {
+		const ref = board.runs.get(end.taskId)
+		const isCurrent = ref !== undefined && isRunOn(ref, node, end.run)
+		board.record(EventLevel.info, "run-ended", {
+			task: end.taskId,
+			run: end.run,
+			worker: node.registration.id,
+			end: end.end,
+			position: end.position,
+			isCurrent
+		})
+		if (!isCurrent) return
+		noteCheckpoint(ref, end.checkpoint)
+		if (end.end === RunEnd.done && !ref.spec.longRunning) {
+			completeTask(board, ref, now)
+			this.#noteSuccess(board, node.registration.id)
+		} else if (end.end === RunEnd.failed) this.#noteFailure(board, node, ref, now)
+		else releaseRun(board, ref, end.end, now)
+		ends.unsaved.push({position: end.position, ref, revision: ref.occurrence.revision})
+	}
+
+	#noteSuccess(board: Board, id: string): void {
+		const health = board.health.get(id)
+		if (health !== undefined && health.failedWorkflows.length > 0)
+			board.health.set(id, {...health, failedWorkflows: [], doubtedUntil: 0, closedUntil: 0})
+	}
+
+	#noteFailure(board: Board, node: NodeEntry, ref: TaskRef, now: number): void {
+		const {task, step, spec, workflow} = ref
+		const {id} = node.registration
+		if (spec.gang) {
+			if (step.gangFailedRun !== task.run) step.gangFailures++
+			step.gangFailedRun = task.run
+		} else task.failures++
+		task.failedOn.push(id)
+		this.#doubt(board, id, workflow.record.id, now)
+		const failures = spec.gang ? step.gangFailures : task.failures
+		releaseRun(board, ref, RunEnd.failed, now)
+		if (failures >= workflow.record.maxAttempts && !spec.longRunning)
+			endWorkflow(board, workflow, WorkflowState.failed, now)
+	}
+
+	/** Blame is shared: one failure puts a worker last, failures of several workflows close it for a while. */
+	#doubt(board: Board, id: string, workflowId: string, now: number): void {
+		const health = board.health.get(id) ?? NO_HEALTH
+		const failedWorkflows = [...new Set([...health.failedWorkflows, workflowId])]
+		const isClosed = failedWorkflows.length >= NODE_FAILURES_MAX
+		const closedUntil = isClosed ? now + NODE_QUARANTINE_MS : health.closedUntil
+		board.health.set(id, {
+			...health,
+			failedWorkflows,
+			doubtedUntil: now + NODE_QUARANTINE_MS,
+			closedUntil
+		})
+		if (isClosed)
+			board.record(EventLevel.info, "worker-closed", {worker: id, failed: failedWorkflows.length})
+	}
+
+	/** A run that was acknowledged before the report was asked for and is not in it is gone. */
+	#releaseAbsent(
+		board: Board,
+		node: NodeEntry,
+		report: NodeReport,
+		present: ReadonlySet<string>,
+		now: number
+	): void {
+		for (const ref of [...board.runs.listOn(node.registration.id).values()]) {
+			const {task, taskId} = ref
+			if (present.has(taskId)) continue
+			if (task.incarnation !== node.incarnation) {
+				releaseRun(board, ref, "worker-restarted", now)
+				continue
+			}
+			if (task.phase === TaskPhase.planned || task.phase === TaskPhase.waiting) continue
+			if (task.acknowledgedAt === undefined || report.sentAt <= task.acknowledgedAt) continue
+			releaseRun(board, ref, "absent", now)
+		}
+	}
+
+	/** Work that stands still on a worker that answers is started elsewhere. */
+	#stopStalled(board: Board, node: NodeEntry, {receivedAt}: NodeReport, now: number): void {
+		for (const ref of [...board.runs.listOn(node.registration.id).values()]) {
+			const {task, spec, workflow} = ref
+			if (task.phase !== TaskPhase.running || spec.longRunning) continue
+			if (receivedAt - task.progressAt < RUN_STALL_MS) continue
+			task.failedOn.push(node.registration.id)
+			this.#doubt(board, node.registration.id, workflow.record.id, now)
+			stopRun(board, ref, ReasonCode.taskFailed, now)
+		}
+	}
+
+	#acknowledge(board: Board): void {
+		for (const [id, {incarnation, unsaved, takenIn}] of this.#ends) {
+			while (
+				unsaved[0] !== undefined &&
+				isSaved(unsaved[0].ref.workflow, unsaved[0].ref.occurrence, unsaved[0].revision)
+			)
+				unsaved.shift()
+			const position = unsaved[0] === undefined ? takenIn : unsaved[0].position - 1
+			const known = board.acknowledgements.get(id)
+			if (known?.incarnation === incarnation && known.position === position) continue
+			if (position > 0) board.acknowledgements.set(id, {incarnation, position})
+		}
+	}
+
+	/** Nothing runs on a worker whose lease has lapsed, whether or not it can be reached. */
+	#releaseLapsed(board: Board, loadedAt: number, now: number): void {
+		for (const workerId of [...board.runs.listWorkers()]) {
+			const lapsesAt = board.nodes.get(workerId)?.lapsesAt ?? loadedAt + UNLISTED_LAPSE_MS
+			if (now <= lapsesAt) continue
+			for (const ref of [...board.runs.listOn(workerId).values()])
+				if (ref.task.phase !== TaskPhase.planned) releaseRun(board, ref, RunEnd.lapsed, now)
+		}
+	}
+}
+
+/** Any member's checkpoint is valid for its whole gang, and all members must resume from the same. */
+function noteCheckpoint(
+	{spec, task, workflow, occurrence, stepIndex}: TaskRef,
+	value: string
+): void {
+	if (value === "" || value === task.checkpoint) return
+	const refs = spec.gang ? listTaskRefs(workflow, occurrence, stepIndex) : []
+	for (const member of refs) member.task.checkpoint = value
+	task.checkpoint = value
+}
--- /dev/null
+++ b/src/controllers/workflow-intake.ts
@@ -0,0 +1,458 @@
+/**
+ * Answers the callers of a domain's queues, at every host. A workflow is accepted by a commit that only succeeds
+ * where its id is new, so that any host may be asked again. A refusal that says "not run" is given only where no
+ * commit was sent or the platform said that it did nothing; while that is open the commit is repeated, and the caller
+ * hears in the end that the outcome is unknown.
+ */
+import {
+	type Board,
+	type CatalogEntry,
+	type Completion,
+	type Controller,
+	type QueueConfig,
+	type RowWrite,
+	type TableRow,
+	type WorkflowRecord,
+	type WorkflowRequest,
+	CATALOG_FRESH_MS,
+	CommandKind,
+	EventLevel,
+	INTAKE_CALL_TIMEOUT_MS,
+	INTAKE_MARGIN_MS,
+	INTAKE_REFUSED_RETRIES,
+	INTAKE_RETRY_DELAY_MS,
+	KEY_EVIDENCE_SHARE,
+	Lifecycle,
+	PENDING_PREFIX,
+	PENDING_COUNT_AGE_MS,
+	PLATFORM_RETRY_AFTER_MS,
+	RanState,
+	ReasonCode,
+	RefusedError,
+	ReplyKind,
+	RequestKind,
+	SectionName,
+	WorkflowAction,
+	WorkflowRowKind,
+	WorkflowState,
+	buildRefusal,
+	findQueue,
+	findWorkspace,
+	formatCancelKey,
+	formatPendingKey,
+	formatWorkflowKey,
+	isFinal,
+	issueTableCommit,
+	issueTableScan,
+	parseWorkflowKey
+} from "../internal.js"
+
+const ID_PATTERN = /^[0-9a-f]{16}$/
+const COUNT = "count"
+
+/** A request on its way through the platform's table. */
+interface Work {
+	readonly request: WorkflowRequest
+	readonly action: WorkflowAction
+	readonly queue: QueueConfig
+	/** Empty for a public queue. */
+	readonly workspace: string
+	readonly workflowId: string
+	readonly catalogVersion: number
+	readonly evidenceAgeMs: number
+	/** Commits that may still take effect. */
+	isOpen: boolean
+	refused: number
+	commandId: string | undefined
+	retryAt: number | undefined
+}
+
+interface Counts {
+	readonly readAt: number
+	readonly byQueue: ReadonlyMap<string, number>
+}
+
+export class WorkflowIntakeController implements Controller {
+	readonly name = "workflow-intake"
+	readonly reads = [SectionName.requests, SectionName.completions]
+	readonly #readWallClock: () => number
+	readonly #works = new Map<string, Work>()
+	#counts: Counts | undefined
+	#countSentAt: number | undefined
+
+	constructor(readWallClock: () => number) {
+		this.#readWallClock = readWallClock
+	}
+
+	step(board: Board, now: number): number | undefined {
+		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
+		for (const [id, request] of [...board.requests.entries()]) {
+			if (request.kind !== RequestKind.workflow) continue
+			board.requests.take(id)
+			this.#takeUp(board, request, now)
+		}
+		let earliest = Infinity
+		for (const work of [...this.#works.values()]) {
+			const giveUpAt = computeGiveUpAt(work)
+			if (now >= giveUpAt) this.#giveUp(board, work, now)
+			else if (work.retryAt !== undefined && now >= work.retryAt) this.#send(board, work, now)
+			earliest = Math.min(earliest, work.retryAt ?? Infinity, giveUpAt)
+		}
+		return this.#works.size > 0 ? Math.max(earliest, now + 1) : undefined
+	}
+
+	#takeUp(board: Board, request: WorkflowRequest, now: number): void {
+		const entry = board.catalog.get("current")
+		if (entry === undefined) {
+			this.#refuse(board, request, ReasonCode.noBundle, "no configuration has been read yet", now)
+			return
+		}
+		const found = findQueue(entry.catalog, request.host, request.path)
+		const refusal = found === undefined ? undefined : checkAccess(board, request, found.queue, now)
+		if (found === undefined && isStale(board, entry, now))
+			this.#refuseStale(board, request, entry, now)
+		else if (found === undefined)
+			this.#refuse(board, request, ReasonCode.notFound, "there is no such queue", now)
+		else if (refusal?.reason === ReasonCode.platformUnavailable)
+			this.#refuseStale(board, request, entry, now)
+		else if (refusal !== undefined)
+			this.#refuse(board, request, refusal.reason, refusal.detail, now)
+		else this.#admit(board, request, entry, found.queue, found.rest, now)
+	}
+
+	#admit(
+		board: Board,
+		request: WorkflowRequest,
+		entry: CatalogEntry,
+		queue: QueueConfig,
+		rest: string,
+		now: number
+	): void {
+		const {catalog, evidenceAt} = entry
+		const {key, spec} = request
+		const action =
+			request.action === WorkflowAction.get && rest === ""
+				? WorkflowAction.countPending
+				: request.action
+		const workspace = findWorkspace(catalog, key)?.name ?? ""
+		if (action === WorkflowAction.countPending) {
+			this.#count(board, request, queue, now)
+			return
+		}
+		if (action === undefined || !ID_PATTERN.test(rest)) {
+			this.#refuse(board, request, ReasonCode.notFound, "not a workflow's id", now)
+			return
+		}
+		if (action === WorkflowAction.submit && spec?.isErr() === true) {
+			this.#refuse(board, request, ReasonCode.malformed, spec.error.message, now)
+			return
+		}
+		// A commit that is sent into an outage leaves the caller without a true answer; a refusal now is one.
+		if (action !== WorkflowAction.get && isStale(board, entry, now)) {
+			this.#refuseStale(board, request, entry, now)
+			return
+		}
+		const work: Work = {
+			request,
+			action,
+			queue,
+			workspace,
+			workflowId: rest,
+			catalogVersion: catalog.version,
+			evidenceAgeMs: Math.round(now - evidenceAt),
+			isOpen: false,
+			refused: 0,
+			commandId: undefined,
+			retryAt: undefined
+		}
+		this.#works.set(request.id, work)
+		this.#send(board, work, now)
+	}
+
+	#send(board: Board, work: Work, now: number): void {
+		work.retryAt = undefined
+		const left = computeGiveUpAt(work) - now
+		const timeoutMs = Math.max(1, Math.min(INTAKE_CALL_TIMEOUT_MS, left))
+		const {id} = work.request
+		if (work.action === WorkflowAction.submit) {
+			const writes = this.#buildAcceptance(work)
+			if (writes === undefined) return
+			work.commandId = issueTableCommit(board, this.name, id, writes, now, timeoutMs)
+		} else {
+			const prefix = formatWorkflowKey(work.workflowId)
+			work.commandId = issueTableScan(board, this.name, id, prefix, now, timeoutMs)
+		}
+	}
+
+	#buildAcceptance({request, queue, workspace, workflowId}: Work): RowWrite[] | undefined {
+		if (request.spec?.isOk() !== true) return undefined
+		const record: WorkflowRecord = {
+			id: workflowId,
+			workspace,
+			queue: queue.name,
+			service: queue.service,
+			priority: queue.priority,
+			maxAttempts: queue.maxAttempts,
+			acceptedAtWallMs: this.#readWallClock(),
+			spec: request.spec.value
+		}
+		return [
+			{key: formatWorkflowKey(workflowId), ifVersion: 0, value: JSON.stringify(record)},
+			{key: formatPendingKey(workflowId), ifVersion: 0, value: queue.name}
+		]
+	}
+
+	#settle(board: Board, completion: Completion, now: number): void {
+		const {command, result} = completion
+		if (command.subject === COUNT) {
+			this.#settleCount(board, completion as Completion<"table-scan">, now)
+			return
+		}
+		const work = this.#works.get(command.subject)
+		if (work?.commandId !== command.id) return
+		work.commandId = undefined
+		if (result.isErr()) {
+			this.#retry(board, work, result.error, now)
+			return
+		}
+		if (command.kind === CommandKind.tableScan)
+			this.#settleRead(board, work, (completion as Completion<"table-scan">).result, now)
+		else this.#settleCommit(board, work, (completion as Completion<"table-commit">).result, now)
+	}
+
+	/** The platform's own refusal means that nothing was done; after anything else a commit may still take effect. */
+	#retry(board: Board, work: Work, error: Error, now: number): void {
+		const isRefused = error instanceof RefusedError
+		const isWrite = work.action === WorkflowAction.submit || work.action === WorkflowAction.cancel
+		if (!isRefused && isWrite) work.isOpen = true
+		if (isRefused) work.refused++
+		const fields = {workflow: work.workflowId, action: work.action, detail: error.message}
+		board.record(
+			EventLevel.info,
+			"intake-retry",
+			fields,
+			isRefused ? ReasonCode.platformUnavailable : ReasonCode.answerLost
+		)
+		if (work.refused > INTAKE_REFUSED_RETRIES && !work.isOpen) this.#giveUp(board, work, now)
+		else work.retryAt = now + INTAKE_RETRY_DELAY_MS
+	}
+
+	#settleCommit(
+		board: Board,
+		work: Work,
+		result: Completion<"table-commit">["result"],
+		now: number
+	): void {
+		if (result.isErr()) return
+		if (result.value.committed) {
+			this.#replyState(board, work, WorkflowState.queued, now)
+			return
+		}
+		if (work.action === WorkflowAction.cancel) {
+			this.#replyState(board, work, WorkflowState.cancelled, now)
+			return
+		}
+		const key = formatWorkflowKey(work.workflowId)
+		const existing = result.value.conflicts.find(row => row.key === key && row.version > 0)
+		if (existing === undefined || isOwn(work, existing))
+			this.#replyState(board, work, WorkflowState.queued, now)
+		else {
+			const detail = "the id was used by another workspace"
+			this.#finish(board, work, ReasonCode.keyConflict, RanState.no, detail, now)
+		}
+	}
+
+	#settleRead(
+		board: Board,
+		work: Work,
+		result: Completion<"table-scan">["result"],
+		now: number
+	): void {
+		if (result.isErr()) return
+		const rows = new Map(result.value.map(row => [parseWorkflowKey(row.key).kind, row]))
+		const record = rows.get(WorkflowRowKind.record)
+		if (record === undefined || !isOwn(work, record)) {
+			const detail = "there is no such workflow"
+			this.#finish(board, work, ReasonCode.unknownWorkflow, RanState.unknown, detail, now)
+			return
+		}
+		const stateRow = rows.get(WorkflowRowKind.state)
+		const state =
+			stateRow === undefined
+				? WorkflowState.queued
+				: (JSON.parse(stateRow.value) as {state: WorkflowState}).state
+		const isCancelled = rows.has(WorkflowRowKind.cancel)
+		if (work.action === WorkflowAction.get || isFinal(state) || isCancelled) {
+			this.#replyState(board, work, state, now)
+			return
+		}
+		const write = {key: formatCancelKey(work.workflowId), ifVersion: 0, value: ""}
+		work.commandId = issueTableCommit(
+			board,
+			this.name,
+			work.request.id,
+			[write],
+			now,
+			INTAKE_CALL_TIMEOUT_MS
+		)
+	}
+
+	#count(board: Board, request: WorkflowRequest, queue: QueueConfig, now: number): void {
+		if (this.#counts !== undefined && now - this.#counts.readAt < PENDING_COUNT_AGE_MS) {
+			this.#replyCount(board, request, queue, this.#counts)
+			return
+		}
+		const work: Work = {
+			request,
+			action: WorkflowAction.countPending,
+			queue,
+			workspace: "",
+			workflowId: "",
+			catalogVersion: 0,
+			evidenceAgeMs: 0,
+			isOpen: false,
+			refused: 0,
+			commandId: undefined,
+			retryAt: undefined
+		}
+		this.#works.set(request.id, work)
+		this.#readCounts(board, now)
+	}
+
+	#readCounts(board: Board, now: number): void {
+		if (this.#countSentAt !== undefined) return
+		this.#countSentAt = now
+		issueTableScan(board, this.name, COUNT, PENDING_PREFIX, now, INTAKE_CALL_TIMEOUT_MS)
+	}
+
+	#settleCount(board: Board, {command, result}: Completion<"table-scan">, now: number): void {
+		this.#countSentAt = undefined
+		const waiting = [...this.#works.values()].filter(
+			({action}) => action === WorkflowAction.countPending
+		)
+		if (result.isErr()) {
+			for (const work of waiting) this.#giveUp(board, work, now)
+			return
+		}
+		const byQueue = new Map<string, number>()
+		for (const {value} of result.value) byQueue.set(value, (byQueue.get(value) ?? 0) + 1)
+		const counts = {readAt: command.issuedAt, byQueue}
+		this.#counts = counts
+		for (const {request, queue} of waiting) {
+			this.#works.delete(request.id)
+			this.#replyCount(board, request, queue, counts)
+		}
+	}
+
+	#replyCount(board: Board, request: WorkflowRequest, queue: QueueConfig, counts: Counts): void {
+		const count = counts.byQueue.get(queue.name) ?? 0
+		board.replies.set(request.id, {kind: ReplyKind.pending, count})
+	}
+
+	#replyState(board: Board, work: Work, state: WorkflowState, now: number): void {
+		this.#works.delete(work.request.id)
+		board.replies.set(work.request.id, {kind: ReplyKind.workflow, state})
+		if (work.action !== WorkflowAction.get) noteWork(board, work, "done", now)
+	}
+
+	#giveUp(board: Board, work: Work, now: number): void {
+		if (work.isOpen) {
+			const detail = "the platform's table did not answer"
+			this.#finish(board, work, ReasonCode.answerLost, RanState.unknown, detail, now)
+			return
+		}
+		const detail = "the platform's table is not available"
+		this.#finish(board, work, ReasonCode.platformUnavailable, RanState.no, detail, now)
+	}
+
+	#finish(
+		board: Board,
+		work: Work,
+		reason: ReasonCode,
+		ran: RanState,
+		detail: string,
+		now: number
+	): void {
+		this.#works.delete(work.request.id)
+		noteWork(board, work, reason, now)
+		const retryAfterMs = PLATFORM_RETRY_AFTER_MS
+		const refusal = {...buildRefusal(reason, ran, detail, work.workflowId), retryAfterMs}
+		board.replies.set(work.request.id, {kind: ReplyKind.refused, refusal})
+	}
+
+	#refuseStale(
+		board: Board,
+		request: WorkflowRequest,
+		{evidenceAt}: CatalogEntry,
+		now: number
+	): void {
+		const detail = `the configuration was last confirmed ${Math.round(now - evidenceAt)} ms ago`
+		this.#refuse(board, request, ReasonCode.platformUnavailable, detail, now)
+	}
+
+	/** Refuses before anything was sent to the platform. */
+	#refuse(
+		board: Board,
+		{id, path, host, action, arrivedAt}: WorkflowRequest,
+		reason: ReasonCode,
+		detail: string,
+		now: number
+	): void {
+		const retryAfterMs = PLATFORM_RETRY_AFTER_MS
+		const refusal = {...buildRefusal(reason, RanState.no, detail), retryAfterMs}
+		board.replies.set(id, {kind: ReplyKind.refused, refusal})
+		const version = board.catalog.get("current")?.catalog.version
+		const fields = {host, path, action, version, ageMs: Math.round(now - arrivedAt), detail}
+		board.record(EventLevel.info, "request-refused", fields, reason)
+	}
+}
+
+interface AccessRefusal {
+	readonly reason: ReasonCode
+	readonly detail: string
+}
+
+/** Whether the caller may use the queue; keys are judged only by a configuration that was confirmed lately. */
+function checkAccess(
+	board: Board,
+	{key}: WorkflowRequest,
+	queue: QueueConfig,
+	now: number
+): AccessRefusal | undefined {
+	if (board.lifecycle.get("state") === Lifecycle.drained)
+		return {reason: ReasonCode.stopping, detail: "this host is stopping"}
+	const entry = board.catalog.get("current")
+	if (queue.isPublic || entry === undefined) return undefined
+	const revokeMs = board.settings.domain?.revokeMs ?? Infinity
+	if (now - entry.evidenceAt > revokeMs * KEY_EVIDENCE_SHARE)
+		return {reason: ReasonCode.platformUnavailable, detail: ""}
+	if (findWorkspace(entry.catalog, key) !== undefined) return undefined
+	return {reason: ReasonCode.unauthenticated, detail: "the key is not known"}
+}
+
+function isStale(board: Board, {evidenceAt}: CatalogEntry, now: number): boolean {
+	return now - evidenceAt > CATALOG_FRESH_MS
+}
+
+function computeGiveUpAt({request}: Work): number {
+	return request.arrivedAt + Math.max(INTAKE_MARGIN_MS, request.patienceMs - INTAKE_MARGIN_MS)
+}
+
+function isOwn({workspace, queue}: Work, row: TableRow): boolean {
+	if (queue.isPublic) return true
+	return (JSON.parse(row.value) as WorkflowRecord).workspace === workspace
+}
+
+function noteWork(board: Board, work: Work, outcome: string, now: number): void {
+	const {request, workflowId, action, queue, workspace, catalogVersion, evidenceAgeMs} = work
+	board.record(EventLevel.info, "request-answered", {
+		workflow: workflowId,
+		action,
+		queue: queue.name,
+		workspace,
+		outcome,
+		catalogVersion,
+		evidenceAgeMs,
+		tookMs: Math.round(now - request.arrivedAt)
+	})
+}
--- /dev/null
+++ b/src/controllers/workflow-log.ts
@@ -0,0 +1,427 @@
+/**
+ * Keeps the domain's workflows in step with the platform's table while this host holds the domain: loads them when
+ * the term begins, follows what callers add, and writes what other controllers changed. One commit is under way at a
+ * time; it is conditional on the holder row and on the version of each row, so that neither an old holder nor a
+ * delayed commit of this one can overwrite anything. A lost answer is settled by the conflict of the next try.
+ */
+import {
+	type AuthorityEntry,
+	type Board,
+	type Completion,
+	type Controller,
+	type Occurrence,
+	type RowWrite,
+	type TableChanges,
+	type TableRow,
+	type WorkflowEntry,
+	type WorkflowRecord,
+	COMMIT_ROWS_MAX,
+	CommandKind,
+	EventLevel,
+	FOLLOW_ANSWER_TIMEOUT_MS,
+	FOLLOW_RETRY_DELAY_MS,
+	FOLLOW_WAIT_MS,
+	PLATFORM_TIMEOUT_MS,
+	PROGRESS_PREFIX,
+	RefusedError,
+	SectionName,
+	WORKFLOW_PREFIX,
+	WorkflowRowKind,
+	WorkflowState,
+	createOccurrence,
+	createTaskRef,
+	createWorkflowEntry,
+	encodeOccurrence,
+	findTerm,
+	formatCancelKey,
+	formatHolderKey,
+	formatPendingKey,
+	formatProgressKey,
+	formatStateKey,
+	formatWorkflowKey,
+	isFinal,
+	isOccurrenceDone,
+	issueTableCommit,
+	issueTableScan,
+	parseWorkflowKey,
+	restoreOccurrence,
+	TaskPhase
+} from "../internal.js"
+
+const FOLLOW = "follow"
+const PROGRESS = "progress"
+const COMMIT = "commit"
+
+/** What a commit under way wrote of one workflow. */
+interface SavedState {
+	readonly entry: WorkflowEntry
+	readonly state: WorkflowState
+	readonly isPendingRemoved: boolean
+}
+interface SavedOccurrence {
+	readonly occurrence: Occurrence
+	readonly revision: number
+	readonly isRemoved: boolean
+}
+interface Batch {
+	readonly writes: RowWrite[]
+	readonly states: SavedState[]
+	readonly occurrences: SavedOccurrence[]
+	readonly forgotten: WorkflowEntry[]
+}
+
+interface StateRow {
+	readonly workspace: string
+	readonly state: WorkflowState
+}
+
+export class WorkflowLogController implements Controller {
+	readonly name = "workflow-log"
+	readonly reads = [SectionName.completions, SectionName.authority, SectionName.workflows]
+	readonly #readWallClock: () => number
+	readonly #changed: Set<string>
+	#epoch = 0
+	/** Version from which to follow; undefined until all rows were read. */
+	#afterVersion: number | undefined
+	#rows: readonly TableRow[] = []
+	#followInFlight = false
+	#followAt = 0
+	#batch: Batch | undefined
+	#commitAt = 0
+	/** Workflows with something to write, in the order in which they changed. */
+	readonly #dirty = new Set<string>()
+	/** Ended workflows, oldest first, until their rows are deleted. */
+	readonly #ended = new Set<string>()
+
+	constructor(board: Board, readWallClock: () => number) {
+		this.#readWallClock = readWallClock
+		this.#changed = board.workflows.watch()
+	}
+
+	step(board: Board, now: number): number | undefined {
+		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
+		const term = findTerm(board)
+		if (term === undefined) {
+			if (this.#epoch !== 0) this.#forgetAll(board)
+			return undefined
+		}
+		if (term.epoch !== this.#epoch) {
+			this.#forgetAll(board)
+			this.#epoch = term.epoch
+		}
+		const followAt = this.#follow(board, now)
+		for (const id of this.#changed) this.#dirty.add(id)
+		this.#changed.clear()
+		const commitAt = this.#commit(board, term, now)
+		return Math.min(followAt, commitAt)
+	}
+
+	#forgetAll(board: Board): void {
+		this.#epoch = 0
+		this.#afterVersion = undefined
+		this.#rows = []
+		this.#followAt = 0
+		this.#batch = undefined
+		this.#dirty.clear()
+		this.#ended.clear()
+		for (const id of [...board.runs.keys()]) board.runs.delete(id)
+		for (const id of [...board.workflows.keys()]) board.workflows.delete(id)
+		board.terms.delete("loaded")
+	}
+
+	#follow(board: Board, now: number): number {
+		if (this.#followInFlight) return Infinity
+		if (now < this.#followAt) return this.#followAt
+		const waitMs = this.#afterVersion === undefined ? 0 : FOLLOW_WAIT_MS
+		const timeoutMs =
+			this.#afterVersion === undefined ? PLATFORM_TIMEOUT_MS : waitMs + FOLLOW_ANSWER_TIMEOUT_MS
+		this.#followInFlight = true
+		board.issue<"table-follow">({
+			kind: CommandKind.tableFollow,
+			owner: this.name,
+			subject: `${FOLLOW} ${this.#epoch}`,
+			target: "",
+			request: {prefix: WORKFLOW_PREFIX, afterVersion: this.#afterVersion, waitMs},
+			timeoutMs,
+			issuedAt: now
+		})
+		return Infinity
+	}
+
+	#settle(board: Board, completion: Completion, now: number): void {
+		const [what, epoch] = completion.command.subject.split(" ")
+		const isCurrent = this.#epoch !== 0 && epoch === `${this.#epoch}`
+		if (what !== COMMIT) this.#followInFlight = false
+		if (!isCurrent) return
+		if (what === FOLLOW) this.#settleFollow(board, completion as Completion<"table-follow">, now)
+		else if (what === PROGRESS)
+			this.#settleProgress(board, completion as Completion<"table-scan">, now)
+		else this.#settleCommit(board, completion as Completion<"table-commit">, now)
+	}
+
+	#settleFollow(board: Board, {result}: Completion<"table-follow">, now: number): void {
+		if (result.isErr()) {
+			const reason = result.error instanceof RefusedError ? result.error.code : "no-answer"
+			const fields = {detail: result.error.message}
+			board.record(EventLevel.info, "workflow-follow-failed", fields, reason)
+			this.#followAt = now + FOLLOW_RETRY_DELAY_MS
+			// Whatever was missed is read again in full.
+			this.#afterVersion = undefined
+			return
+		}
+		const changes = result.value
+		if (board.terms.has("loaded")) {
+			this.#adoptRows(board, changes.rows, now)
+			this.#afterVersion = changes.version
+			return
+		}
+		// The first read of a term: progress is read after it, when no earlier holder can change it any more.
+		this.#loadProgress(board, changes, now)
+	}
+
+	#loadProgress(board: Board, {rows, version}: TableChanges, now: number): void {
+		this.#rows = rows
+		this.#afterVersion = version
+		this.#followInFlight = true
+		issueTableScan(board, this.name, `${PROGRESS} ${this.#epoch}`, PROGRESS_PREFIX, now)
+	}
+
+	#settleProgress(board: Board, {result}: Completion<"table-scan">, now: number): void {
+		if (result.isErr()) {
+			this.#afterVersion = undefined
+			this.#followAt = now + FOLLOW_RETRY_DELAY_MS
+			return
+		}
+		this.#adoptRows(board, this.#rows, now)
+		this.#rows = []
+		for (const row of result.value) this.#restoreProgress(board, row, now)
+		board.terms.set("loaded", {epoch: this.#epoch, loadedAt: now})
+		const fields = {epoch: this.#epoch, workflows: board.workflows.size, runs: board.runs.size}
+		board.record(EventLevel.info, "workflows-loaded", fields)
+	}
+
+	#adoptRows(board: Board, rows: readonly TableRow[], now: number): void {
+		const records = rows.filter(
+			({key, version}) => version > 0 && parseWorkflowKey(key).kind === WorkflowRowKind.record
+		)
+		for (const row of records) this.#adoptRecord(board, row, now)
+		for (const row of rows) {
+			const {id, kind} = parseWorkflowKey(row.key)
+			const entry = board.workflows.get(id)
+			if (entry === undefined || row.version === 0) continue
+			if (kind === WorkflowRowKind.state) this.#adoptState(board, entry, row)
+			else if (kind === WorkflowRowKind.cancel && !entry.cancelRequested) {
+				entry.cancelRequested = true
+				board.workflows.set(id, entry)
+				board.record(EventLevel.info, "workflow-cancel-seen", {workflow: id, state: entry.state})
+			}
+		}
+	}
+
+	#adoptRecord(board: Board, row: TableRow, now: number): void {
+		const {id} = parseWorkflowKey(row.key)
+		if (board.workflows.has(id)) return
+		const record = JSON.parse(row.value) as WorkflowRecord
+		const entry = createWorkflowEntry(record, now, this.#readWallClock())
+		board.workflows.set(id, entry)
+		board.record(EventLevel.info, "workflow-taken-up", {
+			workflow: id,
+			queue: record.queue,
+			workspace: record.workspace,
+			ageMs: Math.round(now - entry.acceptedAt)
+		})
+	}
+
+	/** Only a holder writes states, so one that is not known yet was written by an earlier one. */
+	#adoptState(board: Board, entry: WorkflowEntry, row: TableRow): void {
+		if (row.version <= entry.stateVersion) return
+		entry.stateVersion = row.version
+		if (board.terms.has("loaded")) return
+		const {state} = JSON.parse(row.value) as StateRow
+		entry.state = state
+		entry.savedState = state
+		entry.pendingRemoved = true
+		if (isFinal(state)) {
+			entry.endedAt = entry.seenAt
+			this.#ended.add(entry.record.id)
+		}
+	}
+
+	#restoreProgress(board: Board, row: TableRow, now: number): void {
+		const key = row.key.slice(PROGRESS_PREFIX.length)
+		const [id = "", index = ""] = key.split(".")
+		const workflow = board.workflows.get(id)
+		if (workflow === undefined) return
+		const occurrence = createOccurrence(workflow.record, Number(index))
+		restoreOccurrence(occurrence, row.value, row.version, now)
+		workflow.occurrences.set(occurrence.index, occurrence)
+		if (isOccurrenceDone(occurrence)) workflow.completedOccurrences++
+		for (const [stepIndex, step] of occurrence.steps.entries())
+			for (const [taskIndex, task] of step.tasks.entries()) {
+				if (task.phase !== TaskPhase.starting) continue
+				const ref = createTaskRef(workflow, occurrence, stepIndex, taskIndex)
+				if (ref !== undefined) board.runs.set(ref.taskId, ref)
+			}
+	}
+
+	#commit(board: Board, term: AuthorityEntry, now: number): number {
+		if (this.#batch !== undefined || !board.terms.has("loaded")) return Infinity
+		if (now < this.#commitAt) return this.#commitAt
+		const batch = this.#collectBatch(board, now)
+		if (batch.writes.length === 0) return this.#findNextRemoval(board)
+		const holderCheck = {
+			key: formatHolderKey(term.zone),
+			ifVersion: term.holderVersion,
+			value: undefined
+		}
+		this.#batch = batch
+		issueTableCommit(
+			board,
+			this.name,
+			`${COMMIT} ${this.#epoch}`,
+			[holderCheck, ...batch.writes],
+			now
+		)
+		return Infinity
+	}
+
+	#findNextRemoval(board: Board): number {
+		const [oldest] = this.#ended
+		const endedAt = oldest === undefined ? undefined : board.workflows.get(oldest)?.endedAt
+		return endedAt === undefined ? Infinity : endedAt + this.#findStateKeptMs(board)
+	}
+
+	#findStateKeptMs(board: Board): number {
+		return board.settings.domain?.stateKeptMs ?? Infinity
+	}
+
+	#collectBatch(board: Board, now: number): Batch {
+		const batch: Batch = {writes: [], states: [], occurrences: [], forgotten: []}
+		for (const id of this.#dirty) {
+			if (batch.writes.length >= COMMIT_ROWS_MAX) break
+			this.#dirty.delete(id)
+			const entry = board.workflows.get(id)
+			if (entry !== undefined) collectWrites(entry, batch)
+		}
+		this.#collectRemovals(board, batch, now)
+		return batch
+	}
+
+	/** Rows of workflows that ended long ago are deleted. */
+	#collectRemovals(board: Board, batch: Batch, now: number): void {
+		for (const id of this.#ended) {
+			const entry = board.workflows.get(id)
+			if (entry !== undefined && (entry.endedAt ?? now) + this.#findStateKeptMs(board) > now) return
+			if (batch.writes.length >= COMMIT_ROWS_MAX) return
+			this.#ended.delete(id)
+			if (entry === undefined) continue
+			batch.forgotten.push(entry)
+			batch.writes.push(
+				{key: formatWorkflowKey(id), ifVersion: -1, value: null},
+				{key: formatStateKey(id), ifVersion: -1, value: null},
+				{key: formatCancelKey(id), ifVersion: -1, value: null}
+			)
+		}
+	}
+
+	#settleCommit(board: Board, {command, result}: Completion<"table-commit">, now: number): void {
+		const batch = this.#batch
+		this.#batch = undefined
+		if (batch === undefined) return
+		if (result.isErr()) {
+			const reason = result.error instanceof RefusedError ? result.error.code : "no-answer"
+			const fields = {rows: batch.writes.length, detail: result.error.message}
+			board.record(EventLevel.info, "workflow-commit-failed", fields, reason)
+			this.#putBack(batch)
+			this.#commitAt = now + FOLLOW_RETRY_DELAY_MS
+			return
+		}
+		if (!result.value.committed) {
+			this.#adoptConflicts(board, batch, result.value.conflicts, now)
+			this.#putBack(batch)
+			return
+		}
+		const versions = new Map<string, number>()
+		for (const [index, {key}] of command.request.writes.entries())
+			versions.set(key, result.value.versions[index] ?? 0)
+		this.#noteSaved(board, batch, versions)
+	}
+
+	#noteSaved(board: Board, batch: Batch, versions: ReadonlyMap<string, number>): void {
+		const touched = new Set<WorkflowEntry>()
+		for (const {entry, state, isPendingRemoved} of batch.states) {
+			const {id} = entry.record
+			entry.savedState = state
+			entry.stateVersion = versions.get(formatStateKey(id)) ?? entry.stateVersion
+			entry.pendingRemoved ||= isPendingRemoved
+			if (isFinal(state)) this.#ended.add(id)
+			touched.add(entry)
+			board.record(EventLevel.info, "workflow-state", {workflow: id, state})
+		}
+		for (const {occurrence, revision, isRemoved} of batch.occurrences) {
+			occurrence.savedRevision = revision
+			occurrence.rowVersion = isRemoved
+				? 0
+				: (versions.get(formatProgressKey(occurrence.key)) ?? occurrence.rowVersion)
+			const [id = ""] = occurrence.key.split(".")
+			const entry = board.workflows.get(id)
+			if (entry !== undefined) touched.add(entry)
+		}
+		for (const {record} of batch.forgotten) board.workflows.delete(record.id)
+		for (const entry of touched) board.workflows.set(entry.record.id, entry)
+	}
+
+	#putBack(batch: Batch): void {
+		for (const {entry} of batch.states) this.#dirty.add(entry.record.id)
+		for (const {occurrence} of batch.occurrences)
+			this.#dirty.add(occurrence.key.split(".")[0] ?? "")
+		for (const {record} of batch.forgotten) this.#ended.add(record.id)
+	}
+
+	/**
+	 * Rows of this term conflict only with an earlier commit of this very term whose answer was lost; the next try
+	 * names the versions found. A conflict of the holder row means that the term is over, which the authority
+	 * controller finds out.
+	 */
+	#adoptConflicts(board: Board, batch: Batch, conflicts: readonly TableRow[], now: number): void {
+		const found = new Map(conflicts.map(row => [row.key, row.version]))
+		for (const {entry} of batch.states) {
+			const version = found.get(formatStateKey(entry.record.id))
+			if (version !== undefined) entry.stateVersion = version
+		}
+		for (const {occurrence} of batch.occurrences) {
+			const version = found.get(formatProgressKey(occurrence.key))
+			if (version !== undefined) occurrence.rowVersion = version
+		}
+		const keys = [...found.keys()].slice(0, COMMIT_ROWS_MAX).join(" ")
+		board.record(EventLevel.info, "workflow-commit-conflict", {keys})
+		this.#commitAt = now + FOLLOW_RETRY_DELAY_MS
+	}
+}
+
+/** What of one workflow is not in the table yet. */
+function collectWrites(entry: WorkflowEntry, batch: Batch): void {
+	const {record, state, stateVersion} = entry
+	const isEnded = isFinal(state)
+	for (const occurrence of entry.occurrences.values()) {
+		const {key, rowVersion, revision, savedRevision} = occurrence
+		const isRemoved = isEnded && rowVersion > 0
+		if (!isRemoved && (revision === savedRevision || isEnded)) continue
+		batch.writes.push({
+			key: formatProgressKey(key),
+			ifVersion: rowVersion,
+			value: isRemoved ? null : encodeOccurrence(occurrence)
+		})
+		batch.occurrences.push({occurrence, revision, isRemoved})
+	}
+	if (state === entry.savedState && (entry.pendingRemoved || state === WorkflowState.queued)) return
+	const row: StateRow = {workspace: record.workspace, state}
+	batch.writes.push({
+		key: formatStateKey(record.id),
+		ifVersion: stateVersion,
+		value: JSON.stringify(row)
+	})
+	if (!entry.pendingRemoved)
+		batch.writes.push({key: formatPendingKey(record.id), ifVersion: -1, value: null})
+	batch.states.push({entry, state, isPendingRemoved: true})
+}
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -7,9 +7,11 @@
 	type AuthorityEntry,
 	type BundleEntry,
 	type CallEntry,
+	type CatalogEntry,
 	type Command,
 	type CommandKind,
 	type Completion,
+	type EndAcknowledgement,
 	type EndpointEntry,
 	type FleetIndex,
 	type GangEntry,
@@ -23,6 +25,8 @@
 	type JobRecord,
 	type NewCommand,
 	type NewTransition,
+	type NodeEntry,
+	type NodeHealth,
 	type NoticeKind,
 	type PeerEntry,
 	type PeerNews,
@@ -30,13 +34,16 @@
 	type PlacementDecision,
 	type Reply,
 	type RunTimeEntry,
+	RunSection,
 	Section,
 	type StopEntry,
+	type TermEntry,
 	type Transition,
 	type Verdict,
 	type WaitingEntry,
 	type WatchEntry,
-	type WorkerEntry
+	type WorkerEntry,
+	type WorkflowEntry
 } from "../internal.js"
 
 export const SectionName = {
@@ -64,6 +71,13 @@
 	transitions: "transitions",
 	verdicts: "verdicts",
 	ended: "ended",
+	catalog: "catalog",
+	nodes: "nodes",
+	acknowledgements: "acknowledgements",
+	workflows: "workflows",
+	terms: "terms",
+	runs: "runs",
+	health: "health",
 	requests: "requests",
 	replies: "replies",
 	outbox: "outbox",
@@ -133,6 +147,20 @@
 	readonly verdicts = new Section<string, Verdict>()
 	/** Jobs that ended lately. */
 	readonly ended = new Section<string, JobRecord>()
+	/** What operators configure for the domain; keyed `current`. */
+	readonly catalog = new Section<"current", CatalogEntry>()
+	/** Workers of the domain that this host holds, by id. */
+	readonly nodes = new Section<string, NodeEntry>()
+	/** Ends of runs that are durable, by worker id. */
+	readonly acknowledgements = new Section<string, EndAcknowledgement>()
+	/** Workflows of the domain that this host holds. */
+	readonly workflows = new Section<string, WorkflowEntry>()
+	/** This host's term as holder of the domain once its workflows are loaded; keyed `loaded`. */
+	readonly terms = new Section<"loaded", TermEntry>()
+	/** Runs that may be on a worker, by task id. */
+	readonly runs = new RunSection()
+	/** What speaks against a worker, by its id. */
+	readonly health = new Section<string, NodeHealth>()
 	readonly requests = new Section<string, HostRequest>()
 	readonly replies = new Section<string, Reply>()
 	readonly outbox = new Section<string, Command>()
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -11,9 +11,25 @@
 	readWallClock(): number
 }
 
+/** Difference between the two clocks' advance from which the steady clock is taken to have stood still. */
+const SUSPENSION_MIN_MS = 250
+
+/**
+ * The steady clock of a suspended machine stands still, but leases and permits go on elapsing. Time that only the
+ * wall clock counted is added, so that whatever expires in the meantime is seen as expired. A wall clock that is set
+ * forward makes things expire early, which is safe; one that is set back changes nothing.
+ */
 export class SystemClock implements Clock {
+	#suspendedMs = 0
+	#wallAheadMs = Date.now() - performance.now()
+
 	now(): number {
-		return performance.now()
+		const steady = performance.now()
+		const wallAheadMs = Date.now() - steady
+		const jumpMs = wallAheadMs - this.#wallAheadMs
+		if (jumpMs > SUSPENSION_MIN_MS) this.#suspendedMs += jumpMs
+		if (Math.abs(jumpMs) > SUSPENSION_MIN_MS) this.#wallAheadMs = wallAheadMs
+		return steady + this.#suspendedMs
 	}
 
 	schedule(delayMs: number, callback: () => void): () => void {
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -7,6 +7,9 @@
 export const HOLDER_LEASE_MS = 3000
 export const HOLDER_RENEW_INTERVAL_MS = 1000
 
+/** Deadline of one call about the holder's rows: a renewal that is lost must be repeated before the lease lapses. */
+export const AUTHORITY_TIMEOUT_MS = 1500
+
 /** Worker lease: tasks stop by themselves when it goes unrenewed for this long. */
 export const WORKER_LEASE_MS = 10000
 export const WORKER_RENEW_INTERVAL_MS = 1000
@@ -141,3 +144,77 @@
 
 /** Most generations in one answer about the bundle's history. */
 export const BUNDLE_HISTORY_MAX = 50
+
+/**
+ * Time after its last proven renewal for which a domain's holder gives orders to workers. Less than the time after
+ * which another host may take over, so that the two never give orders at once.
+ */
+export const HOLDER_PROOF_MS = 2800
+
+/** Lease of a domain's worker, below the longest that workers grant, so that runs outlive a change of holder. */
+export const NODE_LEASE_MS = 9500
+
+/** Error that is allowed for in the rate of a worker's clock, as a fraction. */
+export const WORKER_CLOCK_ERROR = 0.02
+
+/** Added to a lease before what ran under it is taken to have stopped. */
+export const NODE_LAPSE_MARGIN_MS = 300
+
+/** How long a worker holds a renewal open for a run to end; the lease is renewed at least as often. */
+export const NODE_RENEW_WAIT_MS = 1500
+/** Time beyond the wait after which a renewal counts as unanswered. */
+export const NODE_ANSWER_TIMEOUT_MS = 1000
+/** Pause after a renewal that was not answered. */
+export const NODE_RETRY_DELAY_MS = 250
+/** How soon a worker is asked again while it lists ends that are not durable yet. */
+export const NODE_UNSAVED_DELAY_MS = 200
+
+/** How often the domain's list of workers is read. */
+export const WORKER_LIST_INTERVAL_MS = 800
+
+/** How long the platform holds a follow-up open for a change; an answer is evidence that nothing else changed. */
+export const FOLLOW_WAIT_MS = 900
+/** Time beyond the wait after which a follow-up counts as unanswered. */
+export const FOLLOW_ANSWER_TIMEOUT_MS = 800
+/** Pause after a follow-up or a read that failed. */
+export const FOLLOW_RETRY_DELAY_MS = 150
+
+/** Age of the catalog's evidence from which a host takes the platform to be out of its reach. */
+export const CATALOG_FRESH_MS = 2300
+/** Share of the revocation bound up to which keys are honoured without newer evidence. */
+export const KEY_EVIDENCE_SHARE = 0.65
+
+/** A start without an answer is repeated after this long; it is idempotent. */
+export const RUN_ORDER_TIMEOUT_MS = 700
+/** Starts of one run that are sent before the run is ruled out. */
+export const RUN_STARTS_MAX = 2
+/** Pause between stop orders of one run. */
+export const RUN_STOP_INTERVAL_MS = 400
+
+/** A worker that fails runs of this many workflows in a row is given no new ones for a while. */
+export const NODE_FAILURES_MAX = 2
+export const NODE_QUARANTINE_MS = 8000
+
+/** A run whose progress stands still for this long is started elsewhere. */
+export const RUN_STALL_MS = 2600
+
+/** Pause before the tasks of a step are placed again after a start was refused. */
+export const STEP_RETRY_DELAY_MS = 150
+
+/** Row writes that one commit carries at most, below the platform's bound. */
+export const COMMIT_ROWS_MAX = 40
+
+/** Deadline of one call to the platform's table on behalf of a caller who waits. */
+export const INTAKE_CALL_TIMEOUT_MS = 1200
+/** Kept of a caller's patience for the reply to reach it. */
+export const INTAKE_MARGIN_MS = 150
+/** Pause before a caller's call to the table is repeated. */
+export const INTAKE_RETRY_DELAY_MS = 80
+/** How often the platform may refuse a caller's call before the caller is refused. */
+export const INTAKE_REFUSED_RETRIES = 3
+
+/** When a caller is to ask again after the platform was out of reach. */
+export const PLATFORM_RETRY_AFTER_MS = 1000
+
+/** Age up to which a count of workflows that have not begun is given to callers. */
+export const PENDING_COUNT_AGE_MS = 500
--- /dev/null
+++ b/src/core/run-section.ts
@@ -0,0 +1,103 @@
+/**
+ * The runs that a domain's holder has placed and that may still run, by task id. The section also keeps, for each
+ * worker, its runs and what they take together, so that neither is counted anew at each decision.
+ */
+import {
+	type Occurrence,
+	type ResourceDemand,
+	type StepProgress,
+	type StepSpec,
+	type TaskProgress,
+	type WorkflowEntry,
+	Section
+} from "../internal.js"
+
+/** One task with all that it belongs to. */
+export interface TaskRef {
+	readonly taskId: string
+	readonly workflow: WorkflowEntry
+	readonly occurrence: Occurrence
+	readonly stepIndex: number
+	readonly spec: StepSpec
+	readonly step: StepProgress
+	readonly task: TaskProgress
+}
+
+interface WorkerRuns {
+	readonly runs: Map<string, TaskRef>
+	cpuMillis: number
+	memoryMb: number
+	accelerators: number
+}
+
+const NOTHING: ResourceDemand = {cpuMillis: 0, memoryMb: 0, accelerators: 0}
+const NO_RUNS: ReadonlyMap<string, TaskRef> = new Map()
+
+export class RunSection extends Section<string, TaskRef> {
+	readonly #byWorker = new Map<string, WorkerRuns>()
+	/** Worker under which each task was counted. */
+	readonly #countedAt = new Map<string, string>()
+
+	override set(taskId: string, ref: TaskRef): void {
+		this.#remove(taskId)
+		this.#add(taskId, ref)
+		super.set(taskId, ref)
+	}
+
+	override delete(taskId: string): boolean {
+		this.#remove(taskId)
+		return super.delete(taskId)
+	}
+
+	override take(taskId: string): TaskRef | undefined {
+		this.#remove(taskId)
+		return super.take(taskId)
+	}
+
+	/** Runs on one worker, of whatever incarnation. */
+	listOn(workerId: string): ReadonlyMap<string, TaskRef> {
+		return this.#byWorker.get(workerId)?.runs ?? NO_RUNS
+	}
+
+	/** What the runs on one worker take together. */
+	sumOn(workerId: string): ResourceDemand {
+		return this.#byWorker.get(workerId) ?? NOTHING
+	}
+
+	/** Workers that have runs. */
+	listWorkers(): IterableIterator<string> {
+		return this.#byWorker.keys()
+	}
+
+	#add(taskId: string, ref: TaskRef): void {
+		const {workerId} = ref.task
+		const entry = this.#byWorker.get(workerId) ?? {
+			runs: new Map<string, TaskRef>(),
+			cpuMillis: 0,
+			memoryMb: 0,
+			accelerators: 0
+		}
+		this.#byWorker.set(workerId, entry)
+		this.#countedAt.set(taskId, workerId)
+		entry.runs.set(taskId, ref)
+		count(entry, ref.spec, 1)
+	}
+
+	#remove(taskId: string): void {
+		const workerId = this.#countedAt.get(taskId)
+		if (workerId === undefined) return
+		this.#countedAt.delete(taskId)
+		const entry = this.#byWorker.get(workerId)
+		const ref = entry?.runs.get(taskId)
+		if (entry === undefined || ref === undefined) return
+		entry.runs.delete(taskId)
+		count(entry, ref.spec, -1)
+		if (entry.runs.size === 0) this.#byWorker.delete(workerId)
+	}
+}
+
+function count(entry: WorkerRuns, {demand, usesIdleCpu}: StepSpec, sign: 1 | -1): void {
+	if (!usesIdleCpu) entry.cpuMillis += sign * demand.cpuMillis
+	entry.memoryMb += sign * demand.memoryMb
+	entry.accelerators += sign * demand.accelerators
+}
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -2,12 +2,12 @@
 /** `cardamomhookd`: the daemon of an entry host. */
 import "./heap.js"
 import {Builtins, Cli, Command, Option} from "clipanion"
-import {type HostSettings, SystemClock} from "./internal.js"
+import {SystemClock} from "./internal.js"
 import {Host} from "./host.js"
+import {reportListenError, runHost, stopOnSignal} from "./run-host.js"
 import {loadSettings} from "./settings.js"
 
 const EXIT_BAD_SETTINGS = 2
-const EXIT_NOT_LISTENING = 3
 const DEFAULT_PORT = 7400
 const PORT_MAX = 65535
 
@@ -40,22 +40,11 @@
 			return this.#refuse("either --settings FILE or --embedded is needed")
 		const settings = loadSettings(this.settings)
 		if (settings.isErr()) return this.#refuse(settings.error.message)
-		if (!this.check) return this.#runHost(settings.value)
+		if (!this.check) return runHost(new Host(settings.value, new SystemClock()))
 		this.context.stdout.write("settings are valid\n")
 		return 0
 	}
 
-	async #runHost(settings: HostSettings): Promise<number> {
-		const host = new Host(settings, new SystemClock())
-		try {
-			const ports = await host.start()
-			host.telemetry.log.info(ports, "listening")
-		} catch (error) {
-			return this.#reportListenError(error)
-		}
-		return stopOnSignal(host)
-	}
-
 	async #runEmbedded(): Promise<number> {
 		const port = Number(this.port)
 		if (!Number.isInteger(port) || port < 0 || port > PORT_MAX)
@@ -68,7 +57,7 @@
 			this.context.stdout.write(`${system.describe(listening)}\n`)
 			return await stopOnSignal(host)
 		} catch (error) {
-			return this.#reportListenError(error)
+			return reportListenError(error)
 		}
 	}
 
@@ -76,27 +65,6 @@
 		this.context.stderr.write(`${why}\n`)
 		return EXIT_BAD_SETTINGS
 	}
-
-	#reportListenError(error: unknown): number {
-		if ((error as {syscall?: unknown}).syscall !== "listen") throw error
-		this.context.stderr.write(`${(error as Error).message}\n`)
-		return EXIT_NOT_LISTENING
-	}
-}
-
-async function stopOnSignal(host: Host): Promise<number> {
-	await waitForSignal()
-	host.telemetry.log.info("stopping")
-	await host.stop()
-	host.telemetry.log.info("stopped")
-	return 0
-}
-
-function waitForSignal(): Promise<void> {
-	return new Promise(resolve => {
-		process.once("SIGTERM", resolve)
-		process.once("SIGINT", resolve)
-	})
 }
 
 const cli = new Cli({
--- a/src/host.ts
+++ b/src/host.ts
@@ -1,17 +1,21 @@
 /** One entry host: the board, every controller on it, and the adapters around it. */
 import {serve, type ServerType} from "@hono/node-server"
+import {type Hono} from "hono"
 import {
 	type Clock,
+	type Controller,
 	type HostSettings,
+	type SocketAddress,
 	Board,
 	ControllerLoop,
 	GangStage,
 	Lifecycle,
-	createControllers
+	createControllers,
+	findAuthorityScope
 } from "./internal.js"
 import {EndpointCarrier, WorkerCarrier} from "./adapters/back-ends.js"
 import {createCallerApi} from "./adapters/caller-api.js"
-import {CommandRunner} from "./adapters/command-runner.js"
+import {type Carrier, CommandRunner} from "./adapters/command-runner.js"
 import {Gateway} from "./adapters/gateway.js"
 import {HttpClient} from "./adapters/http-client.js"
 import {PeerSeal} from "./adapters/peer-seal.js"
@@ -34,6 +38,44 @@
 /** How often connections are checked against the two timeouts. */
 const CONNECTION_CHECK_INTERVAL_MS = 1000
 
+/** One HTTP server of a host. */
+export interface FrontEnd {
+	readonly app: Hono
+	readonly address: SocketAddress
+}
+
+/** What differs between the deployments of a host: how others are spoken to, and what is decided here. */
+export interface HostWiring {
+	createCarriers(http: HttpClient, settings: HostSettings): readonly Carrier[]
+	createControllers(board: Board, clock: Clock): readonly Controller[]
+	/** The callers' front end first. */
+	createFrontEnds(board: Board, gateway: Gateway, telemetry: Telemetry): readonly FrontEnd[]
+	/** Whether hosts exchange news with each other. */
+	readonly hasPeers: boolean
+}
+
+/** The product's own interfaces: a holder for each zone, its own wire to platform, workers and endpoints. */
+export class ZoneWiring implements HostWiring {
+	readonly hasPeers = true
+
+	createCarriers(http: HttpClient, {platformUrl}: HostSettings): readonly Carrier[] {
+		return [
+			new PlatformCarrier(http, platformUrl),
+			new WorkerCarrier(http),
+			new EndpointCarrier(http)
+		]
+	}
+
+	createControllers(_board: Board, clock: Clock): readonly Controller[] {
+		return createControllers(clock)
+	}
+
+	createFrontEnds(board: Board, gateway: Gateway, telemetry: Telemetry): readonly FrontEnd[] {
+		const app = createCallerApi(board, gateway, telemetry)
+		return [{app, address: board.settings.callerAddress}]
+	}
+}
+
 export class Host {
 	readonly board: Board
 	readonly #clock: Clock
@@ -41,26 +83,28 @@
 	readonly #http = new HttpClient()
 	readonly #runner: CommandRunner
 	readonly #gateway: Gateway
-	readonly #peerCarrier: PeerCarrier
-	readonly #peerServer: PeerServer
+	readonly #peerCarrier: PeerCarrier | undefined
+	readonly #peerServer: PeerServer | undefined
 	readonly #telemetry: Telemetry
-	#server: ServerType | undefined
+	readonly #frontEnds: readonly FrontEnd[]
+	readonly #servers: ServerType[] = []
 
-	constructor(settings: HostSettings, clock: Clock) {
+	constructor(settings: HostSettings, clock: Clock, wiring: HostWiring = new ZoneWiring()) {
 		this.board = new Board(settings)
 		this.#clock = clock
-		const seal = new PeerSeal(settings.peerSecrets)
-		this.#peerCarrier = new PeerCarrier(settings.hostId, seal)
-		this.#peerServer = new PeerServer(this.board, clock, seal)
-		this.#runner = new CommandRunner(this.board, [
-			new PlatformCarrier(this.#http, settings.platformUrl),
-			new WorkerCarrier(this.#http),
-			new EndpointCarrier(this.#http),
-			this.#peerCarrier
-		])
+		const carriers = [...wiring.createCarriers(this.#http, settings)]
+		if (wiring.hasPeers) {
+			const seal = new PeerSeal(settings.peerSecrets)
+			this.#peerCarrier = new PeerCarrier(settings.hostId, seal)
+			this.#peerServer = new PeerServer(this.board, clock, seal)
+			carriers.push(this.#peerCarrier)
+		}
+		this.#runner = new CommandRunner(this.board, carriers)
 		this.#gateway = new Gateway(this.board, clock)
 		this.#telemetry = new Telemetry(this.board)
-		this.#loop = new ControllerLoop(this.board, clock, createControllers(clock), () => {
+		this.#frontEnds = wiring.createFrontEnds(this.board, this.#gateway, this.#telemetry)
+		const controllers = wiring.createControllers(this.board, clock)
+		this.#loop = new ControllerLoop(this.board, clock, controllers, () => {
 			this.#drain()
 		})
 	}
@@ -70,24 +114,29 @@
 	}
 
 	/** Listens for callers and peers and begins to work; resolves with the ports once it listens. */
-	async start(): Promise<{readonly port: number; readonly peerPort: number}> {
-		const peerPort = await this.#peerServer.start()
-		const {host, port} = this.board.settings.callerAddress
-		const app = createCallerApi(this.board, this.#gateway, this.#telemetry)
-		const callerPort = await new Promise<number>((resolve, reject) => {
+	async start(): Promise<{readonly port: number; readonly peerPort: number | undefined}> {
+		const peerPort = await this.#peerServer?.start()
+		const ports: number[] = []
+		for (const frontEnd of this.#frontEnds) ports.push(await this.#listen(frontEnd))
+		this.board.lifecycle.set("state", Lifecycle.serving)
+		this.#loop.start()
+		return {port: ports[0] ?? 0, peerPort}
+	}
+
+	#listen({app, address}: FrontEnd): Promise<number> {
+		return new Promise<number>((resolve, reject) => {
 			const serverOptions = {
 				headersTimeout: HEADERS_TIMEOUT_MS,
 				requestTimeout: REQUEST_TIMEOUT_MS,
 				connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS
 			}
-			this.#server = serve({fetch: app.fetch, hostname: host, port, serverOptions}, info => {
+			const {host: hostname, port} = address
+			const server = serve({fetch: app.fetch, hostname, port, serverOptions}, info => {
 				resolve(info.port)
 			})
-			this.#server.once("error", reject)
+			server.once("error", reject)
+			this.#servers.push(server)
 		})
-		this.board.lifecycle.set("state", Lifecycle.serving)
-		this.#loop.start()
-		return {port: callerPort, peerPort}
 	}
 
 	/**
@@ -95,7 +144,8 @@
 	 * when all is done or the time is up. The controllers run until the last connection has its answer.
 	 */
 	async stop(): Promise<void> {
-		const {zone, shutdownTimeoutMs} = this.board.settings
+		const {shutdownTimeoutMs} = this.board.settings
+		const scope = findAuthorityScope(this.board.settings)
 		const stoppedAt = this.#clock.now()
 		const giveUpAt = stoppedAt + shutdownTimeoutMs
 		const closeAt = stoppedAt + Math.min(CLOSE_GRACE_MS, shutdownTimeoutMs * HAND_OVER_SHARE)
@@ -103,19 +153,17 @@
 		this.board.lifecycle.set("state", Lifecycle.stopping)
 		await this.#waitUntil(() => this.#isQuiet(), giveUpAt - handOverMs)
 		this.board.lifecycle.set("state", Lifecycle.drained)
-		await this.#waitUntil(() => this.board.authority.get(zone)?.mine !== true, giveUpAt)
+		await this.#waitUntil(() => this.board.authority.get(scope)?.mine !== true, giveUpAt)
 		await this.#waitUntil(() => this.#clock.now() >= closeAt, giveUpAt)
-		await this.#closeServer(giveUpAt)
+		await Promise.all(this.#servers.map(server => this.#closeServer(server, giveUpAt)))
 		this.#loop.stop()
-		this.#peerServer.close()
-		this.#peerCarrier.close()
+		this.#peerServer?.close()
+		this.#peerCarrier?.close()
 		await this.#http.close()
 	}
 
 	/** Takes no new connections, and ends the open ones once their answers are written. */
-	async #closeServer(giveUpAt: number): Promise<void> {
-		const server = this.#server
-		if (server === undefined) return
+	async #closeServer(server: ServerType, giveUpAt: number): Promise<void> {
 		let isClosed = false
 		server.close(() => {
 			isClosed = true
@@ -140,7 +188,7 @@
 	#drain(): void {
 		this.#runner.drain()
 		this.#gateway.drain()
-		this.#peerServer.drain()
+		this.#peerServer?.drain()
 		this.#telemetry.drain()
 	}
 }
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -23,6 +23,28 @@
 		.min(0, `expected a port from 0 to ${PORT_MAX}`)
 		.max(PORT_MAX, `expected a port from 0 to ${PORT_MAX}`)
 })
+/** An address as two fields or as one text, `host:port`. */
+const socketSchema = z.preprocess(
+	value => (typeof value === "string" ? splitAddress(value) : value),
+	addressSchema
+)
+
+function splitAddress(text: string): {host: string; port: number} {
+	const colon = text.lastIndexOf(":")
+	return {host: text.slice(0, colon), port: Number(text.slice(colon + 1))}
+}
+
+const MS_MIN = 1
+const domainSchema = z.strictObject({
+	name: NAME,
+	readinessAddress: socketSchema,
+	metricsAddress: socketSchema,
+	leaseMaxMs: z.number().min(MS_MIN),
+	revokeMs: z.number().min(MS_MIN),
+	stopMs: z.number().min(MS_MIN),
+	stateKeptMs: z.number().min(MS_MIN),
+	remoteFactor: z.number().min(1)
+})
 const LOG_LEVELS = ["trace", "debug", "info", "warn", "error", "silent"] as const
 
 const publicKeySchema = z
@@ -33,8 +55,8 @@
 	hostId: NAME,
 	zone: NAME,
 	region: NAME,
-	callerAddress: addressSchema,
-	peerAddress: addressSchema,
+	callerAddress: socketSchema,
+	peerAddress: socketSchema,
 	platformUrl: z.url({protocol: /^https?$/, error: "expected an http or https URL"}),
 	bundleKeys: z.record(z.string(), publicKeySchema),
 	peerSecrets: z
@@ -45,7 +67,8 @@
 		.min(1, "expected at least one secret"),
 	operators: z.record(NAME, SHA256_HEX).default({}),
 	logLevel: z.enum(LOG_LEVELS).default("info"),
-	shutdownTimeoutMs: z.int().min(SHUTDOWN_TIMEOUT_MIN_MS).default(20000)
+	shutdownTimeoutMs: z.int().min(SHUTDOWN_TIMEOUT_MIN_MS).default(20000),
+	domain: domainSchema.optional()
 })
 
 function isPublicKey(text: string): boolean {
--- a/src/types/commands.ts
+++ b/src/types/commands.ts
@@ -5,13 +5,16 @@
 import {type Result} from "neverthrow"
 import {
 	type CallError,
+	type CatalogAnswer,
 	type GangShape,
 	type HostRecord,
 	type JobNotice,
+	type LeaseAnswer,
 	type PeerNews,
 	type PeerQuestion,
 	type TaskReport,
-	type WorkerCapacity
+	type WorkerCapacity,
+	type WorkerListAnswer
 } from "../internal.js"
 
 /** One row of the platform's table; a version of 0 means the row is absent. */
@@ -36,6 +39,28 @@
 	| {readonly committed: true; readonly versions: readonly number[]}
 	| {readonly committed: false; readonly conflicts: readonly TableRow[]}
 
+/** Rows under a prefix that changed since a version, or all of them; a version of 0 marks a deleted row. */
+export interface TableChanges {
+	readonly rows: readonly TableRow[]
+	/** Version from which to follow on. */
+	readonly version: number
+	readonly isComplete: boolean
+}
+
+/** One start of one task on a worker that keeps a lease and takes no reservations. */
+export interface RunStart {
+	readonly taskId: string
+	readonly run: number
+	readonly payload: string
+	/** Empty for none. */
+	readonly checkpoint: string
+	/** End of the worker's lease in its own clock. */
+	readonly leaseUntilMs: number
+	readonly epoch: number
+	/** The worker that is meant; any other at the same address refuses. */
+	readonly workerId: string
+}
+
 export interface TaskStart {
 	readonly taskId: string
 	readonly jobId: string
@@ -90,6 +115,12 @@
 	tableRead: "table-read",
 	tableScan: "table-scan",
 	tableCommit: "table-commit",
+	tableFollow: "table-follow",
+	catalogFollow: "catalog-follow",
+	workerList: "worker-list",
+	nodeRenew: "node-renew",
+	runStart: "run-start",
+	runStop: "run-stop",
 	objectPut: "object-put",
 	objectGet: "object-get",
 	hostList: "host-list",
@@ -110,6 +141,44 @@
 	"table-read": {request: {readonly keys: readonly string[]}; answer: readonly TableRow[]}
 	"table-scan": {request: {readonly prefix: string}; answer: readonly TableRow[]}
 	"table-commit": {request: {readonly writes: readonly RowWrite[]}; answer: CommitAnswer}
+	"table-follow": {
+		request: {
+			readonly prefix: string
+			/** Undefined for all rows. */
+			readonly afterVersion: number | undefined
+			/** How long the answer may wait for a change. */
+			readonly waitMs: number
+		}
+		answer: TableChanges
+	}
+	"catalog-follow": {
+		request: {readonly afterVersion: number | undefined; readonly waitMs: number}
+		answer: CatalogAnswer
+	}
+	"worker-list": {request: null; answer: WorkerListAnswer}
+	"node-renew": {
+		request: {
+			readonly workerId: string
+			readonly epoch: number
+			/** End of the lease in the worker's own clock; undefined to look without renewing. */
+			readonly leaseUntilMs: number | undefined
+			/** Ends up to this position are durable here. */
+			readonly acknowledged: number
+			/** How long the answer may wait for a run to end. */
+			readonly waitMs: number
+		}
+		answer: LeaseAnswer
+	}
+	"run-start": {request: RunStart; answer: {readonly clockMs: number}}
+	"run-stop": {
+		request: {
+			readonly taskId: string
+			readonly run: number
+			readonly epoch: number
+			readonly workerId: string
+		}
+		answer: {readonly clockMs: number}
+	}
 	"object-put": {request: {readonly key: string; readonly body: string}; answer: null}
 	"object-get": {request: {readonly key: string}; answer: string | null}
 	"host-list": {
--- a/src/types/reasons.ts
+++ b/src/types/reasons.ts
@@ -4,6 +4,7 @@
 	unauthenticated: "unauthenticated",
 	forbidden: "forbidden",
 	notFound: "not-found",
+	unknownWorkflow: "unknown-workflow",
 	keyConflict: "key-conflict",
 	unknownWorkspace: "unknown-workspace",
 	overQuota: "over-quota",
@@ -57,7 +58,14 @@
 	noRoom: "no-room",
 	endpointLeaving: "endpoint-leaving",
 	/** Meant for an earlier life of the process. */
-	otherIncarnation: "other-incarnation"
+	otherIncarnation: "other-incarnation",
+	/** The other side is overloaded or unhealthy; nothing was done. */
+	unavailable: "unavailable",
+	/** The changes that were asked for are no longer kept: everything has to be read again. */
+	historyLost: "history-lost",
+	/** The queue's policy was not asked about this worker, or too long ago. */
+	adviceMissing: "advice-missing",
+	malformed: "malformed"
 } as const
 export type RefusalCode = (typeof RefusalCode)[keyof typeof RefusalCode]
 
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -1,10 +1,14 @@
 /** What callers and operators ask of a host, and what they are told; free of any wire format. */
+import {type Result} from "neverthrow"
 import {
 	type JobRecord,
 	type JobSpec,
+	type MalformedError,
 	type Outcome,
 	type ReasonCode,
-	type SignedBundle
+	type SignedBundle,
+	type WorkflowSpec,
+	type WorkflowState
 } from "../internal.js"
 
 export const RequestKind = {
@@ -16,7 +20,8 @@
 	rollout: "rollout",
 	bundleStatus: "bundle-status",
 	bundleHistory: "bundle-history",
-	clusterStatus: "cluster-status"
+	clusterStatus: "cluster-status",
+	workflow: "workflow"
 } as const
 export type RequestKind = (typeof RequestKind)[keyof typeof RequestKind]
 
@@ -64,6 +69,34 @@
 	readonly newest: number | undefined
 	readonly limit: number
 }
+
+/** What a caller of a domain's queue asks for. */
+export const WorkflowAction = {
+	submit: "submit",
+	get: "get",
+	cancel: "cancel",
+	/** How many workflows of the queue have not begun. */
+	countPending: "count-pending"
+} as const
+export type WorkflowAction = (typeof WorkflowAction)[keyof typeof WorkflowAction]
+
+export interface WorkflowRequest {
+	readonly id: string
+	/** Monotonic arrival time. */
+	readonly arrivedAt: number
+	readonly kind: typeof RequestKind.workflow
+	/** Undefined for a method that queues do not have. */
+	readonly action: WorkflowAction | undefined
+	/** Host name and path select the queue; the rest of the path is the workflow's id. */
+	readonly host: string
+	readonly path: string
+	/** Empty where the caller gave none. */
+	readonly key: string
+	/** How long the caller waits for the reply. */
+	readonly patienceMs: number
+	/** What is submitted, or why it could not be understood. */
+	readonly spec: Result<WorkflowSpec, MalformedError> | undefined
+}
 export type HostRequest =
 	| SubmitRequest
 	| JobRequest
@@ -72,6 +105,7 @@
 	| RolloutRequest
 	| StatusRequest
 	| BundleHistoryRequest
+	| WorkflowRequest
 
 /** Whether any part of the work ran, as far as this host can tell truthfully. */
 export const RanState = {no: "no", yes: "yes", unknown: "unknown"} as const
@@ -84,6 +118,8 @@
 	readonly ran: RanState
 	readonly askAgain: boolean
 	readonly jobId?: string | undefined
+	/** When to ask again, where that is known. */
+	readonly retryAfterMs?: number | undefined
 }
 
 export interface JobView {
@@ -103,7 +139,9 @@
 	refused: "refused",
 	bundle: "bundle",
 	bundleHistory: "bundle-history",
-	cluster: "cluster"
+	cluster: "cluster",
+	workflow: "workflow",
+	pending: "pending"
 } as const
 export type ReplyKind = (typeof ReplyKind)[keyof typeof ReplyKind]
 
@@ -166,3 +204,5 @@
 	| {readonly kind: typeof ReplyKind.bundle; readonly view: BundleView}
 	| {readonly kind: typeof ReplyKind.bundleHistory; readonly bundles: readonly SignedBundle[]}
 	| {readonly kind: typeof ReplyKind.cluster; readonly view: ClusterView}
+	| {readonly kind: typeof ReplyKind.workflow; readonly state: WorkflowState}
+	| {readonly kind: typeof ReplyKind.pending; readonly count: number}
--- /dev/null
+++ b/src/utils/nodes.ts
@@ -0,0 +1,41 @@
+/** What follows from a worker's entry: its lease in its own clock, and whether it may be given work. */
+import {
+	type Board,
+	type CatalogEntry,
+	type NodeEntry,
+	CATALOG_FRESH_MS,
+	Lifecycle,
+	NODE_LAPSE_MARGIN_MS,
+	NODE_LEASE_MS,
+	WORKER_CLOCK_ERROR
+} from "../internal.js"
+
+/** End of a lease that is granted now, in the worker's own clock as it is reckoned to stand. */
+export function computeLeaseEnd({clockMs, clockReadAt}: NodeEntry, now: number): number {
+	return Math.floor(clockMs + (now - clockReadAt) + NODE_LEASE_MS)
+}
+
+/** When everything on a worker has lapsed unless it is renewed after `grantedAt`, however slow its clock is. */
+export function computeLapse(grantedAt: number): number {
+	return grantedAt + NODE_LEASE_MS / (1 - WORKER_CLOCK_ERROR) + NODE_LAPSE_MARGIN_MS
+}
+
+/** True while the worker may be given new runs. */
+export function isNodeOpen(node: NodeEntry, {zonesOut}: CatalogEntry): boolean {
+	const {registration, listed, incarnation, failures} = node
+	return (
+		listed &&
+		!registration.isDraining &&
+		incarnation !== undefined &&
+		incarnation === registration.incarnation &&
+		failures === 0 &&
+		!zonesOut.has(registration.zone)
+	)
+}
+
+/** True while this host can serve new callers: it is not stopping, and the platform is within its reach. */
+export function isReadyForCallers(board: Board, now: number): boolean {
+	const entry = board.catalog.get("current")
+	const isServing = board.lifecycle.get("state") === Lifecycle.serving
+	return isServing && entry !== undefined && now - entry.evidenceAt < CATALOG_FRESH_MS
+}
--- /dev/null
+++ b/src/utils/queues.ts
@@ -0,0 +1,29 @@
+/** Finds the queue and the workspace that a caller's request is for. */
+import {timingSafeEqual} from "node:crypto"
+import {type Catalog, type QueueConfig, type WorkspaceAccess} from "../internal.js"
+
+/** The queue with the longest path prefix among those of the host, and the rest of the path. */
+export function findQueue(
+	{queues}: Catalog,
+	host: string,
+	path: string
+): {readonly queue: QueueConfig; readonly rest: string} | undefined {
+	let found: QueueConfig | undefined
+	for (const queue of queues) {
+		if (queue.host !== host || !path.startsWith(queue.pathPrefix)) continue
+		if (found === undefined || queue.pathPrefix.length > found.pathPrefix.length) found = queue
+	}
+	return found && {queue: found, rest: path.slice(found.pathPrefix.length)}
+}
+
+/** The workspace that a key belongs to; every key is compared, so that the time taken tells nothing. */
+export function findWorkspace({workspaces}: Catalog, key: string): WorkspaceAccess | undefined {
+	const given = Buffer.from(key)
+	let found: WorkspaceAccess | undefined
+	for (const workspace of workspaces)
+		for (const known of workspace.keys) {
+			const bytes = Buffer.from(known)
+			if (bytes.length === given.length && timingSafeEqual(bytes, given)) found = workspace
+		}
+	return found
+}
--- /dev/null
+++ b/src/utils/runs.ts
@@ -0,0 +1,154 @@
+/** Moves of one task: each changes its progress, keeps the board's runs in step and marks what has to be durable. */
+import {
+	type Board,
+	type NodeEntry,
+	type Occurrence,
+	type ReasonCode,
+	type TaskRef,
+	type WorkflowEntry,
+	EventLevel,
+	STEP_RETRY_DELAY_MS,
+	TaskPhase,
+	WorkflowState,
+	countOccurrences,
+	isFinal,
+	isOccurrenceDone,
+	listTaskRefs
+} from "../internal.js"
+
+/** Marks a change of the occurrence that has to be durable before anything follows from it. */
+export function noteProgress(board: Board, workflow: WorkflowEntry, occurrence: Occurrence): void {
+	occurrence.revision++
+	board.workflows.set(workflow.record.id, workflow)
+}
+
+/** True once the table holds the given revision, or has the workflow as ended. */
+export function isSaved(
+	{savedState}: WorkflowEntry,
+	{savedRevision}: Occurrence,
+	revision: number
+): boolean {
+	return savedRevision >= revision || isFinal(savedState)
+}
+
+/** The run numbers of a gang's members rise together. */
+export function computeNextRun({spec, step, task}: TaskRef): number {
+	if (!spec.gang) return task.run + 1
+	return 1 + step.tasks.reduce((highest, member) => Math.max(highest, member.run), 0)
+}
+
+export function planRun(
+	board: Board,
+	ref: TaskRef,
+	workerId: string,
+	incarnation: string,
+	run: number,
+	now: number
+): void {
+	const {task, workflow, occurrence} = ref
+	task.phase = TaskPhase.planned
+	task.run = run
+	task.workerId = workerId
+	task.incarnation = incarnation
+	task.starts = 0
+	task.percent = 0
+	task.progressAt = now
+	task.acknowledgedAt = undefined
+	task.orderedAt = now
+	task.plannedRevision = occurrence.revision + 1
+	board.runs.set(ref.taskId, ref)
+	if (workflow.state === WorkflowState.queued) workflow.state = WorkflowState.running
+	noteProgress(board, workflow, occurrence)
+}
+
+export function noteRunning(board: Board, ref: TaskRef, now: number): void {
+	if (ref.task.phase !== TaskPhase.starting) return
+	ref.task.phase = TaskPhase.running
+	ref.task.startedAt = now
+	ref.task.progressAt = now
+	board.runs.set(ref.taskId, ref)
+}
+
+/** The run is gone for good: the task may be placed again. */
+export function releaseRun(board: Board, ref: TaskRef, reason: string, now: number): void {
+	const {task, step, taskId, workflow, occurrence} = ref
+	const fields = {task: taskId, run: task.run, worker: task.workerId, phase: task.phase}
+	board.record(EventLevel.info, "run-released", fields, reason)
+	task.phase = TaskPhase.waiting
+	step.notBefore = Math.max(step.notBefore, now + STEP_RETRY_DELAY_MS)
+	board.runs.delete(taskId)
+	noteProgress(board, workflow, occurrence)
+	reconcileGang(board, ref, now)
+}
+
+/** Has the run stopped; a run that was never sent is released at once. */
+export function stopRun(board: Board, ref: TaskRef, reason: ReasonCode, now: number): void {
+	const {task, taskId} = ref
+	if (task.phase === TaskPhase.planned) {
+		releaseRun(board, ref, reason, now)
+		return
+	}
+	if (task.phase !== TaskPhase.starting && task.phase !== TaskPhase.running) return
+	task.phase = TaskPhase.stopping
+	task.acknowledgedAt = undefined
+	task.orderedAt = -Infinity
+	board.runs.set(taskId, ref)
+	const fields = {task: taskId, run: task.run, worker: task.workerId, percent: task.percent}
+	board.record(EventLevel.info, "run-stopping", fields, reason)
+	reconcileGang(board, ref, now)
+}
+
+/** No part of a gang runs on without the rest: where one member is gone, the others are stopped. */
+function reconcileGang(board: Board, ref: TaskRef, now: number): void {
+	if (!ref.spec.gang) return
+	const index = ref.stepIndex
+	for (const member of listTaskRefs(ref.workflow, ref.occurrence, index)) {
+		const {phase} = member.task
+		const isUp =
+			phase === TaskPhase.planned || phase === TaskPhase.starting || phase === TaskPhase.running
+		if (isUp) stopRun(board, member, "worker-lost", now)
+	}
+}
+
+/** The task is done; one end of a gang stands for all its members. */
+export function completeTask(board: Board, ref: TaskRef, now: number): void {
+	const {workflow, occurrence, spec, stepIndex} = ref
+	const refs = spec.gang ? listTaskRefs(workflow, occurrence, stepIndex) : [ref]
+	for (const {task, taskId} of refs) {
+		if (task.phase === TaskPhase.done) continue
+		task.phase = TaskPhase.done
+		board.runs.delete(taskId)
+	}
+	if (isOccurrenceDone(occurrence)) {
+		workflow.completedOccurrences++
+		if (workflow.completedOccurrences === countOccurrences(workflow.record))
+			endWorkflow(board, workflow, WorkflowState.completed, now)
+	}
+	noteProgress(board, workflow, occurrence)
+}
+
+export function endWorkflow(
+	board: Board,
+	workflow: WorkflowEntry,
+	state: WorkflowState,
+	now: number
+): void {
+	if (isFinal(workflow.state)) return
+	workflow.state = state
+	workflow.endedAt = now
+	board.workflows.set(workflow.record.id, workflow)
+	board.record(EventLevel.info, "workflow-ended", {
+		workflow: workflow.record.id,
+		state,
+		ageMs: Math.round(now - workflow.acceptedAt)
+	})
+}
+
+/** True where the run is the one that the worker speaks of. */
+export function isRunOn(
+	{task}: TaskRef,
+	{registration, incarnation}: NodeEntry,
+	run: number
+): boolean {
+	return task.workerId === registration.id && task.incarnation === incarnation && task.run === run
+}
--- a/src/utils/table-calls.ts
+++ b/src/utils/table-calls.ts
@@ -6,10 +6,11 @@
 	owner: string,
 	subject: string,
 	keys: readonly string[],
-	now: number
+	now: number,
+	timeoutMs = PLATFORM_TIMEOUT_MS
 ): string {
 	return board.issue<"table-read">({
-		...addressTable(owner, subject, now),
+		...addressTable(owner, subject, now, timeoutMs),
 		kind: CommandKind.tableRead,
 		request: {keys}
 	})
@@ -20,10 +21,11 @@
 	owner: string,
 	subject: string,
 	prefix: string,
-	now: number
+	now: number,
+	timeoutMs = PLATFORM_TIMEOUT_MS
 ): string {
 	return board.issue<"table-scan">({
-		...addressTable(owner, subject, now),
+		...addressTable(owner, subject, now, timeoutMs),
 		kind: CommandKind.tableScan,
 		request: {prefix}
 	})
@@ -34,15 +36,16 @@
 	owner: string,
 	subject: string,
 	writes: readonly RowWrite[],
-	now: number
+	now: number,
+	timeoutMs = PLATFORM_TIMEOUT_MS
 ): string {
 	return board.issue<"table-commit">({
-		...addressTable(owner, subject, now),
+		...addressTable(owner, subject, now, timeoutMs),
 		kind: CommandKind.tableCommit,
 		request: {writes}
 	})
 }
 
-function addressTable(owner: string, subject: string, now: number) {
-	return {owner, subject, target: "", timeoutMs: PLATFORM_TIMEOUT_MS, issuedAt: now}
+function addressTable(owner: string, subject: string, now: number, timeoutMs: number) {
+	return {owner, subject, target: "", timeoutMs, issuedAt: now}
 }
--- /dev/null
+++ b/src/utils/workflows.ts
@@ -0,0 +1,238 @@
+/** Names, rows and progress of workflows. */
+import {
+	type Occurrence,
+	type StepProgress,
+	type StepSpec,
+	type TaskProgress,
+	type TaskRef,
+	type WorkflowEntry,
+	type WorkflowRecord,
+	TaskPhase,
+	WorkflowState,
+	isFinal
+} from "../internal.js"
+
+export const WORKFLOW_PREFIX = "workflow/"
+export const PROGRESS_PREFIX = "progress/"
+/** Rows under this prefix name the workflows of which no task has started. */
+export const PENDING_PREFIX = "pending/"
+
+const STATE_SUFFIX = ".state"
+const CANCEL_SUFFIX = ".cancel"
+
+export function formatWorkflowKey(id: string): string {
+	return `${WORKFLOW_PREFIX}${id}`
+}
+
+export function formatStateKey(id: string): string {
+	return `${WORKFLOW_PREFIX}${id}${STATE_SUFFIX}`
+}
+
+export function formatCancelKey(id: string): string {
+	return `${WORKFLOW_PREFIX}${id}${CANCEL_SUFFIX}`
+}
+
+export function formatPendingKey(id: string): string {
+	return `${PENDING_PREFIX}${id}`
+}
+
+export function formatProgressKey(occurrenceKey: string): string {
+	return `${PROGRESS_PREFIX}${occurrenceKey}`
+}
+
+export const WorkflowRowKind = {record: "record", state: "state", cancel: "cancel"} as const
+export type WorkflowRowKind = (typeof WorkflowRowKind)[keyof typeof WorkflowRowKind]
+
+/** Which of a workflow's rows a key names. */
+export function parseWorkflowKey(key: string): {id: string; kind: WorkflowRowKind} {
+	const name = key.slice(WORKFLOW_PREFIX.length)
+	if (name.endsWith(STATE_SUFFIX))
+		return {id: name.slice(0, -STATE_SUFFIX.length), kind: WorkflowRowKind.state}
+	if (name.endsWith(CANCEL_SUFFIX))
+		return {id: name.slice(0, -CANCEL_SUFFIX.length), kind: WorkflowRowKind.cancel}
+	return {id: name, kind: WorkflowRowKind.record}
+}
+
+export function formatOccurrenceKey(workflowId: string, index: number): string {
+	return `${workflowId}.${index}`
+}
+
+export function formatRunTaskId(occurrenceKey: string, step: number, task: number): string {
+	return `${occurrenceKey}.${step}.${task}`
+}
+
+export function createTaskProgress(): TaskProgress {
+	return {
+		phase: TaskPhase.waiting,
+		run: 0,
+		workerId: "",
+		incarnation: "",
+		failures: 0,
+		checkpoint: "",
+		plannedRevision: 0,
+		orderedAt: 0,
+		acknowledgedAt: undefined,
+		starts: 0,
+		percent: 0,
+		progressAt: 0,
+		startedAt: 0,
+		failedOn: []
+	}
+}
+
+function createStepProgress(spec: StepSpec): StepProgress {
+	const tasks = Array.from({length: spec.tasks}, createTaskProgress)
+	return {tasks, gangFailures: 0, gangFailedRun: 0, notBefore: 0}
+}
+
+export function createOccurrence(record: WorkflowRecord, index: number): Occurrence {
+	const {schedule, steps} = record.spec
+	return {
+		key: formatOccurrenceKey(record.id, index),
+		index,
+		dueWallMs: schedule === undefined ? 0 : schedule.firstDueWallMs + index * schedule.intervalMs,
+		steps: steps.map(createStepProgress),
+		rowVersion: 0,
+		revision: 0,
+		savedRevision: 0
+	}
+}
+
+export function countOccurrences({spec}: WorkflowRecord): number {
+	return spec.schedule?.occurrences ?? 1
+}
+
+export function createWorkflowEntry(
+	record: WorkflowRecord,
+	now: number,
+	wallNow: number
+): WorkflowEntry {
+	const waitedMs = Math.max(0, wallNow - record.acceptedAtWallMs)
+	return {
+		record,
+		occurrences: new Map(),
+		state: WorkflowState.queued,
+		savedState: WorkflowState.queued,
+		stateVersion: 0,
+		completedOccurrences: 0,
+		cancelRequested: false,
+		seenAt: now,
+		acceptedAt: now - waitedMs,
+		endedAt: undefined,
+		pendingRemoved: false
+	}
+}
+
+export function createTaskRef(
+	workflow: WorkflowEntry,
+	occurrence: Occurrence,
+	stepIndex: number,
+	taskIndex: number
+): TaskRef | undefined {
+	const spec = workflow.record.spec.steps[stepIndex]
+	const step = occurrence.steps[stepIndex]
+	const task = step?.tasks[taskIndex]
+	if (spec === undefined || step === undefined || task === undefined) return undefined
+	const taskId = formatRunTaskId(occurrence.key, stepIndex, taskIndex)
+	return {taskId, workflow, occurrence, stepIndex, spec, step, task}
+}
+
+/** Every task of a step, with all that it belongs to. */
+export function listTaskRefs(
+	workflow: WorkflowEntry,
+	occurrence: Occurrence,
+	stepIndex: number
+): TaskRef[] {
+	const refs: TaskRef[] = []
+	for (const index of occurrence.steps[stepIndex]?.tasks.keys() ?? []) {
+		const ref = createTaskRef(workflow, occurrence, stepIndex, index)
+		if (ref !== undefined) refs.push(ref)
+	}
+	return refs
+}
+
+export function isStepDone(step: StepProgress | undefined): boolean {
+	return step?.tasks.every(({phase}) => phase === TaskPhase.done) ?? false
+}
+
+export function isOccurrenceDone({steps}: Occurrence): boolean {
+	return steps.every(isStepDone)
+}
+
+/** True while runs of the workflow may be started. */
+export function isSchedulable({state, cancelRequested}: WorkflowEntry): boolean {
+	return !isFinal(state) && !cancelRequested
+}
+
+type TaskRow = readonly [
+	phase: "waiting" | "placed" | "done",
+	run: number,
+	failures: number,
+	checkpoint: string,
+	workerId: string,
+	incarnation: string,
+	failedOn: readonly string[]
+]
+interface StepRow {
+	readonly tasks: readonly TaskRow[]
+	readonly gangFailures: number
+	readonly gangFailedRun: number
+}
+
+/** The row that a successor goes on from; whether a placed run was started, only its worker can say. */
+export function encodeOccurrence({steps}: Occurrence): string {
+	const rows = steps.map(({tasks, gangFailures, gangFailedRun}): StepRow => {
+		return {tasks: tasks.map(encodeTask), gangFailures, gangFailedRun}
+	})
+	return JSON.stringify(rows)
+}
+
+function encodeTask(task: TaskProgress): TaskRow {
+	const {phase, run, failures, checkpoint, workerId, incarnation, failedOn} = task
+	if (phase === TaskPhase.done) return ["done", run, failures, "", "", "", []]
+	if (phase === TaskPhase.waiting)
+		return ["waiting", run, failures, checkpoint, "", "", [...failedOn]]
+	return ["placed", run, failures, checkpoint, workerId, incarnation, [...failedOn]]
+}
+
+/** Fills an occurrence from its row; runs that were placed count as started until their workers answer. */
+export function restoreOccurrence(
+	occurrence: Occurrence,
+	text: string,
+	rowVersion: number,
+	now: number
+): void {
+	const rows = JSON.parse(text) as readonly StepRow[]
+	occurrence.rowVersion = rowVersion
+	for (const [index, step] of occurrence.steps.entries()) {
+		const row = rows[index]
+		if (row === undefined) continue
+		step.gangFailures = row.gangFailures
+		step.gangFailedRun = row.gangFailedRun
+		for (const [taskIndex, task] of step.tasks.entries()) {
+			const taskRow = row.tasks[taskIndex]
+			if (taskRow !== undefined) restoreTask(task, taskRow, now)
+		}
+	}
+}
+
+function restoreTask(task: TaskProgress, row: TaskRow, now: number): void {
+	const [phase, run, failures, checkpoint, workerId, incarnation, failedOn] = row
+	const phases = {
+		waiting: TaskPhase.waiting,
+		placed: TaskPhase.starting,
+		done: TaskPhase.done
+	} as const
+	task.phase = phases[phase]
+	task.run = run
+	task.failures = failures
+	task.checkpoint = checkpoint
+	task.workerId = workerId
+	task.incarnation = incarnation
+	task.orderedAt = now
+	// An earlier holder's order may have been executed at any time up to now.
+	task.acknowledgedAt = phase === "placed" ? now : undefined
+	task.progressAt = now
+	task.startedAt = now
+	task.failedOn.push(...failedOn)
+}
