Hold room for urgent work, and weigh what preemption and remote racks cost

Change: room is held for what preempts until its victims are gone; runs about to end are waited for; victims and racks are compared in core-seconds; a gang's member that has done its part does not stall.

Ruled out: a negative weight by rank (more victims looked better: 17 for a gang of 3).

--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -16,6 +16,7 @@
 	type Slot,
 	type StepProgress,
 	type StepSpec,
+	type TaskProgress,
 	type TaskRef,
 	type WorkflowEntry,
 	CATALOG_FRESH_MS,
@@ -33,6 +34,7 @@
 	createOccurrence,
 	findGuaranteed,
 	isFinal,
+	isFitting,
 	isNodeOpen,
 	isSchedulable,
 	isStepDone,
@@ -48,17 +50,41 @@
 /** How often a round is made while something waits and nothing changes. */
 const WAITING_INTERVAL_MS = 250
 
-/** How long a step insists on the rack of its data, or a gang on a single rack. */
-const RACK_WAIT_MS = 800
+/** How long a step that is not urgent insists on the rack of its data, or a gang on a single rack. */
+const RACK_WAIT_MS = 2000
+
+/**
+ * Core-seconds of other work that may be thrown away for urgent work that no guarantee covers: about what its
+ * workspace loses when it is late.
+ */
+const URGENT_LOSS_MAX = 1500
 
 /** Added to the time that an occurrence is due, for wall clocks of hosts that differ. */
 const DUE_MARGIN_MS = 20
 
+/** A run that will have ended this soon is waited for rather than stopped: stopping takes about as long. */
+const ENDS_SOON_MS = 500
+const PERCENT_DONE = 100
+
+/** Cost of stopping one run besides the work lost, in core-seconds, for the first rank; later ranks cost less. */
+const STOP_COST = 120
+
 const MS_PER_S = 1000
 const CPU_MILLIS_PER_CORE = 1000
 /** Cores that one accelerator is reckoned as when work is weighed. */
 const CORES_PER_ACCELERATOR = 8
 
+/** How long room is kept for tasks before they are placed anew. */
+const HOLD_TIMEOUT_MS = 2500
+
+type RoomsOfServices = ReadonlyMap<string, readonly NodeRoom[]>
+
+interface RoomHold {
+	readonly unit: PlacementUnit
+	readonly workerIds: readonly string[]
+	readonly since: number
+}
+
 interface ReadyStep {
 	readonly workflow: WorkflowEntry
 	readonly occurrence: Occurrence
@@ -80,6 +106,8 @@
 		SectionName.lifecycle
 	]
 	readonly #policy: RunPlacementPolicy
+	/** Room kept for tasks until the runs on it have ended, by the first task's id, in the order of the decisions. */
+	readonly #holds = new Map<string, RoomHold>()
 	readonly #readWallClock: () => number
 	#roundAt = 0
 	/** Monotonic time at which each waiting step became ready, by occurrence and step. */
@@ -95,6 +123,7 @@
 		const catalog = board.catalog.get("current")
 		if (!board.terms.has("loaded") || catalog === undefined) {
 			this.#readyAt.clear()
+			this.#holds.clear()
 			return undefined
 		}
 		if (board.lifecycle.get("state") !== Lifecycle.serving) return undefined
@@ -116,6 +145,7 @@
 		this.#noteReady(ready, now)
 		if (ready.length === 0) return 0
 		const rooms = listRooms(board, catalog, guaranteed, now)
+		this.#honourHolds(board, rooms, now)
 		let waiting = 0
 		for (const step of ready) if (!this.#placeStep(board, step, catalog, rooms, now)) waiting++
 		return waiting
@@ -149,12 +179,35 @@
 		for (const key of [...this.#readyAt.keys()]) if (!keys.has(key)) this.#readyAt.delete(key)
 	}
 
+	/** Starts what was held room for once all of it is free, and keeps the room of the others from this round. */
+	#honourHolds(board: Board, roomsOfServices: RoomsOfServices, now: number): void {
+		const rooms = new Map([...roomsOfServices.values()].flat().map(room => [room.id, room]))
+		for (const [key, {unit, workerIds, since}] of [...this.#holds]) {
+			const held = workerIds.flatMap(id => rooms.get(id) ?? [])
+			const isWanted = unit.refs.every(
+				({task, workflow}) => task.phase === TaskPhase.waiting && isSchedulable(workflow)
+			)
+			if (!isWanted || held.length < workerIds.length || now - since > HOLD_TIMEOUT_MS) {
+				this.#holds.delete(key)
+				continue
+			}
+			let isFree = true
+			for (const room of held) {
+				isFree &&= isFitting(room.free, unit.spec)
+				addDemand(room.free, unit.spec, -1)
+			}
+			if (!isFree) continue
+			this.#holds.delete(key)
+			planUnit(board, unit, held, now)
+		}
+	}
+
 	/** True once no task of the step waits any more. */
 	#placeStep(
 		board: Board,
 		ready: ReadyStep,
 		catalog: CatalogEntry,
-		roomsOfServices: ReadonlyMap<string, readonly NodeRoom[]>,
+		roomsOfServices: RoomsOfServices,
 		now: number
 	): boolean {
 		const {workflow, occurrence, stepIndex, spec, rank} = ready
@@ -162,23 +215,69 @@
 		const rooms = roomsOfServices.get(service) ?? []
 		const refs = listTaskRefs(workflow, occurrence, stepIndex)
 		const waiting = refs.filter(({task}) => task.phase === TaskPhase.waiting)
-		const groups = spec.gang ? [waiting] : waiting.map(ref => [ref])
+		const groups = (spec.gang ? [waiting] : waiting.map(ref => [ref])).filter(
+			([first]) => first !== undefined && !this.#holds.has(first.taskId)
+		)
 		const readyAt = this.#readyAt.get(`${occurrence.key}.${stepIndex}`) ?? now
 		for (const group of groups) {
 			const unit: PlacementUnit = {
 				refs: group,
 				spec,
 				rank,
-				mayPreempt: workflow.record.priority === 0,
-				isRackStrict: now - readyAt < RACK_WAIT_MS,
+				lossMax: computeLossMax(rank, workflow),
+				remoteCost: computeRemoteCost(board, ready, now - readyAt),
 				avoid: new Set(group.flatMap(({task}) => task.failedOn))
 			}
 			const slots = this.#policy.choose(unit, rooms)
 			if (slots === undefined) return false
-			if (!commitSlots(board, unit, slots, now)) return false
+			this.#commitSlots(board, unit, slots, now)
 		}
 		return true
 	}
+
+	/** Plans the runs, or has others stopped first and keeps the room. */
+	#commitSlots(board: Board, unit: PlacementUnit, slots: readonly Slot[], now: number): void {
+		const {refs, spec, rank} = unit
+		for (const [index, {room}] of slots.entries()) {
+			const ref = refs[index]
+			if (ref === undefined) continue
+			addDemand(room.free, spec, -1)
+			room.runs.push({ref, rank, loss: 0, isProtected: true, isLeaving: false})
+		}
+		const rooms = slots.map(({room}) => room)
+		if (slots.every(slot => slot.isFree)) {
+			planUnit(board, unit, rooms, now)
+			return
+		}
+		const victims = slots.flatMap(slot => slot.victims)
+		const [first] = refs
+		if (first === undefined) return
+		const workerIds = rooms.map(({id}) => id)
+		this.#holds.set(first.taskId, {unit, workerIds, since: now})
+		const fields = {
+			task: first.taskId,
+			rank,
+			workers: workerIds.join(" "),
+			victims: victims.map(({taskId}) => taskId).join(" "),
+			loss: Math.round(slots.reduce((sum, {loss}) => sum + loss, 0))
+		}
+		board.record(EventLevel.info, "run-room-held", fields)
+		for (const victim of victims) stopRun(board, victim, ReasonCode.preempted, now)
+	}
+}
+
+function computeLossMax(rank: number, {record}: WorkflowEntry): number {
+	if (rank === GUARANTEED_RANK) return Infinity
+	return record.priority === 0 ? URGENT_LOSS_MAX : -1
+}
+
+/** What the longer run in a remote rack takes up; urgent work is late by it as well. */
+function computeRemoteCost(board: Board, {spec, workflow}: ReadyStep, waitedMs: number): number {
+	if (spec.dataRack === undefined && !spec.tightlyCoupled) return 0
+	if (workflow.record.priority === 0) return URGENT_LOSS_MAX
+	if (waitedMs < RACK_WAIT_MS) return Infinity
+	const factor = board.settings.domain?.remoteFactor ?? 1
+	return (computeCores(spec) * spec.tasks * (factor - 1) * spec.estimateMs) / MS_PER_S
 }
 
 /** The queue's present service, or the one it had where the queue is gone. */
@@ -186,29 +285,17 @@
 	return catalog.queues.find(({name}) => name === record.queue)?.service ?? record.service
 }
 
-/** Plans the runs, or has the victims stopped first and keeps the room; true where all runs are planned. */
-function commitSlots(
+function planUnit(
 	board: Board,
-	{refs, spec, rank}: PlacementUnit,
-	slots: readonly Slot[],
+	{refs, rank}: PlacementUnit,
+	rooms: readonly NodeRoom[],
 	now: number
-): boolean {
-	const victims = slots.flatMap(slot => slot.victims)
-	for (const [index, {room}] of slots.entries()) {
-		const ref = refs[index]
-		if (ref === undefined) continue
-		addDemand(room.free, spec, -1)
-		room.runs.push({ref, rank, loss: 0, isProtected: true})
-	}
-	if (victims.length > 0) {
-		for (const victim of victims) stopRun(board, victim, ReasonCode.preempted, now)
-		return false
-	}
+): void {
 	const first = refs[0]
-	if (first === undefined) return true
+	if (first === undefined) return
 	const run = computeNextRun(first)
 	for (const [index, ref] of refs.entries()) {
-		const room = slots[index]?.room
+		const room = rooms[index]
 		if (room !== undefined) planRun(board, ref, room.id, room.incarnation, run, now)
 	}
 	const fields = {
@@ -216,11 +303,10 @@
 		run,
 		tasks: refs.length,
 		rank,
-		workers: slots.map(({room}) => room.id).join(" "),
+		workers: rooms.map(({id}) => id).join(" "),
 		waitedMs: Math.round(now - first.workflow.acceptedAt)
 	}
 	board.record(EventLevel.info, "run-placed", fields)
-	return true
 }
 
 /** Steps whose turn has come and that have tasks waiting, in the order in which they are served. */
@@ -260,7 +346,7 @@
 	catalog: CatalogEntry,
 	guaranteed: ReadonlySet<string>,
 	now: number
-): ReadonlyMap<string, readonly NodeRoom[]> {
+): RoomsOfServices {
 	const rooms = new Map<string, NodeRoom[]>()
 	for (const node of board.nodes.values()) {
 		if (!isNodeOpen(node, catalog)) continue
@@ -303,17 +389,33 @@
 
 function buildRoomRun(ref: TaskRef, guaranteed: ReadonlySet<string>, now: number): RoomRun {
 	const {workflow, task, spec} = ref
+	const rank = isFinal(workflow.state) ? Infinity : findRank(workflow, guaranteed)
 	return {
 		ref,
-		rank: isFinal(workflow.state) ? Infinity : findRank(workflow, guaranteed),
-		loss: computeLoss(task.startedAt, spec, now),
-		isProtected: spec.longRunning || task.phase === TaskPhase.planned
+		rank,
+		loss: computeLoss(ref, now) + STOP_COST / (rank + 1),
+		isProtected: spec.longRunning || task.phase === TaskPhase.planned,
+		isLeaving: task.phase === TaskPhase.stopping || computeRemaining(task, now) < ENDS_SOON_MS
 	}
 }
 
-/** Core-seconds of work that stopping a run throws away; what a checkpoint saves is not told apart. */
-function computeLoss(startedAt: number, {demand, tasks, gang, checkpoints}: StepSpec, now: number) {
-	if (checkpoints) return 0
-	const cores = demand.cpuMillis / CPU_MILLIS_PER_CORE + demand.accelerators * CORES_PER_ACCELERATOR
-	return (cores * (gang ? tasks : 1) * Math.max(0, now - startedAt)) / MS_PER_S
+/** Time that a run still needs at the rate that it had until its last report; infinite where that is not known. */
+function computeRemaining(
+	{phase, percent, startedAt, progressAt}: TaskProgress,
+	now: number
+): number {
+	if (phase !== TaskPhase.running || percent <= 0) return Infinity
+	const totalMs = ((progressAt - startedAt) * PERCENT_DONE) / percent
+	return startedAt + totalMs - now
+}
+
+/** Core-seconds of work that stopping a run throws away, its whole gang's where it has one. */
+function computeLoss({task, spec}: TaskRef, now: number): number {
+	if (spec.checkpoints) return 0
+	const ranMs = Math.max(0, now - task.startedAt)
+	return (computeCores(spec) * (spec.gang ? spec.tasks : 1) * ranMs) / MS_PER_S
+}
+
+function computeCores({demand}: StepSpec): number {
+	return demand.cpuMillis / CPU_MILLIS_PER_CORE + demand.accelerators * CORES_PER_ACCELERATOR
 }
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -42,6 +42,8 @@
 /** How often runs on workers that are out of reach are checked for having lapsed. */
 const LAPSE_CHECK_INTERVAL_MS = 200
 
+const PERCENT_DONE = 100
+
 const NO_HEALTH: NodeHealth = {
 	failedWorkflows: [],
 	closedUntil: 0,
@@ -204,7 +206,9 @@
 	#stopStalled(board: Board, node: NodeEntry, {receivedAt}: NodeReport, now: number): void {
 		for (const ref of [...board.runs.listOn(node.registration.id).values()]) {
 			const {task, spec, workflow} = ref
-			if (task.phase !== TaskPhase.running || spec.longRunning) continue
+			// A member of a gang that has done its part waits for the others.
+			const mayStall = !spec.longRunning && task.percent < PERCENT_DONE
+			if (task.phase !== TaskPhase.running || !mayStall) continue
 			if (receivedAt - task.progressAt < RUN_STALL_MS) continue
 			task.failedOn.push(node.registration.id)
 			this.#doubt(board, node.registration.id, workflow.record.id, now)
--- a/src/policies/run-placement.ts
+++ b/src/policies/run-placement.ts
@@ -3,7 +3,7 @@
  * so that whole workers stay free for tasks that need one. Where a task may take the place of others, it takes those
  * whose loss is least. The tasks of a tightly coupled gang go into one rack where one can hold them.
  */
-import {type ResourceDemand, type StepSpec, type TaskRef, TaskPhase, groupBy} from "../internal.js"
+import {type ResourceDemand, type StepSpec, type TaskRef, groupBy} from "../internal.js"
 
 /** A worker in one round of placement; `free` shrinks and `runs` grows as the round goes on. */
 export interface NodeRoom {
@@ -24,6 +24,8 @@
 	/** Core-seconds of work. */
 	readonly loss: number
 	readonly isProtected: boolean
+	/** It is being stopped or about to end by itself: its room can be reckoned with, and it is not stopped. */
+	readonly isLeaving: boolean
 }
 
 export interface PlacementUnit {
@@ -31,10 +33,10 @@
 	readonly refs: readonly TaskRef[]
 	readonly spec: StepSpec
 	readonly rank: number
-	/** Runs of a higher rank number may be stopped for it. */
-	readonly mayPreempt: boolean
-	/** The data's rack and a single rack for a gang are insisted on. */
-	readonly isRackStrict: boolean
+	/** Core-seconds of work of higher rank numbers that may be thrown away for it; negative for no preemption. */
+	readonly lossMax: number
+	/** Core-seconds at which running away from its data's rack, or in several racks, is weighed. */
+	readonly remoteCost: number
 	/** Workers that its tasks failed on. */
 	readonly avoid: ReadonlySet<string>
 }
@@ -42,7 +44,10 @@
 /** Room for one task on a worker, once the victims have stopped. */
 export interface Slot {
 	readonly room: NodeRoom
+	/** Runs that have to be stopped. */
 	readonly victims: readonly TaskRef[]
+	/** True where nothing has to end or stop first. */
+	readonly isFree: boolean
 	readonly loss: number
 }
 
@@ -53,21 +58,31 @@
 
 export class PackedRunPlacement implements RunPlacementPolicy {
 	choose(unit: PlacementUnit, rooms: readonly NodeRoom[]): readonly Slot[] | undefined {
-		const {spec, refs, isRackStrict} = unit
-		const fitting = rooms.filter(room => isEligible(room, spec))
-		const slots = fitting.flatMap(room => listSlots(room, unit))
-		const needed = refs.length
-		if (spec.dataRack !== undefined) {
-			const near = slots.filter(({room}) => room.rack === spec.dataRack)
-			if (near.length >= needed) return pickBest(near, needed, unit)
-			if (isRackStrict) return undefined
-		}
-		if (spec.tightlyCoupled && needed > 1) {
-			const inOneRack = pickRack(slots, needed, unit)
-			if (inOneRack !== undefined) return inOneRack
-			if (isRackStrict) return undefined
-		}
-		return slots.length < needed ? undefined : pickBest(slots, needed, unit)
+		const slots = rooms
+			.filter(room => isEligible(room, unit.spec))
+			.flatMap(room => listSlots(room, unit))
+		const near = this.#chooseNear(unit, slots)
+		const remote = chooseBest(slots, unit)
+		const nearCost = near === undefined ? Infinity : computeTotal(near, unit)
+		const remoteCost =
+			remote === undefined ? Infinity : computeTotal(remote, unit) + unit.remoteCost
+		const chosen = nearCost <= remoteCost ? near : remote
+		if (chosen === undefined || Math.min(nearCost, remoteCost) === Infinity) return undefined
+		const loss = chosen.reduce((sum, slot) => sum + slot.loss, 0)
+		return loss <= Math.max(0, unit.lossMax) ? chosen : undefined
+	}
+
+	/** In the rack of the data, or for a tightly coupled gang in any one rack; else anywhere. */
+	#chooseNear(unit: PlacementUnit, slots: readonly Slot[]): readonly Slot[] | undefined {
+		const {spec, refs} = unit
+		if (spec.dataRack !== undefined)
+			return chooseBest(
+				slots.filter(({room}) => room.rack === spec.dataRack),
+				unit
+			)
+		return spec.tightlyCoupled && refs.length > 1
+			? chooseRack(slots, unit)
+			: chooseBest(slots, unit)
 	}
 }
 
@@ -104,16 +119,20 @@
 	const slots: Slot[] = []
 	while (slots.length < limit) {
 		const victims: TaskRef[] = []
+		let isFree = true
 		let loss = 0
 		while (!isFitting(free, spec)) {
 			const victim = candidates.shift()
 			if (victim === undefined) return slots
-			victims.push(victim.ref)
-			loss += victim.loss
+			isFree = false
+			if (!victim.isLeaving) {
+				victims.push(victim.ref)
+				loss += victim.loss
+			}
 			addDemand(free, victim.ref.spec, 1)
 		}
 		addDemand(free, spec, -1)
-		slots.push({room, victims, loss})
+		slots.push({room, victims, isFree, loss})
 	}
 	return slots
 }
@@ -127,33 +146,31 @@
 	).length
 }
 
-/** Runs that will make way: those that are stopping already, then the least important and least work lost. */
-function listVictims({runs}: NodeRoom, {rank, mayPreempt}: PlacementUnit): RoomRun[] {
+/** Runs that will make way: those that are leaving already, then those whose stopping costs least. */
+function listVictims({runs}: NodeRoom, {rank, lossMax}: PlacementUnit): RoomRun[] {
+	if (lossMax < 0) return []
 	return runs
-		.filter(run => isStopping(run) || (mayPreempt && run.rank > rank && !run.isProtected))
-		.sort(
-			(a, b) => Number(isStopping(b)) - Number(isStopping(a)) || b.rank - a.rank || a.loss - b.loss
-		)
-}
-
-function isStopping({ref}: RoomRun): boolean {
-	return ref.task.phase === TaskPhase.stopping
+		.filter(run => run.isLeaving || (run.rank > rank && !run.isProtected))
+		.sort((a, b) => Number(b.isLeaving) - Number(a.isLeaving) || a.loss - b.loss)
 }
 
 function compareSlots(a: Slot, b: Slot, {avoid}: PlacementUnit): number {
 	return (
 		Number(avoid.has(a.room.id)) - Number(avoid.has(b.room.id)) ||
 		Number(a.room.isDoubted) - Number(b.room.isDoubted) ||
-		a.victims.length - b.victims.length ||
 		a.loss - b.loss ||
+		Number(b.isFree) - Number(a.isFree) ||
 		a.room.free.accelerators - b.room.free.accelerators ||
 		a.room.free.cpuMillis - b.room.free.cpuMillis
 	)
 }
 
-function pickBest(slots: readonly Slot[], needed: number, unit: PlacementUnit): readonly Slot[] {
-	// A worker's later slots build on its earlier ones: sorting is stable, so they stay in that order.
-	return closeGaps([...slots].sort((a, b) => compareSlots(a, b, unit)).slice(0, needed), slots)
+/** The best slots for all tasks, or undefined where there are too few. */
+function chooseBest(slots: readonly Slot[], unit: PlacementUnit): readonly Slot[] | undefined {
+	const needed = unit.refs.length
+	if (slots.length < needed) return undefined
+	const sorted = [...slots].sort((a, b) => compareSlots(a, b, unit))
+	return closeGaps(sorted.slice(0, needed), slots)
 }
 
 /** Replaces a chosen slot by an earlier one of the same worker that was left out. */
@@ -170,27 +187,31 @@
 	return closed
 }
 
-/** The rack that holds all at the least loss, then with the least left over. */
-function pickRack(
-	slots: readonly Slot[],
-	needed: number,
-	unit: PlacementUnit
-): readonly Slot[] | undefined {
+/** The rack that holds all at the least cost, then with the least left over. */
+function chooseRack(slots: readonly Slot[], unit: PlacementUnit): readonly Slot[] | undefined {
 	let best: {slots: readonly Slot[]; cost: number; spare: number} | undefined
 	for (const inRack of groupBy(slots, ({room}) => room.rack).values()) {
-		if (inRack.length < needed) continue
-		const chosen = pickBest(inRack, needed, unit)
-		const cost = chosen.reduce((sum, {loss, room}) => sum + loss + computePenalty(room, unit), 0)
-		const spare = inRack.length - needed
-		if (best === undefined || cost < best.cost || (cost === best.cost && spare < best.spare))
-			best = {slots: chosen, cost, spare}
+		const chosen = chooseBest(inRack, unit)
+		if (chosen === undefined) continue
+		const cost = computeTotal(chosen, unit)
+		const spare = inRack.length - chosen.length
+		const isBetter =
+			best === undefined || cost < best.cost || (cost === best.cost && spare < best.spare)
+		if (isBetter) best = {slots: chosen, cost, spare}
 	}
 	return best?.slots
 }
 
-/** Core-seconds of loss that a rack with a doubted worker may save before it is chosen. */
+function computeTotal(slots: readonly Slot[], unit: PlacementUnit): number {
+	return slots.reduce((sum, slot) => sum + computeCost(slot, unit), 0)
+}
+
+/** Core-seconds of loss that are accepted rather than use a worker that is doubted. */
 const DOUBT_PENALTY = 1000
+/** Core-seconds of loss that are accepted rather than wait for a run to leave. */
+const WAIT_PENALTY = 10
 
-function computePenalty(room: NodeRoom, {avoid}: PlacementUnit): number {
-	return room.isDoubted || avoid.has(room.id) ? DOUBT_PENALTY : 0
+function computeCost({loss, room, isFree}: Slot, {avoid}: PlacementUnit): number {
+	const doubt = room.isDoubted || avoid.has(room.id) ? DOUBT_PENALTY : 0
+	return loss + doubt + (isFree ? 0 : WAIT_PENALTY)
 }
