End cancelled workflows as cancelled, and test a domain on a stand-in of the platform

Cause: a cancellation stopped the runs, but the workflow's state stayed running, found by the first run of the new test (expected cancelled, got running).

Change: standins/fleet plays the platform's store and workers, reached through the real adapters under a manual clock; 20 tests of what must hold while calls, workers, hosts and the store fail. A cancelled workflow ends once its state is known.

--- /dev/null
+++ b/__tests__/domain.test.ts
@@ -0,0 +1,257 @@
+/** A domain with one holder, on the platform's stand-in: what must hold while hosts, workers and the store fail. */
+import {expect} from "chai"
+import {ReplyKind, WorkflowAction} from "../src/internal.js"
+import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
+import {BATCH, CALLER_KEY, URGENT, createCatalogRecord, createDomain} from "./fixtures/domain.js"
+
+const ID_A = "00000000000000aa"
+const ID_B = "00000000000000bb"
+const ID_C = "00000000000000cc"
+
+interface StepOptions {
+	readonly count?: number
+	readonly gpu?: number
+	readonly cpu?: number
+	readonly gang?: boolean
+	readonly workMs?: number
+	readonly [field: string]: unknown
+}
+
+/** A job of one step, whose payload tells the stand-in how its tasks behave. */
+function createJob(options: StepOptions = {}, payload: Record<string, unknown> = {}) {
+	const {count = 1, gpu = 1, cpu = 1000, gang = false, workMs = 1000, ...step} = options
+	return {
+		spec: JSON.stringify({workMs, gang: gang ? count : 1, cpu, gpu, ...payload}),
+		steps: [{count, gpu, cpu, gang, estimate_ms: workMs, ...step}]
+	}
+}
+
+function isCallTo(call: FleetCall, path: string): boolean {
+	return call.path === path
+}
+
+/** A domain whose first host holds it, with some workers. */
+async function createServingDomain({hosts = 1, workers = 2} = {}) {
+	const domain = createDomain()
+	for (let index = 0; index < workers; index++) domain.fleet.addWorker(`w${index + 1}`)
+	const first = domain.addHost()
+	await domain.advanceUntil(() => domain.findHolder() !== undefined)
+	for (let index = 1; index < hosts; index++) domain.addHost()
+	await domain.advanceUntil(() => first.board.nodes.size === workers)
+	await domain.advance(200)
+	return {...domain, first}
+}
+
+describe("a domain on the platform", () => {
+	it("runs a job from its acceptance to its end", async () => {
+		const {first, fleet, submit, readState, advance} = await createServingDomain()
+		const reply = await submit(first, `${BATCH}${ID_A}`, createJob({count: 3}))
+		expect(reply.kind).to.equal(ReplyKind.workflow)
+		await advance(2000)
+		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("completed")
+		expect(fleet.ledger.done.size).to.equal(3)
+		expect(fleet.ledger.broken).to.deep.equal([])
+	})
+
+	it("gives the members of a gang one run number", async () => {
+		const {first, fleet, submit, readState, advance} = await createServingDomain()
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, gpu: 4, gang: true}))
+		await advance(2000)
+		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("completed")
+		expect(new Set(fleet.ledger.starts.map(({run}) => run))).to.deep.equal(new Set([1]))
+	})
+
+	it("keeps to the bound of a step's tasks on one worker within one round", async () => {
+		const {first, fleet, submit, advance} = await createServingDomain({workers: 1})
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, max_per_server: 2}))
+		await advance(500)
+		expect(fleet.workers.get("w1")?.running).to.have.length(2)
+	})
+
+	it("starts a step only after the steps before it", async () => {
+		const {first, fleet, submit, advance} = await createServingDomain()
+		const step = {count: 1, gpu: 1, cpu: 1000}
+		const job = {spec: '{"workMs":1000}', steps: [step, {...step, after: [0]}]}
+		await submit(first, `${BATCH}${ID_A}`, job)
+		await advance(800)
+		expect(fleet.ledger.starts.map(({task}) => task)).to.deep.equal([`${ID_A}.0.0.0`])
+		await advance(2000)
+		expect(fleet.ledger.done.has(`${ID_A}.0.1.0`)).to.equal(true)
+	})
+
+	it("never gives a worker more than it has room for", async () => {
+		const {first, fleet, submit, advance, readState} = await createServingDomain()
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 40, gpu: 1, workMs: 400}))
+		await advance(4000)
+		expect(fleet.ledger.broken).to.deep.equal([])
+		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("completed")
+	})
+
+	it("stops lower work once, and no more than it needs, for urgent work", async () => {
+		const {first, fleet, submit, advance} = await createServingDomain()
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 16, workMs: 20000}))
+		await advance(500)
+		await submit(first, `${URGENT}${ID_B}`, createJob({count: 1, gpu: 4}))
+		await advance(700)
+		const isUrgent = fleet.ledger.starts.some(({task}) => task.startsWith(ID_B))
+		expect(isUrgent).to.equal(true)
+		const running = [...fleet.workers.values()].flatMap(worker => worker.running)
+		expect(running.filter(task => task.startsWith(ID_A))).to.have.length(12)
+	})
+
+	it("fails a job only after its last attempt", async () => {
+		const {first, fleet, submit, advance, readState} = await createServingDomain()
+		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 200}, {fails: true}))
+		await advance(3000)
+		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("failed")
+		expect(fleet.ledger.starts).to.have.length(2)
+	})
+
+	it("stops a cancelled job, and says that it was cancelled", async () => {
+		const {first, fleet, submit, ask, advance, readState} = await createServingDomain()
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, workMs: 20000}))
+		await advance(500)
+		await ask(first, {action: WorkflowAction.cancel, path: `${BATCH}${ID_A}`})
+		await advance(1000)
+		expect([...fleet.workers.values()].flatMap(worker => worker.running)).to.deep.equal([])
+		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("cancelled")
+	})
+
+	it("starts nothing on a worker that is draining, nor in a zone that is out", async () => {
+		const {first, fleet, submit, advance} = await createServingDomain()
+		fleet.register("w1", "draining")
+		fleet.store.put("op", "evacuate/zone-b", {})
+		fleet.addWorker("w3", {zone: "zone-b"})
+		await advance(1500)
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 8, workMs: 500}))
+		await advance(3000)
+		const used = new Set(fleet.ledger.starts.map(({worker}) => worker))
+		expect([...used]).to.deep.equal(["w2"])
+	})
+
+	it("accepts a job once where the answer to its commit was lost", async () => {
+		const {first, fleet, plan, submit, advance} = await createServingDomain()
+		let lost = 0
+		plan.isAnswerLost = (_, call) => isCallTo(call, "/v1/rows-tx") && lost++ < 1
+		const reply = await submit(first, `${BATCH}${ID_A}`, createJob())
+		expect(reply.kind).to.equal(ReplyKind.workflow)
+		await submit(first, `${BATCH}${ID_A}`, createJob())
+		await advance(4000)
+		expect(fleet.ledger.starts).to.have.length(1)
+	})
+
+	it("repeats a start whose answer was lost, and runs the task once", async () => {
+		const {first, fleet, plan, submit, advance, readState} = await createServingDomain()
+		let lost = 0
+		plan.isAnswerLost = (_, call) => isCallTo(call, "/v1/run-start") && lost++ < 1
+		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 3000}))
+		await advance(6000)
+		expect(fleet.ledger.starts).to.have.length(1)
+		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("completed")
+	})
+
+	it("refuses a start that comes late, after it was ruled out", async () => {
+		const {first, fleet, plan, submit, advance, advanceUntil} = await createServingDomain()
+		const late: FleetCall[] = []
+		plan.isLost = (_, call) => {
+			const isStart = isCallTo(call, "/v1/run-start") && late.length < 2
+			if (isStart) late.push(call)
+			return isStart
+		}
+		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 3000}))
+		await advanceUntil(() => fleet.ledger.starts.length > 0)
+		for (const call of late) await fleet.handle(call)
+		await advance(4000)
+		expect(fleet.ledger.broken).to.deep.equal([])
+		expect(fleet.ledger.starts.map(({run}) => run)).to.deep.equal([2])
+	})
+
+	it("goes on under a successor, without a second run, when its holder is killed", async () => {
+		const {first, fleet, submit, advance, advanceUntil, findHolder, hosts, readState} =
+			await createServingDomain({hosts: 3})
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 6, workMs: 8000}))
+		await advance(1000)
+		first.stop()
+		first.board.authority.delete("fleet")
+		await advanceUntil(() => findHolder() !== undefined)
+		await advance(9000)
+		const [, second] = hosts
+		expect(await readState(second!, `${BATCH}${ID_A}`)).to.equal("completed")
+		expect(fleet.ledger.starts).to.have.length(6)
+		expect(fleet.ledger.broken).to.deep.equal([])
+	})
+
+	it("keeps work running through an outage of the store", async () => {
+		const {first, fleet, plan, submit, advance, readState} = await createServingDomain({hosts: 2})
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, workMs: 6000}))
+		await advance(500)
+		plan.isLost = (_, call) => call.target === STORE_TARGET
+		await advance(6000)
+		plan.isLost = () => false
+		await advance(6000)
+		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("completed")
+		expect(fleet.ledger.starts).to.have.length(4)
+	})
+
+	it("starts work again only after the lease of a worker that is out of reach", async () => {
+		const {first, fleet, plan, submit, advance, advanceUntil} = await createServingDomain()
+		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 30000}))
+		await advance(500)
+		const [{worker: lost} = {worker: ""}] = fleet.ledger.starts
+		plan.isLost = (_, call) => call.target === lost
+		const waitedMs = await advanceUntil(() => fleet.ledger.starts.length > 1)
+		expect(waitedMs).to.be.greaterThan(8000).and.lessThan(13000)
+		expect(fleet.ledger.broken).to.deep.equal([])
+	})
+
+	it("starts at once what ran on a worker that was started anew", async () => {
+		const {first, fleet, submit, advance, advanceUntil} = await createServingDomain()
+		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 30000}))
+		await advance(500)
+		const [{worker} = {worker: ""}] = fleet.ledger.starts
+		fleet.workers.get(worker)?.restart()
+		fleet.register(worker)
+		const waitedMs = await advanceUntil(() => fleet.ledger.starts.length > 1)
+		expect(waitedMs).to.be.lessThan(3000)
+		expect(fleet.ledger.broken).to.deep.equal([])
+	})
+
+	it("stops honouring a key without newer evidence well before the bound", async () => {
+		const {first, plan, ask, advance} = await createServingDomain()
+		plan.isLost = (_, call) => call.target === STORE_TARGET
+		await advance(5000)
+		const reply = await ask(first, {path: `${BATCH}${ID_A}`})
+		expect(reply.kind === ReplyKind.refused && reply.refusal.reason).to.equal(
+			"platform-unavailable"
+		)
+	})
+
+	it("refuses a key that was taken away, and a caller of another workspace", async () => {
+		const {first, fleet, submit, advance, ask, readState} = await createServingDomain()
+		await submit(first, `${BATCH}${ID_A}`, createJob())
+		const other = await ask(first, {path: `${BATCH}${ID_A}`, key: "key-of-another"})
+		expect(other.kind === ReplyKind.refused && other.refusal.reason).to.equal("unknown-workflow")
+		fleet.store.put("op", "config", createCatalogRecord(2, {keys: ["a-new-key"]}))
+		await advance(500)
+		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("unauthenticated")
+	})
+
+	it("reads everything again where the history of changes is gone", async () => {
+		const {first, fleet, advance, readState, plan} = await createServingDomain()
+		plan.isLost = (_, call) => isCallTo(call, "/v1/rows-feed")
+		fleet.store.put("op", "config", createCatalogRecord(2, {keys: [CALLER_KEY, "a-new-key"]}))
+		fleet.store.forgetHistory()
+		await advance(2500)
+		plan.isLost = () => false
+		await advance(500)
+		expect(first.board.catalog.get("current")?.catalog.version).to.equal(2)
+		expect(await readState(first, `${BATCH}${ID_C}`)).to.equal("unknown-workflow")
+	})
+
+	it("passes over entries of workers that can't be understood", async () => {
+		const {first, fleet, advance} = await createServingDomain()
+		fleet.store.put("servers", "odd", {state: "resting", service: 7})
+		await advance(1500)
+		expect([...first.board.nodes.keys()]).to.deep.equal(["w1", "w2"])
+	})
+})
--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -42,12 +42,17 @@
 	readonly body: unknown
 }
 
+/** Sends requests; the stand-ins' way around the network implements it too. */
+export interface HttpExchange {
+	exchange(request: HttpRequest): Promise<Result<HttpAnswer, CallError>>
+}
+
 interface RefusalBody {
 	readonly code?: unknown
 	readonly detail?: unknown
 }
 
-export class HttpClient {
+export class HttpClient implements HttpExchange {
 	readonly #agent = new Agent({
 		connect: {timeout: CONNECT_TIMEOUT_MS},
 		connections: CONNECTIONS_PER_ORIGIN,
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -32,6 +32,7 @@
 	createTaskRef,
 	createWorkflowEntry,
 	encodeOccurrence,
+	endWorkflow,
 	findTerm,
 	formatCancelKey,
 	formatHolderKey,
@@ -205,17 +206,16 @@
 			({key, version}) => version > 0 && parseWorkflowKey(key).kind === WorkflowRowKind.record
 		)
 		for (const row of records) this.#adoptRecord(board, row, now)
+		const cancelled: WorkflowEntry[] = []
 		for (const row of rows) {
 			const {id, kind} = parseWorkflowKey(row.key)
 			const entry = board.workflows.get(id)
 			if (entry === undefined || row.version === 0) continue
 			if (kind === WorkflowRowKind.state) this.#adoptState(board, entry, row)
-			else if (kind === WorkflowRowKind.cancel && !entry.cancelRequested) {
-				entry.cancelRequested = true
-				board.workflows.set(id, entry)
-				board.record(EventLevel.info, "workflow-cancel-seen", {workflow: id, state: entry.state})
-			}
+			else if (kind === WorkflowRowKind.cancel) cancelled.push(entry)
 		}
+		// Only once the states are known: a cancellation that came after the end changes nothing.
+		for (const entry of cancelled) cancelWorkflow(board, entry, now)
 	}
 
 	#adoptRecord(board: Board, row: TableRow, now: number): void {
@@ -399,6 +399,12 @@
 	}
 }
 
+function cancelWorkflow(board: Board, entry: WorkflowEntry, now: number): void {
+	if (entry.cancelRequested) return
+	entry.cancelRequested = true
+	endWorkflow(board, entry, WorkflowState.cancelled, now)
+}
+
 /** What of one workflow is not in the table yet. */
 function collectWrites(entry: WorkflowEntry, batch: Batch): void {
 	const {record, state, stateVersion} = entry
--- /dev/null
+++ b/standins/fleet/direct.ts
@@ -0,0 +1,60 @@
+/** Carries calls to the platform's stand-in without a network, under any clock, through a plan of faults. */
+import {err, ok, type Result} from "neverthrow"
+import {
+	type HttpAnswer,
+	type HttpExchange,
+	type HttpRequest
+} from "../../src/adapters/http-client.js"
+import {type CallError, type Clock, TransportError} from "../../src/internal.js"
+import {Fate} from "../fault-plan.js"
+import {type FleetCall, type FleetStandIn} from "./fleet.js"
+
+/** What happens to one call on its way; decided by who calls whom with what. */
+export interface CallPlan {
+	decide(hostId: string, call: FleetCall): Fate
+	/** One-way delay in milliseconds. */
+	computeDelay(hostId: string, call: FleetCall): number
+}
+
+export class DirectExchange implements HttpExchange {
+	readonly #hostId: string
+	readonly #fleet: FleetStandIn
+	readonly #clock: Clock
+	readonly #plan: CallPlan
+
+	constructor(hostId: string, fleet: FleetStandIn, clock: Clock, plan: CallPlan) {
+		this.#hostId = hostId
+		this.#fleet = fleet
+		this.#clock = clock
+		this.#plan = plan
+	}
+
+	exchange(request: HttpRequest): Promise<Result<HttpAnswer, CallError>> {
+		const url = new URL(request.url)
+		const call: FleetCall = {
+			method: request.method,
+			target: url.hostname,
+			path: url.pathname,
+			query: url.searchParams,
+			headers: request.headers ?? {},
+			body: request.body === undefined ? undefined : JSON.parse(JSON.stringify(request.body))
+		}
+		const fate = this.#plan.decide(this.#hostId, call)
+		const delayMs = this.#plan.computeDelay(this.#hostId, call)
+		return new Promise(resolve => {
+			const cancel = this.#clock.schedule(request.timeoutMs, () => {
+				resolve(err(new TransportError(request.url, "no answer in time", true)))
+			})
+			if (fate === Fate.loseRequest) return
+			this.#clock.schedule(delayMs, () => {
+				void this.#fleet.handle(call).then(answer => {
+					if (fate === Fate.loseAnswer) return
+					this.#clock.schedule(delayMs, () => {
+						cancel()
+						resolve(ok(answer))
+					})
+				})
+			})
+		})
+	}
+}
--- /dev/null
+++ b/standins/fleet/fleet.ts
@@ -0,0 +1,152 @@
+/**
+ * The users' platform in one object: its store and its workers, answering the calls that PROTOCOL.md describes. Tests
+ * reach it directly, under a manual clock, or over loopback HTTP.
+ */
+import {z} from "zod"
+import {type HttpAnswer} from "../../src/adapters/http-client.js"
+import {type Clock, type ResourceDemand} from "../../src/internal.js"
+import {StoreCore} from "./store.js"
+import {FleetLedger, FleetWorker} from "./worker.js"
+
+const rowNameSchema = z.object({table: z.string(), part: z.string(), key: z.string()})
+const transactionSchema = z.object({
+	precondition: z.array(rowNameSchema.extend({schema_version: z.int()})).default([]),
+	put: z.array(rowNameSchema.extend({value: z.base64()})).default([]),
+	delete: z.array(rowNameSchema).default([])
+})
+const startSchema = z.object({
+	task: z.string(),
+	run_id: z.int(),
+	spec: z.string(),
+	until_ms: z.int(),
+	fencing_token: z.int()
+})
+const stopSchema = z.object({task: z.string(), run_id: z.int(), fencing_token: z.int()})
+const holdSchema = z.object({
+	fencing_token: z.int(),
+	ack_seq: z.int(),
+	until_ms: z.int().optional(),
+	wait_ms: z.int().max(2000).optional()
+})
+
+const ROWS_MAX = 500
+const NOT_FOUND: HttpAnswer = {status: 404, body: undefined}
+const INSTANCE_HEADER = "x-expect-instance"
+
+export interface FleetCall {
+	readonly method: string
+	/** Host of the URL: `store`, or a worker's id. */
+	readonly target: string
+	readonly path: string
+	readonly query: URLSearchParams
+	readonly headers: Readonly<Record<string, string>>
+	readonly body: unknown
+}
+
+export interface WorkerOptions {
+	readonly zone?: string
+	readonly rack?: string
+	readonly service?: string
+	readonly labels?: readonly string[]
+	readonly capacity?: ResourceDemand
+}
+
+export const STORE_TARGET = "store"
+export const DEFAULT_CAPACITY: ResourceDemand = {
+	cpuMillis: 32000,
+	memoryMb: 131072,
+	accelerators: 8
+}
+
+export class FleetStandIn {
+	readonly store: StoreCore
+	readonly ledger = new FleetLedger()
+	readonly workers = new Map<string, FleetWorker>()
+	readonly #peers = new Set<FleetWorker>()
+	readonly #options = new Map<string, WorkerOptions>()
+	readonly #clock: Clock
+
+	constructor(clock: Clock) {
+		this.#clock = clock
+		this.store = new StoreCore(clock)
+	}
+
+	addWorker(id: string, options: WorkerOptions = {}): FleetWorker {
+		const capacity = options.capacity ?? DEFAULT_CAPACITY
+		const worker = new FleetWorker(id, this.#clock, this.ledger, this.#peers, capacity)
+		this.workers.set(id, worker)
+		this.#options.set(id, options)
+		this.register(id)
+		return worker
+	}
+
+	/** Writes the worker's entry, as the worker itself does with every heartbeat. */
+	register(id: string, state = "ready"): void {
+		const options = this.#options.get(id) ?? {}
+		const {cpuMillis, memoryMb, accelerators} = options.capacity ?? DEFAULT_CAPACITY
+		this.store.put("servers", id, {
+			service: options.service ?? "trace",
+			address: id,
+			zone: options.zone ?? "zone-a",
+			state,
+			capacity: {cpu: cpuMillis, mem_mb: memoryMb, gpu: accelerators},
+			labels: [...(options.labels ?? ["kind-a"]), options.rack ?? "rack-1"],
+			clock_ms: this.#clock.now(),
+			born: this.workers.get(id)?.born ?? 0
+		})
+	}
+
+	async handle(call: FleetCall): Promise<HttpAnswer> {
+		if (call.target === STORE_TARGET) return this.#handleStore(call)
+		const worker = this.workers.get(call.target)
+		if (worker === undefined) return NOT_FOUND
+		if (call.headers[INSTANCE_HEADER] !== worker.id) return {status: 421, body: {}}
+		return this.#handleWorker(worker, call)
+	}
+
+	async #handleStore({method, path, query, body}: FleetCall): Promise<HttpAnswer> {
+		switch (`${method} ${path}`) {
+			case "POST /v1/rows-tx": {
+				const {status, ...answer} = this.store.transact(transactionSchema.parse(body))
+				return {status, body: answer}
+			}
+			case "GET /v1/rows-get":
+				return {status: 200, body: this.#readRange(query)}
+			case "GET /v1/rows-feed":
+				return this.#follow(query)
+			default:
+				return NOT_FOUND
+		}
+	}
+
+	#readRange(query: URLSearchParams) {
+		return this.store.readRange(
+			query.get("table") ?? "",
+			query.get("part") ?? "",
+			query.get("from") ?? "",
+			query.get("target") ?? undefined,
+			Number(query.get("limit") ?? ROWS_MAX)
+		)
+	}
+
+	async #follow(query: URLSearchParams): Promise<HttpAnswer> {
+		const table = query.get("table") ?? ""
+		const waitMs = Number(query.get("wait_ms") ?? 0)
+		const rows = await this.store.follow(table, Number(query.get("after")), waitMs)
+		if (rows === undefined) return {status: 410, body: {}}
+		return {status: 200, body: {rows, schema_version: this.store.version}}
+	}
+
+	async #handleWorker(worker: FleetWorker, {method, path, body}: FleetCall): Promise<HttpAnswer> {
+		switch (`${method} ${path}`) {
+			case "POST /v1/run-start":
+				return worker.start(startSchema.parse(body))
+			case "POST /v1/run-stop":
+				return worker.stop(stopSchema.parse(body))
+			case "POST /v1/hold":
+				return worker.hold(holdSchema.parse(body))
+			default:
+				return NOT_FOUND
+		}
+	}
+}
--- /dev/null
+++ b/standins/fleet/store.ts
@@ -0,0 +1,130 @@
+/** Stand-in for the platform's metadata store: rows in tables, transactions under conditions, and feeds of changes. */
+import {type Clock} from "../../src/internal.js"
+
+export interface RowName {
+	readonly table: string
+	readonly part: string
+	readonly key: string
+}
+
+/** One row as the store gives it; `value` is base64, and absent where the row was deleted. */
+export interface StoredRow extends RowName {
+	readonly value?: string
+	readonly schema_version: number
+	readonly deleted?: boolean
+}
+
+export interface Transaction {
+	readonly precondition: readonly (RowName & {readonly schema_version: number})[]
+	readonly put: readonly (RowName & {readonly value: string})[]
+	readonly delete: readonly RowName[]
+}
+
+export type TransactionAnswer =
+	| {readonly status: 200; readonly schema_version: number}
+	| {readonly status: 412; readonly rows: readonly StoredRow[]}
+
+const PAGE_ROWS = 500
+
+interface Waiter {
+	readonly table: string
+	readonly after: number
+	readonly resolve: (rows: readonly StoredRow[]) => void
+}
+
+export class StoreCore {
+	readonly #clock: Clock
+	readonly #rows = new Map<string, StoredRow>()
+	#history: StoredRow[] = []
+	/** Changes up to this version are forgotten. */
+	#forgotten = 0
+	#version = 1
+	readonly #waiters = new Set<Waiter>()
+
+	constructor(clock: Clock) {
+		this.#clock = clock
+	}
+
+	get version(): number {
+		return this.#version
+	}
+
+	transact({precondition, put, delete: dropped}: Transaction): TransactionAnswer {
+		const current = precondition.map(name => this.#rows.get(formatName(name)))
+		const holds = precondition.every(
+			(condition, index) => (current[index]?.schema_version ?? 0) === condition.schema_version
+		)
+		if (!holds) return {status: 412, rows: current.filter(row => row !== undefined)}
+		this.#version++
+		for (const row of put) this.#write({...row, schema_version: this.#version})
+		for (const {table, part, key} of dropped)
+			this.#write({table, part, key, schema_version: this.#version, deleted: true})
+		this.#wakeWaiters()
+		return {status: 200, schema_version: this.#version}
+	}
+
+	/** Writes a row as operators and workers do, as JSON. */
+	put(table: string, key: string, value: unknown): void {
+		const encoded = Buffer.from(JSON.stringify(value)).toString("base64")
+		this.transact({precondition: [], put: [{table, part: "", key, value: encoded}], delete: []})
+	}
+
+	drop(table: string, key: string): void {
+		this.transact({precondition: [], put: [], delete: [{table, part: "", key}]})
+	}
+
+	readRange(table: string, part: string, from: string, target: string | undefined, limit: number) {
+		const found = [...this.#rows.values()]
+			.filter(row => row.table === table && row.part === part && row.key >= from)
+			.filter(row => target === undefined || row.key < target)
+			.sort((a, b) => (a.key < b.key ? -1 : 1))
+		const rows = found.slice(0, Math.min(limit, PAGE_ROWS))
+		return {rows, has_more: found.length > rows.length, schema_version: this.#version}
+	}
+
+	/** Changes of a table after a version, waiting for the first; undefined where they are forgotten. */
+	async follow(
+		table: string,
+		after: number,
+		waitMs: number
+	): Promise<readonly StoredRow[] | undefined> {
+		if (after < this.#forgotten) return undefined
+		const rows = this.#listChanges(table, after)
+		if (rows.length > 0 || waitMs === 0) return rows
+		return new Promise(resolve => {
+			const waiter = {table, after, resolve}
+			this.#waiters.add(waiter)
+			this.#clock.schedule(waitMs, () => {
+				if (this.#waiters.delete(waiter)) resolve([])
+			})
+		})
+	}
+
+	forgetHistory(): void {
+		this.#forgotten = this.#version
+		this.#history = []
+	}
+
+	#listChanges(table: string, after: number): readonly StoredRow[] {
+		return this.#history.filter(row => row.table === table && row.schema_version > after)
+	}
+
+	#write(row: StoredRow): void {
+		this.#history.push(row)
+		if (row.deleted === true) this.#rows.delete(formatName(row))
+		else this.#rows.set(formatName(row), row)
+	}
+
+	#wakeWaiters(): void {
+		for (const waiter of [...this.#waiters]) {
+			const rows = this.#listChanges(waiter.table, waiter.after)
+			if (rows.length === 0) continue
+			this.#waiters.delete(waiter)
+			waiter.resolve(rows)
+		}
+	}
+}
+
+function formatName({table, part, key}: RowName): string {
+	return JSON.stringify([table, part, key])
+}
--- /dev/null
+++ b/standins/fleet/worker.ts
@@ -0,0 +1,268 @@
+/**
+ * Stand-in for a worker of the platform: it starts whatever it is told to under the highest token that it has seen,
+ * keeps everything under one lease, and lists ends until they are acknowledged. The payload of a task is JSON and says
+ * how it behaves. All workers of one fleet share a ledger, which notes every broken promise as it happens.
+ */
+import {z} from "zod"
+import {type Clock, type ResourceDemand} from "../../src/internal.js"
+
+const payloadSchema = z.object({
+	workMs: z.number().default(1000),
+	/** Members of its gang; they work only while all of them are there. */
+	gang: z.number().default(1),
+	/** Ends as failed. */
+	fails: z.boolean().default(false),
+	cpu: z.number().default(0),
+	gpu: z.number().default(0)
+})
+type Payload = z.infer<typeof payloadSchema>
+
+interface Run {
+	readonly task: string
+	readonly run: number
+	readonly payload: Payload
+	readonly cancelTimer: () => void
+	/** When all members of its gang were there; undefined before. */
+	workingSince: number | undefined
+	isStopping: boolean
+}
+
+type End = readonly [number, string, number, string, string]
+
+export type OrderAnswer =
+	| {readonly status: 200; readonly body: Readonly<Record<string, unknown>>}
+	| {readonly status: 409; readonly body: {readonly clock_ms: number; readonly reason: string}}
+	| {readonly status: 421; readonly body: Readonly<Record<string, never>>}
+
+const PERCENT_DONE = 100
+
+/** What all workers of a fleet have seen. */
+export class FleetLedger {
+	readonly broken: string[] = []
+	readonly starts: {readonly task: string; readonly run: number; readonly worker: string}[] = []
+	readonly done = new Set<string>()
+	readonly #running = new Map<string, string>()
+
+	noteStart(task: string, run: number, worker: string): void {
+		this.starts.push({task, run, worker})
+		const other = this.#running.get(task)
+		if (other !== undefined) this.broken.push(`${task} runs on ${other} and on ${worker}`)
+		if (this.done.has(task)) this.broken.push(`${task} is started after it was done`)
+		this.#running.set(task, worker)
+	}
+
+	noteEnd(task: string, worker: string): void {
+		if (this.#running.get(task) === worker) this.#running.delete(task)
+	}
+}
+
+export class FleetWorker {
+	readonly id: string
+	readonly #clock: Clock
+	readonly #ledger: FleetLedger
+	readonly #peers: Set<FleetWorker>
+	readonly #capacity: ResourceDemand
+	readonly stopMs: number
+	/** Start of this life; a restart moves it. */
+	born: number
+	#token = 0
+	#ends: End[] = []
+	#position = 0
+	#leaseUntil = 0
+	#cancelLease: () => void = () => undefined
+	readonly #runs = new Map<string, Run>()
+	readonly #highestRun = new Map<string, number>()
+	readonly #waiters = new Set<() => void>()
+
+	constructor(
+		id: string,
+		clock: Clock,
+		ledger: FleetLedger,
+		peers: Set<FleetWorker>,
+		capacity: ResourceDemand,
+		stopMs = 100
+	) {
+		this.id = id
+		this.#clock = clock
+		this.#ledger = ledger
+		this.#peers = peers
+		this.#capacity = capacity
+		this.stopMs = stopMs
+		this.born = clock.readWallClock()
+		peers.add(this)
+	}
+
+	get running(): readonly string[] {
+		return [...this.#runs.keys()]
+	}
+
+	get ends(): readonly End[] {
+		return this.#ends
+	}
+
+	/** A new life at the same address: it runs and knows nothing of before. */
+	restart(): void {
+		for (const run of [...this.#runs.values()]) this.#remove(run)
+		this.#ends = []
+		this.#position = 0
+		this.#token = 0
+		this.#highestRun.clear()
+		this.born = this.#clock.readWallClock()
+	}
+
+	start(order: {
+		task: string
+		run_id: number
+		spec: string
+		until_ms: number
+		fencing_token: number
+	}): OrderAnswer {
+		if (!this.#acceptToken(order.fencing_token)) return this.#refuse("fence")
+		const {task, run_id: run} = order
+		const present = this.#runs.get(task)
+		if (present?.run === run) return this.#answer()
+		this.#renew(order.until_ms)
+		if (run <= (this.#highestRun.get(task) ?? 0)) return this.#refuse("old")
+		if (order.until_ms <= this.#clock.now()) return this.#refuse("late")
+		const payload = payloadSchema.parse(JSON.parse(order.spec === "" ? "{}" : order.spec))
+		this.#highestRun.set(task, run)
+		this.#ledger.noteStart(task, run, this.id)
+		this.#begin(task, run, payload)
+		return this.#answer()
+	}
+
+	stop(order: {task: string; run_id: number; fencing_token: number}): OrderAnswer {
+		if (!this.#acceptToken(order.fencing_token)) return this.#refuse("fence")
+		const {task, run_id: run} = order
+		this.#highestRun.set(task, Math.max(run, this.#highestRun.get(task) ?? 0))
+		const present = this.#runs.get(task)
+		if (present?.run === run && !present.isStopping) {
+			present.isStopping = true
+			this.#clock.schedule(this.stopMs, () => {
+				this.#end(present, "stopped")
+			})
+		}
+		return this.#answer()
+	}
+
+	async hold(order: {
+		fencing_token: number
+		ack_seq: number
+		until_ms?: number | undefined
+		wait_ms?: number | undefined
+	}): Promise<OrderAnswer> {
+		if (!this.#acceptToken(order.fencing_token)) return this.#refuse("fence")
+		this.#ends = this.#ends.filter(([position]) => position > order.ack_seq)
+		if (order.until_ms !== undefined) this.#renew(order.until_ms)
+		if (this.#ends.length === 0 && order.wait_ms !== undefined && order.wait_ms > 0)
+			await this.#waitForEnd(order.wait_ms)
+		const running = [...this.#runs.values()].map(run => [
+			run.task,
+			run.run,
+			"",
+			this.#computePercent(run)
+		])
+		return this.#answer({running, ended_runs: this.#ends, born: this.born})
+	}
+
+	#begin(task: string, run: number, payload: Payload): void {
+		const entry: Run = {
+			task,
+			run,
+			payload,
+			cancelTimer: () => undefined,
+			workingSince: undefined,
+			isStopping: false
+		}
+		this.#runs.set(task, entry)
+		this.#checkRoom()
+		const members = this.#listMembers(entry)
+		if (members.length < payload.gang) return
+		for (const {worker, member} of members) {
+			member.workingSince = this.#clock.now()
+			worker.#clock.schedule(payload.workMs, () => {
+				if (worker.#runs.get(member.task) === member)
+					worker.#end(member, payload.fails ? "failed" : "done")
+			})
+		}
+	}
+
+	#listMembers({task, run, payload}: Run): {worker: FleetWorker; member: Run}[] {
+		if (payload.gang === 1) {
+			const member = this.#runs.get(task)
+			return member === undefined ? [] : [{worker: this, member}]
+		}
+		const step = task.slice(0, task.lastIndexOf(".") + 1)
+		return [...this.#peers].flatMap(worker =>
+			[...worker.#runs.values()]
+				.filter(member => member.run === run && member.task.startsWith(step))
+				.map(member => ({worker, member}))
+		)
+	}
+
+	#checkRoom(): void {
+		const taken = {cpu: 0, gpu: 0}
+		for (const {payload} of this.#runs.values()) {
+			taken.cpu += payload.cpu
+			taken.gpu += payload.gpu
+		}
+		if (taken.cpu > this.#capacity.cpuMillis || taken.gpu > this.#capacity.accelerators)
+			this.#ledger.broken.push(`${this.id} runs more than it has room for`)
+	}
+
+	#end(run: Run, how: string): void {
+		if (this.#runs.get(run.task) !== run) return
+		this.#remove(run)
+		if (how === "done") this.#ledger.done.add(run.task)
+		this.#ends.push([++this.#position, run.task, run.run, how, ""])
+		for (const wake of [...this.#waiters]) wake()
+		if (how === "done" || run.payload.gang === 1) return
+		for (const {worker, member} of this.#listMembers(run)) worker.#end(member, "broken")
+	}
+
+	#remove(run: Run): void {
+		this.#runs.delete(run.task)
+		this.#ledger.noteEnd(run.task, this.id)
+	}
+
+	#renew(until: number): void {
+		if (until <= this.#leaseUntil) return
+		this.#leaseUntil = until
+		this.#cancelLease()
+		this.#cancelLease = this.#clock.schedule(until - this.#clock.now(), () => {
+			for (const run of [...this.#runs.values()]) this.#end(run, "lapsed")
+		})
+	}
+
+	#computePercent({workingSince, payload}: Run): number {
+		if (workingSince === undefined) return 0
+		const share = (this.#clock.now() - workingSince) / payload.workMs
+		return Math.min(PERCENT_DONE, Math.round(share * PERCENT_DONE))
+	}
+
+	#acceptToken(token: number): boolean {
+		if (token < this.#token) return false
+		this.#token = token
+		return true
+	}
+
+	#waitForEnd(waitMs: number): Promise<void> {
+		return new Promise(resolve => {
+			const wake = () => {
+				this.#waiters.delete(wake)
+				cancel()
+				resolve()
+			}
+			const cancel = this.#clock.schedule(waitMs, wake)
+			this.#waiters.add(wake)
+		})
+	}
+
+	#answer(fields: Readonly<Record<string, unknown>> = {}): OrderAnswer {
+		return {status: 200, body: {clock_ms: this.#clock.now(), ...fields}}
+	}
+
+	#refuse(reason: string): OrderAnswer {
+		return {status: 409, body: {clock_ms: this.#clock.now(), reason}}
+	}
+}
