Wait for runs to end only as long as a stop would take

Change: a gang ends with its slowest member; held room is given up after the time of a stop and 0.4 s, and the next decision waits for no run to end by itself. Rooms and losses move to utils/rooms.ts.

--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -99,6 +99,16 @@
 		expect(running.filter(task => task.startsWith(ID_A))).to.have.length(12)
 	})
 
+	it("does not wait long for runs that do not end when their progress says so", async () => {
+		const {first, fleet, submit, advance, advanceUntil} = await createServingDomain()
+		const job = createJob({count: 16, workMs: 20000}, {reportedMs: 3000})
+		await submit(first, `${BATCH}${ID_A}`, job)
+		await advance(2700)
+		await submit(first, `${URGENT}${ID_B}`, createJob({count: 1, gpu: 8, cpu: 8000}))
+		const isStarted = () => fleet.ledger.starts.some(({task}) => task.startsWith(ID_B))
+		expect(await advanceUntil(isStarted)).to.be.lessThan(2000)
+	})
+
 	it("fails a job only after its last attempt", async () => {
 		const {first, fleet, submit, advance, readState} = await createServingDomain()
 		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 200}, {fails: true}))
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -7,17 +7,14 @@
 	type Board,
 	type CatalogEntry,
 	type Controller,
-	type NodeEntry,
 	type NodeRoom,
 	type Occurrence,
 	type PlacementUnit,
-	type RoomRun,
+	type RoomsOfServices,
 	type RunPlacementPolicy,
 	type Slot,
 	type StepProgress,
 	type StepSpec,
-	type TaskProgress,
-	type TaskRef,
 	type WorkflowEntry,
 	CATALOG_FRESH_MS,
 	EventLevel,
@@ -29,16 +26,17 @@
 	TaskPhase,
 	addDemand,
 	computeNextRun,
-	computeRank,
+	buildPlannedRun,
+	computeCores,
 	countOccurrences,
 	createOccurrence,
 	findGuaranteed,
-	isFinal,
+	findRank,
 	isFitting,
-	isNodeOpen,
 	isSchedulable,
 	isStepDone,
 	isTermProven,
+	listRooms,
 	listTaskRefs,
 	planRun,
 	stopRun
@@ -62,22 +60,10 @@
 /** Added to the time that an occurrence is due, for wall clocks of hosts that differ. */
 const DUE_MARGIN_MS = 20
 
-/** A run that will have ended this soon is waited for rather than stopped: stopping takes about as long. */
-const ENDS_SOON_MS = 500
-const PERCENT_DONE = 100
-
-/** Cost of stopping one run besides the work lost, in core-seconds, for the first rank; later ranks cost less. */
-const STOP_COST = 120
-
 const MS_PER_S = 1000
-const CPU_MILLIS_PER_CORE = 1000
-/** Cores that one accelerator is reckoned as when work is weighed. */
-const CORES_PER_ACCELERATOR = 8
 
-/** How long room is kept for tasks before they are placed anew. */
-const HOLD_TIMEOUT_MS = 2500
-
-type RoomsOfServices = ReadonlyMap<string, readonly NodeRoom[]>
+/** Time beyond what a stop may take for which room is kept for tasks before they are placed anew. */
+const HOLD_MARGIN_MS = 400
 
 interface RoomHold {
 	readonly unit: PlacementUnit
@@ -108,6 +94,8 @@
 	readonly #policy: RunPlacementPolicy
 	/** Room kept for tasks until the runs on it have ended, by the first task's id, in the order of the decisions. */
 	readonly #holds = new Map<string, RoomHold>()
+	/** Tasks whose room did not become free in time, by the first task's id: they wait for no run to end by itself. */
+	readonly #overdue = new Set<string>()
 	readonly #readWallClock: () => number
 	#roundAt = 0
 	/** Monotonic time at which each waiting step became ready, by occurrence and step. */
@@ -124,6 +112,7 @@
 		if (!board.terms.has("loaded") || catalog === undefined) {
 			this.#readyAt.clear()
 			this.#holds.clear()
+			this.#overdue.clear()
 			return undefined
 		}
 		if (board.lifecycle.get("state") !== Lifecycle.serving) return undefined
@@ -181,13 +170,16 @@
 
 	/** Starts what was held room for once all of it is free, and keeps the room of the others from this round. */
 	#honourHolds(board: Board, roomsOfServices: RoomsOfServices, now: number): void {
+		const stopMs = board.settings.domain?.stopMs ?? 0
 		const rooms = new Map([...roomsOfServices.values()].flat().map(room => [room.id, room]))
 		for (const [key, {unit, workerIds, since}] of [...this.#holds]) {
 			const held = workerIds.flatMap(id => rooms.get(id) ?? [])
 			const isWanted = unit.refs.every(
 				({task, workflow}) => task.phase === TaskPhase.waiting && isSchedulable(workflow)
 			)
-			if (!isWanted || held.length < workerIds.length || now - since > HOLD_TIMEOUT_MS) {
+			const isOverdue = now - since > stopMs + HOLD_MARGIN_MS
+			if (isOverdue) this.#overdue.add(key)
+			if (!isWanted || isOverdue || held.length < workerIds.length) {
 				this.#holds.delete(key)
 				continue
 			}
@@ -198,6 +190,7 @@
 			}
 			if (!isFree) continue
 			this.#holds.delete(key)
+			this.#overdue.delete(key)
 			planUnit(board, unit, held, now)
 		}
 	}
@@ -220,11 +213,13 @@
 		)
 		const readyAt = this.#readyAt.get(`${occurrence.key}.${stepIndex}`) ?? now
 		for (const group of groups) {
+			const mayWait = !this.#overdue.has(group[0]?.taskId ?? "")
 			const unit: PlacementUnit = {
 				refs: group,
 				spec,
 				rank,
 				lossMax: computeLossMax(rank, workflow),
+				mayWait,
 				remoteCost: computeRemoteCost(board, ready, now - readyAt),
 				avoid: new Set(group.flatMap(({task}) => task.failedOn))
 			}
@@ -242,7 +237,7 @@
 			const ref = refs[index]
 			if (ref === undefined) continue
 			addDemand(room.free, spec, -1)
-			room.runs.push({ref, rank, loss: 0, isProtected: true, isLeaving: false})
+			room.runs.push(buildPlannedRun(ref, rank))
 		}
 		const rooms = slots.map(({room}) => room)
 		if (slots.every(slot => slot.isFree)) {
@@ -329,93 +324,9 @@
 	return ready.sort((a, b) => a.rank - b.rank || a.workflow.acceptedAt - b.workflow.acceptedAt)
 }
 
-function findRank({record}: WorkflowEntry, guaranteed: ReadonlySet<string>): number {
-	return guaranteed.has(record.id) ? GUARANTEED_RANK : computeRank(record.priority)
-}
-
 function isStepReady(spec: StepSpec, step: StepProgress, {steps}: Occurrence): boolean {
 	const isWaiting = ({phase}: {phase: TaskPhase}) => phase === TaskPhase.waiting
 	// A gang is placed anew only once nothing of its last run is left.
 	const hasWork = spec.gang ? step.tasks.every(isWaiting) : step.tasks.some(isWaiting)
 	return hasWork && spec.after.every(index => isStepDone(steps[index]))
 }
-
-/** Room on every worker that may be given work, by service. */
-function listRooms(
-	board: Board,
-	catalog: CatalogEntry,
-	guaranteed: ReadonlySet<string>,
-	now: number
-): RoomsOfServices {
-	const rooms = new Map<string, NodeRoom[]>()
-	for (const node of board.nodes.values()) {
-		if (!isNodeOpen(node, catalog)) continue
-		const health = board.health.get(node.registration.id)
-		if (health !== undefined && (health.closedUntil > now || health.foreignRuns.length > 0))
-			continue
-		const isDoubted = health !== undefined && health.doubtedUntil > now
-		const room = buildRoom(board, node, guaranteed, isDoubted, now)
-		const {service} = node.registration
-		const list = rooms.get(service)
-		if (list === undefined) rooms.set(service, [room])
-		else list.push(room)
-	}
-	return rooms
-}
-
-function buildRoom(
-	board: Board,
-	{registration}: NodeEntry,
-	guaranteed: ReadonlySet<string>,
-	isDoubted: boolean,
-	now: number
-): NodeRoom {
-	const {id, incarnation, rack, labels, capacity} = registration
-	const used = board.runs.sumOn(id)
-	return {
-		id,
-		incarnation,
-		rack,
-		labels,
-		isDoubted,
-		free: {
-			cpuMillis: capacity.cpuMillis - used.cpuMillis,
-			memoryMb: capacity.memoryMb - used.memoryMb,
-			accelerators: capacity.accelerators - used.accelerators
-		},
-		runs: [...board.runs.listOn(id).values()].map(ref => buildRoomRun(ref, guaranteed, now))
-	}
-}
-
-function buildRoomRun(ref: TaskRef, guaranteed: ReadonlySet<string>, now: number): RoomRun {
-	const {workflow, task, spec} = ref
-	const rank = isFinal(workflow.state) ? Infinity : findRank(workflow, guaranteed)
-	return {
-		ref,
-		rank,
-		loss: computeLoss(ref, now) + STOP_COST / (rank + 1),
-		isProtected: spec.longRunning || task.phase === TaskPhase.planned,
-		isLeaving: task.phase === TaskPhase.stopping || computeRemaining(task, now) < ENDS_SOON_MS
-	}
-}
-
-/** Time that a run still needs at the rate that it had until its last report; infinite where that is not known. */
-function computeRemaining(
-	{phase, percent, startedAt, progressAt}: TaskProgress,
-	now: number
-): number {
-	if (phase !== TaskPhase.running || percent <= 0) return Infinity
-	const totalMs = ((progressAt - startedAt) * PERCENT_DONE) / percent
-	return startedAt + totalMs - now
-}
-
-/** Core-seconds of work that stopping a run throws away, its whole gang's where it has one. */
-function computeLoss({task, spec}: TaskRef, now: number): number {
-	if (spec.checkpoints) return 0
-	const ranMs = Math.max(0, now - task.startedAt)
-	return (computeCores(spec) * (spec.gang ? spec.tasks : 1) * ranMs) / MS_PER_S
-}
-
-function computeCores({demand}: StepSpec): number {
-	return demand.cpuMillis / CPU_MILLIS_PER_CORE + demand.accelerators * CORES_PER_ACCELERATOR
-}
--- a/src/policies/run-placement.ts
+++ b/src/policies/run-placement.ts
@@ -24,8 +24,9 @@
 	/** Core-seconds of work. */
 	readonly loss: number
 	readonly isProtected: boolean
-	/** It is being stopped or about to end by itself: its room can be reckoned with, and it is not stopped. */
-	readonly isLeaving: boolean
+	readonly isStopping: boolean
+	/** It is about to end by itself, as far as its progress tells. */
+	readonly isEnding: boolean
 }
 
 export interface PlacementUnit {
@@ -35,6 +36,8 @@
 	readonly rank: number
 	/** Core-seconds of work of higher rank numbers that may be thrown away for it; negative for no preemption. */
 	readonly lossMax: number
+	/** Runs that are about to end are waited for rather than stopped. */
+	readonly mayWait: boolean
 	/** Core-seconds at which running away from its data's rack, or in several racks, is weighed. */
 	readonly remoteCost: number
 	/** Workers that its tasks failed on. */
@@ -125,7 +128,7 @@
 			const victim = candidates.shift()
 			if (victim === undefined) return slots
 			isFree = false
-			if (!victim.isLeaving) {
+			if (!isLeaving(victim, unit)) {
 				victims.push(victim.ref)
 				loss += victim.loss
 			}
@@ -146,12 +149,17 @@
 	).length
 }
 
+/** True where the run's room can be reckoned with, and it need not be stopped. */
+function isLeaving({isStopping, isEnding}: RoomRun, {mayWait}: PlacementUnit): boolean {
+	return isStopping || (isEnding && mayWait)
+}
+
 /** Runs that will make way: those that are leaving already, then those whose stopping costs least. */
-function listVictims({runs}: NodeRoom, {rank, lossMax}: PlacementUnit): RoomRun[] {
-	if (lossMax < 0) return []
+function listVictims({runs}: NodeRoom, unit: PlacementUnit): RoomRun[] {
+	if (unit.lossMax < 0) return []
 	return runs
-		.filter(run => run.isLeaving || (run.rank > rank && !run.isProtected))
-		.sort((a, b) => Number(b.isLeaving) - Number(a.isLeaving) || a.loss - b.loss)
+		.filter(run => isLeaving(run, unit) || (run.rank > unit.rank && !run.isProtected))
+		.sort((a, b) => Number(isLeaving(b, unit)) - Number(isLeaving(a, unit)) || a.loss - b.loss)
 }
 
 function compareSlots(a: Slot, b: Slot, {avoid}: PlacementUnit): number {
--- /dev/null
+++ b/src/utils/rooms.ts
@@ -0,0 +1,130 @@
+/** What each worker has free, and what stopping its runs would cost, at one moment. */
+import {
+	type Board,
+	type CatalogEntry,
+	type NodeEntry,
+	type NodeRoom,
+	type RoomRun,
+	type StepSpec,
+	type TaskProgress,
+	type TaskRef,
+	GUARANTEED_RANK,
+	TaskPhase,
+	type WorkflowEntry,
+	computeRank,
+	isFinal,
+	isNodeOpen,
+	listTaskRefs
+} from "../internal.js"
+
+/** A run that will have ended this soon is waited for rather than stopped: stopping takes about as long. */
+const ENDS_SOON_MS = 500
+const PERCENT_DONE = 100
+
+/** Cost of stopping one run besides the work lost, in core-seconds, for the first rank; later ranks cost less. */
+const STOP_COST = 120
+
+const MS_PER_S = 1000
+const CPU_MILLIS_PER_CORE = 1000
+/** Cores that one accelerator is reckoned as when work is weighed. */
+const CORES_PER_ACCELERATOR = 8
+
+export type RoomsOfServices = ReadonlyMap<string, readonly NodeRoom[]>
+
+export function findRank({record}: WorkflowEntry, guaranteed: ReadonlySet<string>): number {
+	return guaranteed.has(record.id) ? GUARANTEED_RANK : computeRank(record.priority)
+}
+
+/** Room on every worker that may be given work, by service. */
+export function listRooms(
+	board: Board,
+	catalog: CatalogEntry,
+	guaranteed: ReadonlySet<string>,
+	now: number
+): RoomsOfServices {
+	const rooms = new Map<string, NodeRoom[]>()
+	for (const node of board.nodes.values()) {
+		if (!isNodeOpen(node, catalog)) continue
+		const health = board.health.get(node.registration.id)
+		if (health !== undefined && (health.closedUntil > now || health.foreignRuns.length > 0))
+			continue
+		const isDoubted = health !== undefined && health.doubtedUntil > now
+		const room = buildRoom(board, node, guaranteed, isDoubted, now)
+		const {service} = node.registration
+		const list = rooms.get(service)
+		if (list === undefined) rooms.set(service, [room])
+		else list.push(room)
+	}
+	return rooms
+}
+
+function buildRoom(
+	board: Board,
+	{registration}: NodeEntry,
+	guaranteed: ReadonlySet<string>,
+	isDoubted: boolean,
+	now: number
+): NodeRoom {
+	const {id, incarnation, rack, labels, capacity} = registration
+	const used = board.runs.sumOn(id)
+	return {
+		id,
+		incarnation,
+		rack,
+		labels,
+		isDoubted,
+		free: {
+			cpuMillis: capacity.cpuMillis - used.cpuMillis,
+			memoryMb: capacity.memoryMb - used.memoryMb,
+			accelerators: capacity.accelerators - used.accelerators
+		},
+		runs: [...board.runs.listOn(id).values()].map(ref => buildRoomRun(ref, guaranteed, now))
+	}
+}
+
+function buildRoomRun(ref: TaskRef, guaranteed: ReadonlySet<string>, now: number): RoomRun {
+	const {workflow, task, spec} = ref
+	const rank = isFinal(workflow.state) ? Infinity : findRank(workflow, guaranteed)
+	return {
+		ref,
+		rank,
+		loss: computeLoss(ref, now) + STOP_COST / (rank + 1),
+		isProtected: spec.longRunning || task.phase === TaskPhase.planned,
+		isStopping: task.phase === TaskPhase.stopping,
+		isEnding: isEnding(ref, now)
+	}
+}
+
+export function buildPlannedRun(ref: TaskRef, rank: number): RoomRun {
+	return {ref, rank, loss: 0, isProtected: true, isStopping: false, isEnding: false}
+}
+
+/** A gang ends with the slowest of its members. */
+function isEnding({workflow, occurrence, stepIndex, spec, task}: TaskRef, now: number): boolean {
+	if (!spec.gang) return computeRemaining(task, now) < ENDS_SOON_MS
+	const members = listTaskRefs(workflow, occurrence, stepIndex)
+	return members.every(member => computeRemaining(member.task, now) < ENDS_SOON_MS)
+}
+
+/** Time that a run still needs at the rate that it had until its last report; infinite where that is not known. */
+function computeRemaining(
+	{phase, percent, startedAt, progressAt}: TaskProgress,
+	now: number
+): number {
+	if (phase !== TaskPhase.running || percent <= 0) return Infinity
+	const totalMs = ((progressAt - startedAt) * PERCENT_DONE) / percent
+	const remainingMs = startedAt + totalMs - now
+	// A run that has outlasted the reckoning says nothing about when it ends.
+	return remainingMs < -ENDS_SOON_MS ? Infinity : remainingMs
+}
+
+/** Core-seconds of work that stopping a run throws away, its whole gang's where it has one. */
+function computeLoss({task, spec}: TaskRef, now: number): number {
+	if (spec.checkpoints) return 0
+	const ranMs = Math.max(0, now - task.startedAt)
+	return (computeCores(spec) * (spec.gang ? spec.tasks : 1) * ranMs) / MS_PER_S
+}
+
+export function computeCores({demand}: StepSpec): number {
+	return demand.cpuMillis / CPU_MILLIS_PER_CORE + demand.accelerators * CORES_PER_ACCELERATOR
+}
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -8,6 +8,8 @@
 
 const payloadSchema = z.object({
 	workMs: z.number().default(1000),
+	/** Time after which its progress reads as done; by default when it is. */
+	reportedMs: z.number().optional(),
 	/** Members of its gang; they work only while all of them are there. */
 	gang: z.number().default(1),
 	/** Ends as failed. */
@@ -236,7 +238,7 @@
 
 	#computePercent({workingSince, payload}: Run): number {
 		if (workingSince === undefined) return 0
-		const share = (this.#clock.now() - workingSince) / payload.workMs
+		const share = (this.#clock.now() - workingSince) / (payload.reportedMs ?? payload.workMs)
 		return Math.min(PERCENT_DONE, Math.round(share * PERCENT_DONE))
 	}
 
