Weigh choices that cost no work by themselves, and withhold room for the first that wait

Work that percents show slowly counted as standing still.

Change: free slots are weighed beside all slots; room where the first groups that wait fit soonest is withheld from later work; the stall bound grows with the estimate.

--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -99,6 +99,13 @@
 		expect(running.filter(task => task.startsWith(ID_A))).to.have.length(12)
 	})
 
+	it("does not take hours of work whose percents come slowly to stand still", async () => {
+		const {first, fleet, submit, advance} = await createServingDomain()
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, workMs: 3600000}))
+		await advance(20000)
+		expect(fleet.ledger.starts).to.have.length(4)
+	})
+
 	it("does not wait long for runs that do not end when their progress says so", async () => {
 		const {first, fleet, submit, advance, advanceUntil} = await createServingDomain()
 		const job = createJob({count: 16, workMs: 20000}, {reportedMs: 3000})
--- /dev/null
+++ b/__tests__/run-placement.test.ts
@@ -0,0 +1,145 @@
+/** Where tasks that start together are placed, as the policy alone decides. */
+import {expect} from "chai"
+import {
+	type NodeRoom,
+	type PlacementUnit,
+	type RoomRun,
+	type TaskRef,
+	PackedRunPlacement,
+	createOccurrence,
+	createTaskRef,
+	createWorkflowEntry
+} from "../src/internal.js"
+import {decodeWorkflow} from "../platform/records.js"
+
+const LOSS_MAX = 1500
+
+/** References to the tasks of a workflow of one step. */
+function createRefs(id: string, step: Record<string, unknown>): TaskRef[] {
+	const spec = decodeWorkflow({spec: "", steps: [step]})._unsafeUnwrap()
+	const entry = createWorkflowEntry(
+		{
+			id,
+			workspace: "office",
+			queue: "urgent",
+			service: "trace",
+			priority: 0,
+			maxAttempts: 2,
+			acceptedAtWallMs: 0,
+			spec
+		},
+		0,
+		0
+	)
+	const occurrence = createOccurrence(entry.record, 0)
+	return occurrence.steps[0]!.tasks.map((_, index) => createTaskRef(entry, occurrence, 0, index)!)
+}
+
+function createRoom(id: string, rack: string, overrides: Partial<NodeRoom> = {}): NodeRoom {
+	return {
+		id,
+		incarnation: "1",
+		rack,
+		labels: [rack],
+		isDoubted: false,
+		free: {cpuMillis: 32000, memoryMb: 131072, accelerators: 8},
+		runs: [],
+		...overrides
+	}
+}
+
+/** A worker whose accelerators are all taken by one run. */
+function createFullRoom(id: string, rack: string, run: Partial<RoomRun>): NodeRoom {
+	const [ref] = createRefs(`batch-${id}`, {count: 1, gpu: 8})
+	const full: RoomRun = {
+		ref: ref!,
+		rank: 3,
+		loss: 0,
+		isProtected: false,
+		remainingMs: 1000,
+		isStopping: false,
+		isEnding: false,
+		...run
+	}
+	const free = {cpuMillis: 32000, memoryMb: 131072, accelerators: 0}
+	return createRoom(id, rack, {free, runs: [full]})
+}
+
+function createUnit(refs: TaskRef[], overrides: Partial<PlacementUnit> = {}): PlacementUnit {
+	return {
+		refs,
+		spec: refs[0]!.spec,
+		rank: 1,
+		lossMax: LOSS_MAX,
+		mayWait: true,
+		remoteCost: LOSS_MAX,
+		avoid: new Set(),
+		...overrides
+	}
+}
+
+function listRooms(unit: PlacementUnit, rooms: NodeRoom[]): string[] | undefined {
+	return new PackedRunPlacement().choose(unit, rooms)?.map(({room}) => room.id)
+}
+
+describe("placement of tasks that start together", () => {
+	const gang = {count: 2, gpu: 8, gang: true, tightly_coupled: true}
+
+	it("takes one rack for a tightly coupled gang", () => {
+		const rooms = [createRoom("a1", "a"), createRoom("b1", "b"), createRoom("b2", "b")]
+		expect(listRooms(createUnit(createRefs("one", gang)), rooms)).to.deep.equal(["b1", "b2"])
+	})
+
+	it("spreads a gang where one rack would cost more work than the gang is worth", () => {
+		const rooms = [
+			createFullRoom("a1", "a", {loss: LOSS_MAX}),
+			createFullRoom("a2", "a", {loss: LOSS_MAX}),
+			createRoom("b1", "b", {isDoubted: true}),
+			createRoom("c1", "c", {isDoubted: true})
+		]
+		expect(listRooms(createUnit(createRefs("one", gang)), rooms)).to.deep.equal(["b1", "c1"])
+	})
+
+	it("stops the run whose loss is least", () => {
+		const rooms = [
+			createFullRoom("a1", "a", {loss: 500}),
+			createFullRoom("a2", "a", {loss: 100}),
+			createFullRoom("a3", "a", {loss: 300})
+		]
+		const unit = createUnit(createRefs("one", {count: 1, gpu: 8}))
+		expect(listRooms(unit, rooms)).to.deep.equal(["a2"])
+	})
+
+	it("starts nothing in room that a run still has to leave", () => {
+		const unit = createUnit(createRefs("one", {count: 2, gpu: 2, gang: true}))
+		const slots = new PackedRunPlacement().choose(unit, [createFullRoom("a1", "a", {})])
+		expect(slots?.map(({isFree}) => isFree)).to.deep.equal([false, false])
+	})
+
+	it("stops nothing of its own rank or before, and nothing that is protected", () => {
+		const rooms = [
+			createFullRoom("a1", "a", {rank: 1}),
+			createFullRoom("a2", "a", {isProtected: true})
+		]
+		const unit = createUnit(createRefs("one", {count: 1, gpu: 8}))
+		expect(listRooms(unit, rooms)).to.equal(undefined)
+	})
+
+	it("packs a small task where the least is left over", () => {
+		const small = createRoom("a2", "a", {
+			free: {cpuMillis: 32000, memoryMb: 131072, accelerators: 2}
+		})
+		const unit = createUnit(createRefs("one", {count: 1, gpu: 1}))
+		expect(listRooms(unit, [createRoom("a1", "a"), small])).to.deep.equal(["a2"])
+	})
+
+	it("forecasts where a task fits soonest", () => {
+		const rooms = [
+			createFullRoom("a1", "a", {remainingMs: 9000}),
+			createFullRoom("a2", "a", {remainingMs: 2000})
+		]
+		const unit = createUnit(createRefs("one", {count: 1, gpu: 8}), {lossMax: -1})
+		const slots = new PackedRunPlacement().forecast(unit, rooms)
+		expect(slots?.map(({room}) => room.id)).to.deep.equal(["a2"])
+	})
+})
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -48,6 +48,12 @@
 /** How often a round is made while something waits and nothing changes. */
 const WAITING_INTERVAL_MS = 250
 
+/** Groups of tasks that room is withheld for in one round; more would leave too much idle. */
+const WITHHELD_MAX = 4
+
+/** How often it is logged that the same task still waits. */
+const WAITING_NOTE_INTERVAL_MS = 2000
+
 /** How long a step that is not urgent insists on the rack of its data, or a gang on a single rack. */
 const RACK_WAIT_MS = 2000
 
@@ -98,9 +104,13 @@
 	readonly #overdue = new Set<string>()
 	readonly #readWallClock: () => number
 	#roundAt = 0
+	/** Groups of tasks that room was withheld for in this round. */
+	#withheld = 0
 	/** Monotonic time at which each waiting step became ready, by occurrence and step. */
 	readonly #readyAt = new Map<string, number>()
 	#nextDueWallMs = Infinity
+	/** When it was last logged that a task waits for room, by the first task's id. */
+	readonly #notedAt = new Map<string, number>()
 
 	constructor(readWallClock: () => number, policy: RunPlacementPolicy = new PackedRunPlacement()) {
 		this.#readWallClock = readWallClock
@@ -113,6 +123,7 @@
 			this.#readyAt.clear()
 			this.#holds.clear()
 			this.#overdue.clear()
+			this.#notedAt.clear()
 			return undefined
 		}
 		if (board.lifecycle.get("state") !== Lifecycle.serving) return undefined
@@ -135,6 +146,7 @@
 		if (ready.length === 0) return 0
 		const rooms = listRooms(board, catalog, guaranteed, now)
 		this.#honourHolds(board, rooms, now)
+		this.#withheld = 0
 		let waiting = 0
 		for (const step of ready) if (!this.#placeStep(board, step, catalog, rooms, now)) waiting++
 		return waiting
@@ -224,12 +236,48 @@
 				avoid: new Set(group.flatMap(({task}) => task.failedOn))
 			}
 			const slots = this.#policy.choose(unit, rooms)
-			if (slots === undefined) return false
+			if (slots === undefined) {
+				this.#noteWaiting(board, unit, rooms, now - readyAt, now)
+				this.#withhold(unit, rooms)
+				return false
+			}
 			this.#commitSlots(board, unit, slots, now)
 		}
 		return true
 	}
 
+	/** Keeps the room where the first of those that wait will fit soonest from everything after them. */
+	#withhold(unit: PlacementUnit, rooms: readonly NodeRoom[]): void {
+		if (this.#withheld >= WITHHELD_MAX) return
+		const slots = this.#policy.forecast(unit, rooms)
+		if (slots === undefined) return
+		this.#withheld++
+		for (const {room} of slots) addDemand(room.free, unit.spec, -1)
+	}
+
+	#noteWaiting(
+		board: Board,
+		{refs, rank, lossMax}: PlacementUnit,
+		rooms: readonly NodeRoom[],
+		waitedMs: number,
+		now: number
+	): void {
+		const [first] = refs
+		if (first === undefined) return
+		if (now - (this.#notedAt.get(first.taskId) ?? -Infinity) < WAITING_NOTE_INTERVAL_MS) return
+		this.#notedAt.set(first.taskId, now)
+		const fields = {
+			task: first.taskId,
+			tasks: refs.length,
+			rank,
+			lossMax,
+			waitedMs: Math.round(waitedMs),
+			workers: rooms.length,
+			freeAccelerators: rooms.reduce((sum, {free}) => sum + Math.max(0, free.accelerators), 0)
+		}
+		board.record(EventLevel.info, "run-waiting", fields, ReasonCode.noRoom)
+	}
+
 	/** Plans the runs, or has others stopped first and keeps the room. */
 	#commitSlots(board: Board, unit: PlacementUnit, slots: readonly Slot[], now: number): void {
 		const {refs, spec, rank} = unit
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -14,6 +14,7 @@
 	NODE_FAILURES_MAX,
 	NODE_QUARANTINE_MS,
 	RUN_STALL_MS,
+	RUN_STALL_SHARE,
 	ReasonCode,
 	RunEnd,
 	SectionName,
@@ -209,7 +210,8 @@
 			// A member of a gang that has done its part waits for the others.
 			const mayStall = !spec.longRunning && task.percent < PERCENT_DONE
 			if (task.phase !== TaskPhase.running || !mayStall) continue
-			if (receivedAt - task.progressAt < RUN_STALL_MS) continue
+			const stallMs = Math.max(RUN_STALL_MS, spec.estimateMs * RUN_STALL_SHARE)
+			if (receivedAt - task.progressAt < stallMs) continue
 			task.failedOn.push(node.registration.id)
 			this.#doubt(board, node.registration.id, workflow.record.id, now)
 			stopRun(board, ref, ReasonCode.taskFailed, now)
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -195,8 +195,12 @@
 export const NODE_FAILURES_MAX = 2
 export const NODE_QUARANTINE_MS = 8000
 
-/** A run whose progress stands still for this long is started elsewhere. */
+/**
+ * A run whose progress stands still for this long, and for this share of its estimate, is started elsewhere. Progress
+ * comes in whole percents, and estimates are off by a factor of three or so.
+ */
 export const RUN_STALL_MS = 2600
+export const RUN_STALL_SHARE = 0.08
 
 /** Pause before the tasks of a step are placed again after a start was refused. */
 export const STEP_RETRY_DELAY_MS = 150
--- a/src/policies/run-placement.ts
+++ b/src/policies/run-placement.ts
@@ -24,6 +24,8 @@
 	/** Core-seconds of work. */
 	readonly loss: number
 	readonly isProtected: boolean
+	/** Time until it is expected to end by itself. */
+	readonly remainingMs: number
 	readonly isStopping: boolean
 	/** It is about to end by itself, as far as its progress tells. */
 	readonly isEnding: boolean
@@ -55,6 +57,8 @@
 }
 
 export interface RunPlacementPolicy {
+	/** Where the tasks are expected to fit soonest without stopping anything; undefined where they never will. */
+	forecast(unit: PlacementUnit, rooms: readonly NodeRoom[]): readonly Slot[] | undefined
 	/** One slot for each task, or undefined where there are none. */
 	choose(unit: PlacementUnit, rooms: readonly NodeRoom[]): readonly Slot[] | undefined
 }
@@ -63,16 +67,29 @@
 	choose(unit: PlacementUnit, rooms: readonly NodeRoom[]): readonly Slot[] | undefined {
 		const slots = rooms
 			.filter(room => isEligible(room, unit.spec))
-			.flatMap(room => listSlots(room, unit))
-		const near = this.#chooseNear(unit, slots)
-		const remote = chooseBest(slots, unit)
-		const nearCost = near === undefined ? Infinity : computeTotal(near, unit)
-		const remoteCost =
-			remote === undefined ? Infinity : computeTotal(remote, unit) + unit.remoteCost
-		const chosen = nearCost <= remoteCost ? near : remote
-		if (chosen === undefined || Math.min(nearCost, remoteCost) === Infinity) return undefined
-		const loss = chosen.reduce((sum, slot) => sum + slot.loss, 0)
-		return loss <= Math.max(0, unit.lossMax) ? chosen : undefined
+			.flatMap(room => listSlots(room, unit, listVictims(room, unit)))
+		// What costs no work is weighed by itself: the cheapest choice of all may cost more than is allowed.
+		const free = slots.filter(({isFree}) => isFree)
+		const candidates = [
+			{slots: this.#chooseNear(unit, free), extra: 0},
+			{slots: this.#chooseNear(unit, slots), extra: 0},
+			{slots: chooseBest(free, unit), extra: unit.remoteCost},
+			{slots: chooseBest(slots, unit), extra: unit.remoteCost}
+		]
+		let best: {slots: readonly Slot[]; cost: number} | undefined
+		for (const {slots: chosen, extra} of candidates) {
+			if (chosen === undefined || extra === Infinity || !isAllowed(chosen, unit)) continue
+			const cost = computeTotal(chosen, unit) + extra
+			if (best === undefined || cost < best.cost) best = {slots: chosen, cost}
+		}
+		return best?.slots
+	}
+
+	forecast(unit: PlacementUnit, rooms: readonly NodeRoom[]): readonly Slot[] | undefined {
+		const slots = rooms
+			.filter(room => isEligible(room, unit.spec))
+			.flatMap(room => listSlots(room, unit, listEnds(room)))
+		return this.#chooseNear(unit, slots)
 	}
 
 	/** In the rack of the data, or for a tightly coupled gang in any one rack; else anywhere. */
@@ -112,17 +129,17 @@
 	free.accelerators += sign * demand.accelerators
 }
 
-/** Every slot that the worker has for the unit's tasks, those without victims first. */
-function listSlots(room: NodeRoom, unit: PlacementUnit): Slot[] {
+/** Every slot that the worker has for the unit's tasks, as `candidates` leave in their order. */
+function listSlots(room: NodeRoom, unit: PlacementUnit, candidates: RoomRun[]): Slot[] {
 	const {spec, refs} = unit
 	const free = {...room.free}
-	const candidates = listVictims(room, unit)
 	const present = countOfStep(room, unit)
 	const limit = Math.min(refs.length, (spec.maxPerWorker ?? Infinity) - present)
 	const slots: Slot[] = []
+	// Once one slot needs a run to leave, so do all after it: they may use what that run leaves over.
+	let isFree = true
 	while (slots.length < limit) {
 		const victims: TaskRef[] = []
-		let isFree = true
 		let loss = 0
 		while (!isFitting(free, spec)) {
 			const victim = candidates.shift()
@@ -162,6 +179,15 @@
 		.sort((a, b) => Number(isLeaving(b, unit)) - Number(isLeaving(a, unit)) || a.loss - b.loss)
 }
 
+/** All runs in the order in which they are expected to end; their loss is the time until then. */
+function listEnds({runs}: NodeRoom): RoomRun[] {
+	return runs
+		.map(run => ({...run, loss: run.remainingMs / MS_PER_S, isEnding: false, isStopping: false}))
+		.sort((a, b) => a.loss - b.loss)
+}
+
+const MS_PER_S = 1000
+
 function compareSlots(a: Slot, b: Slot, {avoid}: PlacementUnit): number {
 	return (
 		Number(avoid.has(a.room.id)) - Number(avoid.has(b.room.id)) ||
@@ -210,6 +236,11 @@
 	return best?.slots
 }
 
+/** False where more work would be lost than the tasks are worth. */
+function isAllowed(slots: readonly Slot[], {lossMax}: PlacementUnit): boolean {
+	return slots.reduce((sum, {loss}) => sum + loss, 0) <= Math.max(0, lossMax)
+}
+
 function computeTotal(slots: readonly Slot[], unit: PlacementUnit): number {
 	return slots.reduce((sum, slot) => sum + computeCost(slot, unit), 0)
 }
--- a/src/utils/rooms.ts
+++ b/src/utils/rooms.ts
@@ -90,13 +90,28 @@
 		rank,
 		loss: computeLoss(ref, now) + STOP_COST / (rank + 1),
 		isProtected: spec.longRunning || task.phase === TaskPhase.planned,
+		remainingMs: Math.max(0, estimateRemaining(ref, now)),
 		isStopping: task.phase === TaskPhase.stopping,
 		isEnding: isEnding(ref, now)
 	}
 }
 
 export function buildPlannedRun(ref: TaskRef, rank: number): RoomRun {
-	return {ref, rank, loss: 0, isProtected: true, isStopping: false, isEnding: false}
+	return {
+		ref,
+		rank,
+		loss: 0,
+		isProtected: true,
+		remainingMs: ref.spec.estimateMs,
+		isStopping: false,
+		isEnding: false
+	}
+}
+
+/** By its progress where that is known, else by the caller's estimate. */
+function estimateRemaining({task, spec}: TaskRef, now: number): number {
+	const remainingMs = computeRemaining(task, now)
+	return remainingMs === Infinity ? spec.estimateMs : remainingMs
 }
 
 /** A gang ends with the slowest of its members. */
