Read settings again on SIGHUP, bound the log, and count latencies

Cause: SIGHUP ended the process; log lines were written while the loop waited for standard output; nothing told how long calls and requests take.

--- a/src/adapters/command-runner.ts
+++ b/src/adapters/command-runner.ts
@@ -16,13 +16,20 @@
 	carry(command: Command): Promise<Result<unknown, CallError>>
 }
 
+/** Learns of every call that has come to its end. */
+export type CallObserver = (kind: CommandKind, result: string, tookMs: number) => void
+
+const OK = "ok"
+
 export class CommandRunner {
 	readonly #board: Board
 	readonly #carriers = new Map<CommandKind, Carrier>()
+	readonly #observe: CallObserver
 	#busy = 0
 
-	constructor(board: Board, carriers: readonly Carrier[]) {
+	constructor(board: Board, carriers: readonly Carrier[], observe: CallObserver = () => undefined) {
 		this.#board = board
+		this.#observe = observe
 		for (const carrier of carriers)
 			for (const kind of carrier.kinds) this.#carriers.set(kind, carrier)
 	}
@@ -44,6 +51,7 @@
 		const carrier = this.#carriers.get(command.kind)
 		if (carrier === undefined) throw new InvariantError(`no carrier for ${command.kind}`)
 		this.#busy++
+		const startedAt = performance.now()
 		let result: Result<unknown, CallError>
 		try {
 			result = await carrier.carry(command)
@@ -52,6 +60,8 @@
 			result = err(new TransportError(command.target, why, true))
 		}
 		this.#busy--
+		const outcome = result.isOk() ? OK : result.error.name
+		this.#observe(command.kind, outcome, performance.now() - startedAt)
 		this.#board.completions.set(command.id, {command, result} as Completion)
 	}
 }
--- a/src/adapters/telemetry.ts
+++ b/src/adapters/telemetry.ts
@@ -1,7 +1,31 @@
-/** Drains the board's events into pino log lines and prom-client counters, one series for each reason. */
-import {type Logger, pino} from "pino"
-import {Counter, Gauge, Registry} from "prom-client"
-import {type Board, JobState, ReasonCode} from "../internal.js"
+/**
+ * Drains the board's events into pino log lines, and into prom-client counters and histograms. Lines are written in
+ * the background; what the reader of standard output does not take within bounds is dropped and counted.
+ */
+import {type Logger, destination, pino} from "pino"
+import {Counter, Gauge, Histogram, Registry} from "prom-client"
+import {
+	type Board,
+	type BoardEvent,
+	type CommandKind,
+	JobState,
+	ReasonCode,
+	findAuthorityScope
+} from "../internal.js"
+
+const STANDARD_OUTPUT = 1
+/** Characters of log lines that wait to be written, at the most. */
+const LOG_WAITING_MAX = 1048576
+
+const MS_PER_S = 1000
+/** Upper bounds in seconds, from one call within a zone to the longest that a caller waits. */
+const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10]
+
+/** Events that tell how long something took: the field in milliseconds, and the field that names the series. */
+const TIMED_EVENTS: Readonly<Record<string, {readonly field: string; readonly label: string}>> = {
+	"request-answered": {field: "tookMs", label: "action"},
+	"run-placed": {field: "waitedMs", label: "rank"}
+}
 
 export class Telemetry {
 	readonly #board: Board
@@ -10,11 +34,15 @@
 	readonly #events: Counter<"event" | "reason">
 	readonly #problems: Counter<"reason">
 	readonly #jobs: Gauge<"state">
+	readonly #durations: Histogram<"event" | "of">
+	readonly #calls: Histogram<"kind" | "result">
+	readonly #dropped: Counter
+	readonly #output = destination({dest: STANDARD_OUTPUT, sync: false, maxLength: LOG_WAITING_MAX})
 
 	constructor(board: Board) {
 		this.#board = board
 		const {hostId, logLevel} = board.settings
-		this.#log = pino({level: logLevel, base: {host: hostId}})
+		this.#log = pino({level: logLevel, base: {host: hostId}}, this.#output)
 		this.#events = new Counter({
 			name: "cardamomhook_events_total",
 			help: "Events by name and reason",
@@ -34,6 +62,28 @@
 			labelNames: ["state"],
 			registers: [this.#registry]
 		})
+		this.#durations = new Histogram({
+			name: "cardamomhook_event_seconds",
+			help: "How long what an event tells of took, such as a caller's request or the wait for a place",
+			labelNames: ["event", "of"],
+			buckets: LATENCY_BUCKETS_S,
+			registers: [this.#registry]
+		})
+		this.#calls = new Histogram({
+			name: "cardamomhook_call_seconds",
+			help: "Calls to the platform, workers, endpoints and peers, by kind and result",
+			labelNames: ["kind", "result"],
+			buckets: LATENCY_BUCKETS_S,
+			registers: [this.#registry]
+		})
+		this.#dropped = new Counter({
+			name: "cardamomhook_log_lines_dropped_total",
+			help: "Log lines that were dropped because standard output was not read in time",
+			registers: [this.#registry]
+		})
+		this.#output.on("drop", () => {
+			this.#dropped.inc()
+		})
 	}
 
 	get log(): Logger {
@@ -44,15 +94,35 @@
 		for (const [id, event] of [...this.#board.events.entries()]) {
 			this.#board.events.take(id)
 			this.#events.inc({event: event.name, reason: event.reason ?? ""})
+			this.#observeDuration(event)
 			const {zone} = this.#board.settings
-			const generation = this.#board.bundle.get("current")?.bundle.generation ?? 0
-			const epoch = this.#board.authority.get(zone)?.epoch ?? 0
+			const catalog = this.#board.catalog.get("current")?.catalog
+			const generation =
+				this.#board.bundle.get("current")?.bundle.generation ?? catalog?.version ?? 0
+			const epoch = this.#board.authority.get(findAuthorityScope(this.#board.settings))?.epoch ?? 0
 			// The event's own zone and generation go before the host's.
 			const fields = {zone, epoch, generation, ...event.fields, reason: event.reason}
 			this.#log[event.level](fields, event.name)
 		}
 	}
 
+	observeCall(kind: CommandKind, result: string, tookMs: number): void {
+		this.#calls.observe({kind, result}, tookMs / MS_PER_S)
+	}
+
+	/** Writes what waits before the process ends. */
+	close(): void {
+		this.#output.flushSync()
+	}
+
+	#observeDuration({name, fields}: BoardEvent): void {
+		const timed = TIMED_EVENTS[name]
+		if (timed === undefined) return
+		const tookMs = fields[timed.field]
+		if (typeof tookMs !== "number") return
+		this.#durations.observe({event: name, of: `${fields[timed.label] ?? ""}`}, tookMs / MS_PER_S)
+	}
+
 	countProblem(reason: string): void {
 		this.#problems.inc({reason})
 	}
--- a/src/controllers/workflow-intake.ts
+++ b/src/controllers/workflow-intake.ts
@@ -352,7 +352,7 @@
 	#replyState(board: Board, work: Work, state: WorkflowState, now: number): void {
 		this.#works.delete(work.request.id)
 		board.replies.set(work.request.id, {kind: ReplyKind.workflow, state})
-		if (work.action !== WorkflowAction.get) noteWork(board, work, "done", now)
+		noteWork(board, work, state, now)
 	}
 
 	#giveUp(board: Board, work: Work, now: number): void {
@@ -402,7 +402,14 @@
 		const refusal = {...buildRefusal(reason, RanState.no, detail), retryAfterMs}
 		board.replies.set(id, {kind: ReplyKind.refused, refusal})
 		const version = board.catalog.get("current")?.catalog.version
-		const fields = {host, path, action, version, ageMs: Math.round(now - arrivedAt), detail}
+		const fields = {
+			queueHost: host,
+			path,
+			action,
+			version,
+			ageMs: Math.round(now - arrivedAt),
+			detail
+		}
 		board.record(EventLevel.info, "request-refused", fields, reason)
 	}
 }
@@ -445,7 +452,9 @@
 
 function noteWork(board: Board, work: Work, outcome: string, now: number): void {
 	const {request, workflowId, action, queue, workspace, catalogVersion, evidenceAgeMs} = work
-	board.record(EventLevel.info, "request-answered", {
+	// Callers ask for states all day: these answers are counted, and logged only on demand.
+	const level = action === WorkflowAction.get ? EventLevel.debug : EventLevel.info
+	board.record(level, "request-answered", {
 		workflow: workflowId,
 		action,
 		queue: queue.name,
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -104,7 +104,7 @@
 }
 
 export class Board {
-	readonly settings: HostSettings
+	#settings: HostSettings
 	/** Keyed `current`. */
 	readonly bundle = new Section<"current", BundleEntry>()
 	readonly hosts = new Section<string, HostRecord>()
@@ -171,7 +171,28 @@
 	#sequence = 0
 
 	constructor(settings: HostSettings) {
-		this.settings = settings
+		this.#settings = settings
+	}
+
+	get settings(): HostSettings {
+		return this.#settings
+	}
+
+	/** Takes new settings over, unless they name another host or other addresses: those need a restart. */
+	adoptSettings(settings: HostSettings): boolean {
+		const identify = ({
+			hostId,
+			zone,
+			region,
+			callerAddress,
+			peerAddress,
+			platformUrl,
+			domain
+		}: HostSettings) =>
+			JSON.stringify([hostId, zone, region, callerAddress, peerAddress, platformUrl, domain?.name])
+		if (identify(settings) !== identify(this.#settings)) return false
+		this.#settings = settings
+		return true
 	}
 
 	/**
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -40,7 +40,7 @@
 			return this.#refuse("either --settings FILE or --embedded is needed")
 		const settings = loadSettings(this.settings)
 		if (settings.isErr()) return this.#refuse(settings.error.message)
-		if (!this.check) return runHost(new Host(settings.value, new SystemClock()))
+		if (!this.check) return runHost(new Host(settings.value, new SystemClock()), this.settings)
 		this.context.stdout.write("settings are valid\n")
 		return 0
 	}
--- a/src/host.ts
+++ b/src/host.ts
@@ -99,9 +99,11 @@
 			this.#peerServer = new PeerServer(this.board, clock, seal)
 			carriers.push(this.#peerCarrier)
 		}
-		this.#runner = new CommandRunner(this.board, carriers)
-		this.#gateway = new Gateway(this.board, clock)
 		this.#telemetry = new Telemetry(this.board)
+		this.#runner = new CommandRunner(this.board, carriers, (kind, result, tookMs) => {
+			this.#telemetry.observeCall(kind, result, tookMs)
+		})
+		this.#gateway = new Gateway(this.board, clock)
 		this.#frontEnds = wiring.createFrontEnds(this.board, this.#gateway, this.#telemetry)
 		const controllers = wiring.createControllers(this.board, clock)
 		this.#loop = new ControllerLoop(this.board, clock, controllers, () => {
--- a/src/run-host.ts
+++ b/src/run-host.ts
@@ -1,10 +1,14 @@
-/** Runs a host until a signal asks it to stop; the exit codes of every daemon. */
+/** Runs a host until a signal asks it to stop, and reads its settings again on SIGHUP; the exit codes of every daemon. */
 import {type Host} from "./host.js"
+import {loadSettings} from "./settings.js"
 
 const EXIT_NOT_LISTENING = 3
 
 /** Resolves with the exit code: 0 after a graceful shutdown, 3 where an address can't be listened at. */
-export async function runHost(host: Host): Promise<number> {
+export async function runHost(host: Host, settingsPath: string): Promise<number> {
+	process.on("SIGHUP", () => {
+		reloadSettings(host, settingsPath)
+	})
 	try {
 		host.telemetry.log.info(await host.start(), "listening")
 	} catch (error) {
@@ -13,6 +17,23 @@
 	return stopOnSignal(host)
 }
 
+/** Settings that can't be used change nothing; the old ones stay in force. */
+function reloadSettings(host: Host, settingsPath: string): void {
+	loadSettings(settingsPath).match(
+		settings => {
+			const isAdopted = host.board.adoptSettings(settings)
+			if (isAdopted) host.telemetry.log.level = settings.logLevel
+			host.telemetry.log.info(
+				{isAdopted},
+				isAdopted ? "settings-reloaded" : "settings-need-restart"
+			)
+		},
+		error => {
+			host.telemetry.log.warn({detail: error.message}, "settings-malformed")
+		}
+	)
+}
+
 export function reportListenError(error: unknown): number {
 	if ((error as {syscall?: unknown}).syscall !== "listen") throw error
 	process.stderr.write(`${(error as Error).message}\n`)
@@ -24,6 +45,7 @@
 	host.telemetry.log.info("stopping")
 	await host.stop()
 	host.telemetry.log.info("stopped")
+	host.telemetry.close()
 	return 0
 }
 
