--- a/standins/fleet/fleet.ts
+++ b/standins/fleet/fleet.ts
@@ -49,6 +49,8 @@
 	readonly service?: string
 	readonly labels?: readonly string[]
 	readonly capacity?: ResourceDemand
+	/** Where it listens; by default its id, by which it is reached directly. */
+	readonly address?: string
 }
 
 export const STORE_TARGET = "store"
@@ -86,7 +88,7 @@
 		const {cpuMillis, memoryMb, accelerators} = options.capacity ?? DEFAULT_CAPACITY
 		this.store.put("servers", id, {
 			service: options.service ?? "trace",
-			address: id,
+			address: options.address ?? id,
 			zone: options.zone ?? "zone-a",
 			state,
 			capacity: {cpu: cpuMillis, mem_mb: memoryMb, gpu: accelerators},
--- a/standins/serve.ts
+++ b/standins/serve.ts
@@ -15,15 +15,30 @@
 	}
 }
 
-/** Listens on loopback; resolves with the port. */
-export function listen(app: StandInApp, port: number): Promise<number> {
+export interface RunningServer {
+	readonly port: number
+	/** Takes no new connections and ends the open ones. */
+	close(): void
+}
+
+/** Listens on loopback until it is closed. */
+export function startServer(app: StandInApp, port: number): Promise<RunningServer> {
 	return new Promise(resolve => {
-		serve({fetch: app.fetch, hostname: "127.0.0.1", port}, info => {
-			resolve(info.port)
+		const server = serve({fetch: app.fetch, hostname: "127.0.0.1", port}, info => {
+			const close = () => {
+				server.close()
+				if ("closeAllConnections" in server) server.closeAllConnections()
+			}
+			resolve({port: info.port, close})
 		})
 	})
 }
 
+/** Listens on loopback; resolves with the port. */
+export async function listen(app: StandInApp, port: number): Promise<number> {
+	return (await startServer(app, port)).port
+}
+
 /** One JSON line on standard output: whoever started the process keeps it, even if the process is killed. */
 export function printLine(fields: Readonly<Record<string, unknown>>): void {
 	process.stdout.write(`${JSON.stringify(fields)}\n`)
