--- a/eslint.config.js
+++ b/eslint.config.js
@@ -15,7 +15,14 @@
 	"pino",
 	"prom-client"
 ]
-const OUTER = ["**/adapters/**", "**/gen/**", "**/standins/**", "**/cli/**", "**/daemon*"]
+const OUTER = [
+	"**/adapters/**",
+	"**/gen/**",
+	"**/standins/**",
+	"**/cli/**",
+	"**/daemon*",
+	"../../platform/**"
+]
 
 function forbidImports(...patterns) {
 	return {"no-restricted-imports": ["error", {patterns}]}
@@ -26,6 +33,7 @@
 		ignores: [
 			"scripts/build.mjs",
 			"dist/",
+			"target/",
 			"src/gen/",
 			"node_modules/",
 			"bench-results/",
@@ -63,7 +71,10 @@
 	{
 		files: ["src/adapters/**/*.ts"],
 		rules: forbidImports(
-			{group: ["**/standins/**", "**/cli/**", "**/daemon*"], message: "Adapters only translate."},
+			{
+				group: ["**/standins/**", "**/cli/**", "**/daemon*", "../../platform/**"],
+				message: "Adapters only translate."
+			},
 			{
 				group: ["**/internal.js"],
 				importNamePattern: "(Controller|Policy)$",
@@ -71,6 +82,14 @@
 			}
 		)
 	},
+	{
+		files: ["platform/**/*.ts"],
+		rules: forbidImports({
+			group: ["**/internal.js"],
+			importNamePattern: "[a-z](Controller|Policy|Placement)$",
+			message: "The platform's folder translates and decides nothing."
+		})
+	},
 	{
 		files: ["src/cli/**/*.ts", "bench/**/*.ts", "scripts/**/*.ts", "standins/**/*.ts"],
 		rules: {"no-console": "off"}
