--- a/__tests__/platform.test.ts
+++ b/__tests__/platform.test.ts
@@ -27,7 +27,6 @@
 			name: "fleet",
 			readinessAddress: anyPort,
 			metricsAddress: anyPort,
-			leaseMaxMs: 10000,
 			revokeMs: 5000,
 			stopMs: 200,
 			stateKeptMs: 180000,
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -123,7 +123,7 @@
 		task.phase = TaskPhase.starting
 		task.starts++
 		task.orderedAt = now
-		board.issue<"run-start">({
+		board.issue<"start-run">({
 			kind: CommandKind.runStart,
 			owner: this.name,
 			subject: `${START} ${taskId} ${task.run}`,
@@ -150,7 +150,7 @@
 			workerAgeMs: Math.round(now - node.answeredAt),
 			epoch: term.epoch
 		}
-		board.record(EventLevel.info, "run-start-sent", fields)
+		board.record(EventLevel.info, "start-sent", fields)
 	}
 
 	/** A start renews the worker's lease, so that it also moves the time by which everything there has lapsed. */
@@ -182,7 +182,7 @@
 			this.#stopping.delete(`${taskId} ${run}`)
 			return
 		}
-		board.issue<"run-stop">({
+		board.issue<"stop-run">({
 			kind: CommandKind.runStop,
 			owner: this.name,
 			subject: `${what} ${taskId} ${run}`,
@@ -230,7 +230,7 @@
 		const {task, taskId} = ref
 		const reason = error instanceof RefusedError ? error.code : "no-answer"
 		const fields = {task: taskId, run: task.run, worker: task.workerId, detail: error.message}
-		board.record(EventLevel.info, "run-start-failed", fields, reason)
+		board.record(EventLevel.info, "start-failed", fields, reason)
 		const isRefused = error instanceof RefusedError
 		const isUnsent = error instanceof TransportError && !error.sent
 		const mayHaveRun = task.starts > 1 || reason === RefusalCode.alreadyRan
@@ -249,7 +249,7 @@
 		else {
 			const reason = result.error instanceof RefusedError ? result.error.code : "no-answer"
 			const fields = {task: ref.taskId, run: ref.task.run, worker: ref.task.workerId}
-			board.record(EventLevel.info, "run-stop-failed", fields, reason)
+			board.record(EventLevel.info, "stop-failed", fields, reason)
 		}
 	}
 }
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -39,7 +39,6 @@
 	name: NAME,
 	readinessAddress: socketSchema,
 	metricsAddress: socketSchema,
-	leaseMaxMs: z.number().min(MS_MIN),
 	revokeMs: z.number().min(MS_MIN),
 	stopMs: z.number().min(MS_MIN),
 	stateKeptMs: z.number().min(MS_MIN),
--- a/src/types/commands.ts
+++ b/src/types/commands.ts
@@ -119,8 +119,8 @@
 	catalogFollow: "catalog-follow",
 	workerList: "worker-list",
 	nodeRenew: "node-renew",
-	runStart: "run-start",
-	runStop: "run-stop",
+	runStart: "start-run",
+	runStop: "stop-run",
 	objectPut: "object-put",
 	objectGet: "object-get",
 	hostList: "host-list",
@@ -169,8 +169,8 @@
 		}
 		answer: LeaseAnswer
 	}
-	"run-start": {request: RunStart; answer: {readonly clockMs: number}}
-	"run-stop": {
+	"start-run": {request: RunStart; answer: {readonly clockMs: number}}
+	"stop-run": {
 		request: {
 			readonly taskId: string
 			readonly run: number
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -9,8 +9,6 @@
 	/** Where the balancer asks whether this host takes new connections. */
 	readonly readinessAddress: SocketAddress
 	readonly metricsAddress: SocketAddress
-	/** Longest lease that a worker grants. */
-	readonly leaseMaxMs: number
 	/** Time after which a key that was taken away must not be honoured. */
 	readonly revokeMs: number
 	/** Longest that a worker may take to stop a run. */
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -94,7 +94,7 @@
 	task.orderedAt = -Infinity
 	board.runs.set(taskId, ref)
 	const fields = {task: taskId, run: task.run, worker: task.workerId, percent: task.percent}
-	board.record(EventLevel.info, "run-stopping", fields, reason)
+	board.record(EventLevel.info, "stop-asked", fields, reason)
 	reconcileGang(board, ref, now)
 }
 
