Tell callers that the outcome is unknown while a commit is under way

Cause: found by reading: a host that gave up at the caller's deadline said not run (503) though its first commit had no answer yet and could still take effect.

Change: giving up while a write is under way is answered as unknown (504).

Before: the new test gets platform-unavailable. After: answer-lost.

--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -1,6 +1,7 @@
 /** A domain with one holder, on the platform's stand-in: what must hold while hosts, workers and the store fail. */
 import {expect} from "chai"
 import {ReplyKind, WorkflowAction} from "../src/internal.js"
+import {decodeWorkflow} from "../platform/records.js"
 import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
 import {BATCH, CALLER_KEY, URGENT, createCatalogRecord, createDomain} from "./fixtures/domain.js"
 
@@ -157,6 +158,18 @@
 		expect(fleet.ledger.starts).to.have.length(1)
 	})
 
+	it("never says that a job did not run while its commit may still take effect", async () => {
+		const {first, plan, ask} = await createServingDomain()
+		plan.isAnswerLost = (_, call) => isCallTo(call, "/v1/rows-tx")
+		const reply = await ask(first, {
+			action: WorkflowAction.submit,
+			path: `${BATCH}${ID_A}`,
+			patienceMs: 500,
+			spec: decodeWorkflow(createJob())
+		})
+		expect(reply.kind === ReplyKind.refused && reply.refusal.reason).to.equal("answer-lost")
+	})
+
 	it("repeats a start whose answer was lost, and runs the task once", async () => {
 		const {first, fleet, plan, submit, advance, readState} = await createServingDomain()
 		let lost = 0
--- a/src/controllers/workflow-intake.ts
+++ b/src/controllers/workflow-intake.ts
@@ -356,7 +356,9 @@
 	}
 
 	#giveUp(board: Board, work: Work, now: number): void {
-		if (work.isOpen) {
+		// A commit that is still under way may take effect after the caller has its reply.
+		const isWriting = work.commandId !== undefined && work.action !== WorkflowAction.get
+		if (work.isOpen || isWriting) {
 			const detail = "the platform's table did not answer"
 			this.#finish(board, work, ReasonCode.answerLost, RanState.unknown, detail, now)
 			return
