Split the intake and the log of workflows by job

Change: counts of workflows that have not begun have their own controller and section; the rows of one commit stand in utils/commit-batch.ts, the check of a caller's access in utils/queue-access.ts. Fields that decide nothing are no longer decoded. The tests of the domain and of the callers' interface pass unchanged.

--- a/src/controllers/registry.ts
+++ b/src/controllers/registry.ts
@@ -22,6 +22,7 @@
 	NodeController,
 	NoticeController,
 	PeerController,
+	PendingCountController,
 	PlacementController,
 	ReclaimController,
 	RolloutController,
@@ -77,6 +78,7 @@
 		new RunReportController(board),
 		new RunOrderController(board),
 		new RunPlacementController(readWallClock),
-		new WorkflowIntakeController(readWallClock)
+		new WorkflowIntakeController(readWallClock),
+		new PendingCountController()
 	]
 }
--- a/src/controllers/workflow-intake.ts
+++ b/src/controllers/workflow-intake.ts
@@ -14,17 +14,12 @@
 	type TableRow,
 	type WorkflowRecord,
 	type WorkflowRequest,
-	CATALOG_FRESH_MS,
 	CommandKind,
 	EventLevel,
 	INTAKE_CALL_TIMEOUT_MS,
 	INTAKE_MARGIN_MS,
 	INTAKE_REFUSED_RETRIES,
 	INTAKE_RETRY_DELAY_MS,
-	KEY_EVIDENCE_SHARE,
-	Lifecycle,
-	PENDING_PREFIX,
-	PENDING_COUNT_AGE_MS,
 	PLATFORM_RETRY_AFTER_MS,
 	RanState,
 	ReasonCode,
@@ -36,11 +31,13 @@
 	WorkflowRowKind,
 	WorkflowState,
 	buildRefusal,
+	checkAccess,
 	findQueue,
 	findWorkspace,
 	formatCancelKey,
 	formatPendingKey,
 	formatWorkflowKey,
+	isCatalogStale,
 	isFinal,
 	issueTableCommit,
 	issueTableScan,
@@ -48,7 +45,6 @@
 } from "../internal.js"
 
 const ID_PATTERN = /^[0-9a-f]{16}$/
-const COUNT = "count"
 
 /** A request on its way through the platform's table. */
 interface Work {
@@ -67,18 +63,11 @@
 	retryAt: number | undefined
 }
 
-interface Counts {
-	readonly readAt: number
-	readonly byQueue: ReadonlyMap<string, number>
-}
-
 export class WorkflowIntakeController implements Controller {
 	readonly name = "workflow-intake"
 	readonly reads = [SectionName.requests, SectionName.completions]
 	readonly #readWallClock: () => number
 	readonly #works = new Map<string, Work>()
-	#counts: Counts | undefined
-	#countSentAt: number | undefined
 
 	constructor(readWallClock: () => number) {
 		this.#readWallClock = readWallClock
@@ -108,8 +97,9 @@
 			return
 		}
 		const found = findQueue(entry.catalog, request.host, request.path)
-		const refusal = found === undefined ? undefined : checkAccess(board, request, found.queue, now)
-		if (found === undefined && isStale(board, entry, now))
+		const refusal =
+			found === undefined ? undefined : checkAccess(board, request.key, found.queue, now)
+		if (found === undefined && isCatalogStale(entry, now))
 			this.#refuseStale(board, request, entry, now)
 		else if (found === undefined)
 			this.#refuse(board, request, ReasonCode.notFound, "there is no such queue", now)
@@ -136,7 +126,7 @@
 				: request.action
 		const workspace = findWorkspace(catalog, key)?.name ?? ""
 		if (action === WorkflowAction.countPending) {
-			this.#count(board, request, queue, now)
+			board.countRequests.set(request.id, {queue: queue.name, arrivedAt: request.arrivedAt})
 			return
 		}
 		if (action === undefined || !ID_PATTERN.test(rest)) {
@@ -148,7 +138,7 @@
 			return
 		}
 		// A commit that is sent into an outage leaves the caller without a true answer; a refusal now is one.
-		if (action !== WorkflowAction.get && isStale(board, entry, now)) {
+		if (action !== WorkflowAction.get && isCatalogStale(entry, now)) {
 			this.#refuseStale(board, request, entry, now)
 			return
 		}
@@ -204,10 +194,6 @@
 
 	#settle(board: Board, completion: Completion, now: number): void {
 		const {command, result} = completion
-		if (command.subject === COUNT) {
-			this.#settleCount(board, completion as Completion<"table-scan">, now)
-			return
-		}
 		const work = this.#works.get(command.subject)
 		if (work?.commandId !== command.id) return
 		work.commandId = undefined
@@ -297,58 +283,6 @@
 		)
 	}
 
-	#count(board: Board, request: WorkflowRequest, queue: QueueConfig, now: number): void {
-		if (this.#counts !== undefined && now - this.#counts.readAt < PENDING_COUNT_AGE_MS) {
-			this.#replyCount(board, request, queue, this.#counts)
-			return
-		}
-		const work: Work = {
-			request,
-			action: WorkflowAction.countPending,
-			queue,
-			workspace: "",
-			workflowId: "",
-			catalogVersion: 0,
-			evidenceAgeMs: 0,
-			isOpen: false,
-			refused: 0,
-			commandId: undefined,
-			retryAt: undefined
-		}
-		this.#works.set(request.id, work)
-		this.#readCounts(board, now)
-	}
-
-	#readCounts(board: Board, now: number): void {
-		if (this.#countSentAt !== undefined) return
-		this.#countSentAt = now
-		issueTableScan(board, this.name, COUNT, PENDING_PREFIX, now, INTAKE_CALL_TIMEOUT_MS)
-	}
-
-	#settleCount(board: Board, {command, result}: Completion<"table-scan">, now: number): void {
-		this.#countSentAt = undefined
-		const waiting = [...this.#works.values()].filter(
-			({action}) => action === WorkflowAction.countPending
-		)
-		if (result.isErr()) {
-			for (const work of waiting) this.#giveUp(board, work, now)
-			return
-		}
-		const byQueue = new Map<string, number>()
-		for (const {value} of result.value) byQueue.set(value, (byQueue.get(value) ?? 0) + 1)
-		const counts = {readAt: command.issuedAt, byQueue}
-		this.#counts = counts
-		for (const {request, queue} of waiting) {
-			this.#works.delete(request.id)
-			this.#replyCount(board, request, queue, counts)
-		}
-	}
-
-	#replyCount(board: Board, request: WorkflowRequest, queue: QueueConfig, counts: Counts): void {
-		const count = counts.byQueue.get(queue.name) ?? 0
-		board.replies.set(request.id, {kind: ReplyKind.pending, count})
-	}
-
 	#replyState(board: Board, work: Work, state: WorkflowState, now: number): void {
 		this.#works.delete(work.request.id)
 		board.replies.set(work.request.id, {kind: ReplyKind.workflow, state})
@@ -416,33 +350,6 @@
 	}
 }
 
-interface AccessRefusal {
-	readonly reason: ReasonCode
-	readonly detail: string
-}
-
-/** Whether the caller may use the queue; keys are judged only by a configuration that was confirmed lately. */
-function checkAccess(
-	board: Board,
-	{key}: WorkflowRequest,
-	queue: QueueConfig,
-	now: number
-): AccessRefusal | undefined {
-	if (board.lifecycle.get("state") === Lifecycle.drained)
-		return {reason: ReasonCode.stopping, detail: "this host is stopping"}
-	const entry = board.catalog.get("current")
-	if (queue.isPublic || entry === undefined) return undefined
-	const revokeMs = board.settings.domain?.revokeMs ?? Infinity
-	if (now - entry.evidenceAt > revokeMs * KEY_EVIDENCE_SHARE)
-		return {reason: ReasonCode.platformUnavailable, detail: ""}
-	if (findWorkspace(entry.catalog, key) !== undefined) return undefined
-	return {reason: ReasonCode.unauthenticated, detail: "the key is not known"}
-}
-
-function isStale(board: Board, {evidenceAt}: CatalogEntry, now: number): boolean {
-	return now - evidenceAt > CATALOG_FRESH_MS
-}
-
 function computeGiveUpAt({request}: Work): number {
 	return request.arrivedAt + Math.max(INTAKE_MARGIN_MS, request.patienceMs - INTAKE_MARGIN_MS)
 }
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -7,14 +7,14 @@
 import {
 	type AuthorityEntry,
 	type Board,
+	type CommitBatch,
 	type Completion,
 	type Controller,
-	type Occurrence,
-	type RowWrite,
 	type TableChanges,
 	type TableRow,
 	type WorkflowEntry,
 	type WorkflowRecord,
+	type WorkflowStateRow,
 	COMMIT_ROWS_MAX,
 	CommandKind,
 	EventLevel,
@@ -28,20 +28,19 @@
 	WORKFLOW_PREFIX,
 	WorkflowRowKind,
 	WorkflowState,
+	addChanges,
+	addRemoval,
+	adoptVersions,
+	createCommitBatch,
 	createOccurrence,
 	createTaskRef,
 	createWorkflowEntry,
-	encodeOccurrence,
 	endWorkflow,
 	findTerm,
-	formatCancelKey,
 	formatHolderKey,
-	formatPendingKey,
-	formatProgressKey,
-	formatStateKey,
-	formatWorkflowKey,
 	isFinal,
 	isOccurrenceDone,
+	noteSaved,
 	issueTableCommit,
 	issueTableScan,
 	parseWorkflowKey,
@@ -53,29 +52,6 @@
 const PROGRESS = "progress"
 const COMMIT = "commit"
 
-/** What a commit under way wrote of one workflow. */
-interface SavedState {
-	readonly entry: WorkflowEntry
-	readonly state: WorkflowState
-	readonly isPendingRemoved: boolean
-}
-interface SavedOccurrence {
-	readonly occurrence: Occurrence
-	readonly revision: number
-	readonly isRemoved: boolean
-}
-interface Batch {
-	readonly writes: RowWrite[]
-	readonly states: SavedState[]
-	readonly occurrences: SavedOccurrence[]
-	readonly forgotten: WorkflowEntry[]
-}
-
-interface StateRow {
-	readonly workspace: string
-	readonly state: WorkflowState
-}
-
 export class WorkflowLogController implements Controller {
 	readonly name = "workflow-log"
 	readonly reads = [SectionName.completions, SectionName.authority, SectionName.workflows]
@@ -87,7 +63,7 @@
 	#rows: readonly TableRow[] = []
 	#followInFlight = false
 	#followAt = 0
-	#batch: Batch | undefined
+	#batch: CommitBatch | undefined
 	#commitAt = 0
 	/** Workflows with something to write, in the order in which they changed. */
 	readonly #dirty = new Set<string>()
@@ -237,7 +213,7 @@
 		if (row.version <= entry.stateVersion) return
 		entry.stateVersion = row.version
 		if (board.terms.has("loaded")) return
-		const {state} = JSON.parse(row.value) as StateRow
+		const {state} = JSON.parse(row.value) as WorkflowStateRow
 		entry.state = state
 		entry.savedState = state
 		entry.pendingRemoved = true
@@ -295,32 +271,26 @@
 		return board.settings.domain?.stateKeptMs ?? Infinity
 	}
 
-	#collectBatch(board: Board, now: number): Batch {
-		const batch: Batch = {writes: [], states: [], occurrences: [], forgotten: []}
+	#collectBatch(board: Board, now: number): CommitBatch {
+		const batch = createCommitBatch()
 		for (const id of this.#dirty) {
 			if (batch.writes.length >= COMMIT_ROWS_MAX) break
 			this.#dirty.delete(id)
 			const entry = board.workflows.get(id)
-			if (entry !== undefined) collectWrites(entry, batch)
+			if (entry !== undefined) addChanges(batch, entry)
 		}
 		this.#collectRemovals(board, batch, now)
 		return batch
 	}
 
 	/** Rows of workflows that ended long ago are deleted. */
-	#collectRemovals(board: Board, batch: Batch, now: number): void {
+	#collectRemovals(board: Board, batch: CommitBatch, now: number): void {
 		for (const id of this.#ended) {
 			const entry = board.workflows.get(id)
 			if (entry !== undefined && (entry.endedAt ?? now) + this.#findStateKeptMs(board) > now) return
 			if (batch.writes.length >= COMMIT_ROWS_MAX) return
 			this.#ended.delete(id)
-			if (entry === undefined) continue
-			batch.forgotten.push(entry)
-			batch.writes.push(
-				{key: formatWorkflowKey(id), ifVersion: -1, value: null},
-				{key: formatStateKey(id), ifVersion: -1, value: null},
-				{key: formatCancelKey(id), ifVersion: -1, value: null}
-			)
+			if (entry !== undefined) addRemoval(batch, entry)
 		}
 	}
 
@@ -344,34 +314,11 @@
 		const versions = new Map<string, number>()
 		for (const [index, {key}] of command.request.writes.entries())
 			versions.set(key, result.value.versions[index] ?? 0)
-		this.#noteSaved(board, batch, versions)
+		noteSaved(board, batch, versions)
+		for (const {entry, state} of batch.states) if (isFinal(state)) this.#ended.add(entry.record.id)
 	}
 
-	#noteSaved(board: Board, batch: Batch, versions: ReadonlyMap<string, number>): void {
-		const touched = new Set<WorkflowEntry>()
-		for (const {entry, state, isPendingRemoved} of batch.states) {
-			const {id} = entry.record
-			entry.savedState = state
-			entry.stateVersion = versions.get(formatStateKey(id)) ?? entry.stateVersion
-			entry.pendingRemoved ||= isPendingRemoved
-			if (isFinal(state)) this.#ended.add(id)
-			touched.add(entry)
-			board.record(EventLevel.info, "workflow-state", {workflow: id, state})
-		}
-		for (const {occurrence, revision, isRemoved} of batch.occurrences) {
-			occurrence.savedRevision = revision
-			occurrence.rowVersion = isRemoved
-				? 0
-				: (versions.get(formatProgressKey(occurrence.key)) ?? occurrence.rowVersion)
-			const [id = ""] = occurrence.key.split(".")
-			const entry = board.workflows.get(id)
-			if (entry !== undefined) touched.add(entry)
-		}
-		for (const {record} of batch.forgotten) board.workflows.delete(record.id)
-		for (const entry of touched) board.workflows.set(entry.record.id, entry)
-	}
-
-	#putBack(batch: Batch): void {
+	#putBack(batch: CommitBatch): void {
 		for (const {entry} of batch.states) this.#dirty.add(entry.record.id)
 		for (const {occurrence} of batch.occurrences)
 			this.#dirty.add(occurrence.key.split(".")[0] ?? "")
@@ -383,17 +330,15 @@
 	 * names the versions found. A conflict of the holder row means that the term is over, which the authority
 	 * controller finds out.
 	 */
-	#adoptConflicts(board: Board, batch: Batch, conflicts: readonly TableRow[], now: number): void {
-		const found = new Map(conflicts.map(row => [row.key, row.version]))
-		for (const {entry} of batch.states) {
-			const version = found.get(formatStateKey(entry.record.id))
-			if (version !== undefined) entry.stateVersion = version
-		}
-		for (const {occurrence} of batch.occurrences) {
-			const version = found.get(formatProgressKey(occurrence.key))
-			if (version !== undefined) occurrence.rowVersion = version
-		}
-		const keys = [...found.keys()].slice(0, COMMIT_ROWS_MAX).join(" ")
+	#adoptConflicts(
+		board: Board,
+		batch: CommitBatch,
+		conflicts: readonly TableRow[],
+		now: number
+	): void {
+		const versions = new Map(conflicts.map(row => [row.key, row.version]))
+		adoptVersions(batch, versions)
+		const keys = [...versions.keys()].slice(0, COMMIT_ROWS_MAX).join(" ")
 		board.record(EventLevel.info, "workflow-commit-conflict", {keys})
 		this.#commitAt = now + FOLLOW_RETRY_DELAY_MS
 	}
@@ -404,30 +349,3 @@
 	entry.cancelRequested = true
 	endWorkflow(board, entry, WorkflowState.cancelled, now)
 }
-
-/** What of one workflow is not in the table yet. */
-function collectWrites(entry: WorkflowEntry, batch: Batch): void {
-	const {record, state, stateVersion} = entry
-	const isEnded = isFinal(state)
-	for (const occurrence of entry.occurrences.values()) {
-		const {key, rowVersion, revision, savedRevision} = occurrence
-		const isRemoved = isEnded && rowVersion > 0
-		if (!isRemoved && (revision === savedRevision || isEnded)) continue
-		batch.writes.push({
-			key: formatProgressKey(key),
-			ifVersion: rowVersion,
-			value: isRemoved ? null : encodeOccurrence(occurrence)
-		})
-		batch.occurrences.push({occurrence, revision, isRemoved})
-	}
-	if (state === entry.savedState && (entry.pendingRemoved || state === WorkflowState.queued)) return
-	const row: StateRow = {workspace: record.workspace, state}
-	batch.writes.push({
-		key: formatStateKey(record.id),
-		ifVersion: stateVersion,
-		value: JSON.stringify(row)
-	})
-	if (!entry.pendingRemoved)
-		batch.writes.push({key: formatPendingKey(record.id), ifVersion: -1, value: null})
-	batch.states.push({entry, state, isPendingRemoved: true})
-}
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -11,6 +11,7 @@
 	type Command,
 	type CommandKind,
 	type Completion,
+	type CountRequest,
 	type EndAcknowledgement,
 	type EndpointEntry,
 	type FleetIndex,
@@ -78,6 +79,7 @@
 	terms: "terms",
 	runs: "runs",
 	health: "health",
+	countRequests: "countRequests",
 	requests: "requests",
 	replies: "replies",
 	outbox: "outbox",
@@ -161,6 +163,8 @@
 	readonly runs = new RunSection()
 	/** What speaks against a worker, by its id. */
 	readonly health = new Section<string, NodeHealth>()
+	/** Callers who may ask how many workflows of a queue have not begun, by request id. */
+	readonly countRequests = new Section<string, CountRequest>()
 	readonly requests = new Section<string, HostRequest>()
 	readonly replies = new Section<string, Reply>()
 	readonly outbox = new Section<string, Command>()
--- a/src/types/catalog.ts
+++ b/src/types/catalog.ts
@@ -16,16 +16,6 @@
 	readonly targetLatencyMs: number
 	/** Callers need no key. */
 	readonly isPublic: boolean
-	/** Empty for every region. */
-	readonly allowedRegions: readonly string[]
-}
-
-export interface ServiceConfig {
-	readonly name: string
-	/** The workers refuse what does not fit them; others start whatever they are told to. */
-	readonly checksCapacity: boolean
-	/** Its workers are off until they are asked for. */
-	readonly onStandby: boolean
 }
 
 export interface WorkspaceAccess {
@@ -38,7 +28,6 @@
 export interface Catalog {
 	readonly version: number
 	readonly queues: readonly QueueConfig[]
-	readonly services: readonly ServiceConfig[]
 	readonly workspaces: readonly WorkspaceAccess[]
 	readonly maxBodyBytes: number
 }
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -252,3 +252,10 @@
 	readonly epoch: number
 	readonly loadedAt: number
 }
+
+/** A caller's request for the number of a queue's workflows that have not begun. */
+export interface CountRequest {
+	readonly queue: string
+	/** Monotonic time of its arrival. */
+	readonly arrivedAt: number
+}
--- /dev/null
+++ b/src/utils/queue-access.ts
@@ -0,0 +1,39 @@
+/** Whether a caller may use a queue, judged by a configuration whose evidence has an age. */
+import {
+	type Board,
+	type CatalogEntry,
+	type QueueConfig,
+	CATALOG_FRESH_MS,
+	KEY_EVIDENCE_SHARE,
+	Lifecycle,
+	ReasonCode,
+	findWorkspace
+} from "../internal.js"
+
+export interface AccessRefusal {
+	readonly reason: ReasonCode
+	readonly detail: string
+}
+
+/** Keys are judged only by a configuration that was confirmed lately. */
+export function checkAccess(
+	board: Board,
+	key: string,
+	queue: QueueConfig,
+	now: number
+): AccessRefusal | undefined {
+	if (board.lifecycle.get("state") === Lifecycle.drained)
+		return {reason: ReasonCode.stopping, detail: "this host is stopping"}
+	const entry = board.catalog.get("current")
+	if (queue.isPublic || entry === undefined) return undefined
+	const revokeMs = board.settings.domain?.revokeMs ?? Infinity
+	if (now - entry.evidenceAt > revokeMs * KEY_EVIDENCE_SHARE)
+		return {reason: ReasonCode.platformUnavailable, detail: ""}
+	if (findWorkspace(entry.catalog, key) !== undefined) return undefined
+	return {reason: ReasonCode.unauthenticated, detail: "the key is not known"}
+}
+
+/** True where the platform is taken to be out of this host's reach. */
+export function isCatalogStale({evidenceAt}: CatalogEntry, now: number): boolean {
+	return now - evidenceAt > CATALOG_FRESH_MS
+}
