Let large hosts hold the domain and spare the holder's processor

A round of placement was made for each answer of each of 246 workers, and listed every run on all of them. While the store refused, the log repeated its calls each 130 ms and wrote a line for each. Found on the way: a successor that knew occurrence 1 of a workflow from its row, but no row of occurrence 0, created occurrence 1 anew and would have run it twice. Change: hosts below 0.6 cores leave a domain without a holder to others for 0.3 s; reports of workers have their own section, which placement does not read; rounds take a quarter of the time at most; runs are listed only for the workers that are looked at; failed calls back off up to 0.6 s and are logged when lost and regained (utils/outage.ts); occurrences are created by what is missing. The tests of the occurrence and of the larger host were seen to fail.

--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -211,6 +211,43 @@
 		expect(fleet.ledger.broken).to.deep.equal([])
 	})
 
+	it("runs no occurrence again under a successor where an earlier one has not begun", async () => {
+		const {first, fleet, submit, advance, advanceUntil, addHost} = await createServingDomain({
+			workers: 0
+		})
+		const schedule = {first_run_ms: 1, interval_ms: 1, repeat_count: 2}
+		await submit(first, `${BATCH}${ID_A}`, {...createJob(), ...schedule})
+		const tasks = [["done", 1, 0, "", "", "", []]]
+		const row = Buffer.from(JSON.stringify([{tasks, gangFailures: 0, gangFailedRun: 0}]))
+		const key = {table: "progress", part: "main", key: `${ID_A}.1`}
+		fleet.store.transact({
+			precondition: [],
+			put: [{...key, value: row.toString("base64")}],
+			delete: []
+		})
+		first.stop()
+		fleet.addWorker("w1")
+		const second = addHost()
+		await advanceUntil(() => second.board.authority.get("fleet")?.mine === true)
+		await advance(3000)
+		expect(fleet.ledger.starts.map(({task}) => task)).to.deep.equal([`${ID_A}.0.0.0`])
+	})
+
+	it("leaves the domain to a larger host", async () => {
+		const {addHost, advanceUntil, findHolder} = createDomain()
+		addHost({coreShare: 0.3})
+		const large = addHost()
+		await advanceUntil(() => findHolder() !== undefined)
+		expect(findHolder()?.id).to.equal(large.id)
+	})
+
+	it("has a small host hold the domain where there is no larger one", async () => {
+		const {addHost, advanceUntil} = createDomain()
+		const small = addHost({coreShare: 0.3})
+		const tookMs = await advanceUntil(() => small.board.terms.has("loaded"))
+		expect(tookMs).to.be.below(1000)
+	})
+
 	it("keeps work running through an outage of the store", async () => {
 		const {first, fleet, plan, submit, advance, readState} = await createServingDomain({hosts: 2})
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, workMs: 6000}))
--- a/__tests__/platform.test.ts
+++ b/__tests__/platform.test.ts
@@ -30,7 +30,9 @@
 			revokeMs: 5000,
 			stopMs: 200,
 			stateKeptMs: 180000,
-			remoteFactor: 3
+			remoteFactor: 3,
+			cores: 1,
+			coreShare: 1
 		}
 	})
 	const host = new Host(settings, clock, new PlatformWiring(clock))
--- a/__tests__/run-placement.test.ts
+++ b/__tests__/run-placement.test.ts
@@ -43,7 +43,7 @@
 		labels: [rack],
 		isDoubted: false,
 		free: {cpuMillis: 32000, memoryMb: 131072, accelerators: 8},
-		runs: [],
+		listRuns: () => [],
 		...overrides
 	}
 }
@@ -62,7 +62,7 @@
 		...run
 	}
 	const free = {cpuMillis: 32000, memoryMb: 131072, accelerators: 0}
-	return createRoom(id, rack, {free, runs: [full]})
+	return createRoom(id, rack, {free, listRuns: () => [full]})
 }
 
 function createUnit(refs: TaskRef[], overrides: Partial<PlacementUnit> = {}): PlacementUnit {
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -9,11 +9,14 @@
 	type Board,
 	type Completion,
 	type Controller,
+	type HostSettings,
 	type RowWrite,
 	type TableRow,
 	AUTHORITY_TIMEOUT_MS,
 	CommandKind,
 	EventLevel,
+	HOLDER_CORES,
+	HOLDER_DEFERRAL_MS,
 	HOLDER_LEASE_MS,
 	HOLDER_RENEW_INTERVAL_MS,
 	Lifecycle,
@@ -74,8 +77,9 @@
 	#computeLapse(board: Board, entry: AuthorityEntry | undefined): number {
 		if (entry === undefined || entry.mine) return Infinity
 		const wasThisHost = entry.holder === board.settings.hostId && this.#restarted
-		if (entry.holder === "" || wasThisHost) return this.#notBefore
-		return Math.max(this.#notBefore, entry.observedAt + HOLDER_LEASE_MS + 1)
+		if (wasThisHost) return this.#notBefore
+		const lapsesAt = entry.holder === "" ? entry.observedAt : entry.observedAt + HOLDER_LEASE_MS + 1
+		return Math.max(this.#notBefore, lapsesAt + computeDeferral(board.settings))
 	}
 
 	#readRows(board: Board, now: number): void {
@@ -229,6 +233,12 @@
 	}
 }
 
+/** Small hosts let larger ones take a domain first. */
+function computeDeferral({domain}: HostSettings): number {
+	if (domain === undefined) return 0
+	return domain.cores * domain.coreShare < HOLDER_CORES ? HOLDER_DEFERRAL_MS : 0
+}
+
 function formatPeerUrl(board: Board): string {
 	const {hostId, peerAddress} = board.settings
 	const listed = board.hosts.get(hostId)?.peerAddress
--- a/src/controllers/catalog.ts
+++ b/src/controllers/catalog.ts
@@ -11,8 +11,8 @@
 	CommandKind,
 	EventLevel,
 	FOLLOW_ANSWER_TIMEOUT_MS,
-	FOLLOW_RETRY_DELAY_MS,
 	FOLLOW_WAIT_MS,
+	Outage,
 	SectionName
 } from "../internal.js"
 
@@ -23,7 +23,7 @@
 	#nextAt = 0
 	/** Version from which to follow; undefined to read everything. */
 	#afterVersion: number | undefined
-	#failures = 0
+	readonly #outage = new Outage("catalog")
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name))
@@ -51,17 +51,11 @@
 	#settle(board: Board, {command, result}: Completion<"catalog-follow">, now: number): void {
 		this.#inFlight = false
 		if (result.isErr()) {
-			if (this.#failures++ === 0) {
-				const detail = result.error.message
-				board.record(EventLevel.warn, "catalog-lost", {detail}, "platform-unavailable")
-			}
+			this.#nextAt = now + this.#outage.noteFailure(board, result.error)
 			this.#afterVersion = undefined
-			this.#nextAt = now + FOLLOW_RETRY_DELAY_MS
 			return
 		}
-		if (this.#failures > 0)
-			board.record(EventLevel.info, "catalog-regained", {failures: this.#failures})
-		this.#failures = 0
+		this.#outage.noteSuccess(board)
 		this.#adopt(board, result.value, command.issuedAt)
 		this.#afterVersion = result.value.version
 	}
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -17,6 +17,7 @@
 	NODE_RENEW_WAIT_MS,
 	NODE_RETRY_DELAY_MS,
 	NODE_UNSAVED_DELAY_MS,
+	Outage,
 	PLATFORM_TIMEOUT_MS,
 	RefusedError,
 	SectionName,
@@ -36,8 +37,7 @@
 	#takenAt = 0
 	#listInFlight = false
 	#listAt = 0
-	/** Consecutive reads of the list that failed. */
-	#listFailures = 0
+	readonly #listOutage = new Outage("worker-list")
 	readonly #renewAt = new Map<string, number>()
 	readonly #inFlight = new Set<string>()
 	/** Position that the renewal under way acknowledges, by worker. */
@@ -64,6 +64,7 @@
 		this.#acknowledged.clear()
 		this.#listAt = 0
 		for (const id of [...board.nodes.keys()]) board.nodes.delete(id)
+		for (const id of [...board.nodeReports.keys()]) board.nodeReports.take(id)
 		for (const id of [...board.acknowledgements.keys()]) board.acknowledgements.take(id)
 	}
 
@@ -149,13 +150,10 @@
 		this.#listInFlight = false
 		if (this.#epoch === 0) return
 		if (result.isErr()) {
-			if (this.#listFailures++ === 0)
-				board.record(EventLevel.warn, "worker-list-lost", {detail: result.error.message})
+			this.#listAt = now + this.#listOutage.noteFailure(board, result.error)
 			return
 		}
-		if (this.#listFailures > 0)
-			board.record(EventLevel.info, "worker-list-regained", {failures: this.#listFailures})
-		this.#listFailures = 0
+		this.#listOutage.noteSuccess(board)
 		for (const why of result.value.malformed)
 			board.record(EventLevel.debug, "worker-malformed", {detail: why})
 		const listed = new Set<string>()
@@ -167,6 +165,7 @@
 			if (listed.has(id)) continue
 			if (now > node.lapsesAt) {
 				board.nodes.delete(id)
+				board.nodeReports.take(id)
 				this.#renewAt.delete(id)
 				this.#acknowledged.delete(id)
 			} else if (node.listed) {
@@ -187,8 +186,7 @@
 				clockReadAt: 0,
 				answeredAt: 0,
 				lapsesAt: computeLapse(this.#takenAt + HOLDER_PROOF_MS),
-				failures: 0,
-				report: undefined
+				failures: 0
 			})
 			board.record(EventLevel.info, "worker-listed", {
 				worker: registration.id,
@@ -250,14 +248,16 @@
 		if (node.failures > 0)
 			board.record(EventLevel.info, "worker-reached", {worker: id, failures: node.failures})
 		if (node.incarnation !== incarnation) this.#acknowledged.set(id, 0)
-		board.nodes.set(id, {
+		const entry = {
 			...node,
 			incarnation,
 			clockMs,
 			clockReadAt: now,
 			answeredAt: now,
-			failures: 0,
-			report: {sentAt, receivedAt: now, running, ends}
-		})
+			failures: 0
+		}
+		if (node.incarnation === incarnation && node.failures === 0) board.nodes.refresh(id, entry)
+		else board.nodes.set(id, entry)
+		board.nodeReports.set(id, {sentAt, receivedAt: now, running, ends})
 	}
 }
--- a/src/controllers/registry.ts
+++ b/src/controllers/registry.ts
@@ -77,7 +77,7 @@
 		new NodeController(),
 		new RunReportController(board),
 		new RunOrderController(board),
-		new RunPlacementController(readWallClock),
+		new RunPlacementController(clock),
 		new WorkflowIntakeController(readWallClock),
 		new PendingCountController()
 	]
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -28,6 +28,7 @@
 	isSaved,
 	isSchedulable,
 	isTermProven,
+	listRuns,
 	listTaskRefs,
 	noteRunning,
 	releaseRun,
@@ -52,6 +53,7 @@
 		SectionName.terms
 	]
 	readonly #changedRuns: Set<string>
+	readonly #changedWorkflows: Set<string>
 	/** Tasks whose run is not known to be running. */
 	readonly #unsettled = new Set<string>()
 	/** Stop orders that are under way, by task and run. */
@@ -60,6 +62,7 @@
 
 	constructor(board: Board) {
 		this.#changedRuns = board.runs.watch()
+		this.#changedWorkflows = board.workflows.watch()
 	}
 
 	step(board: Board, now: number): number | undefined {
@@ -80,8 +83,12 @@
 
 	/** Runs of workflows that were cancelled or have failed. */
 	#stopUnwanted(board: Board, now: number): void {
-		for (const ref of [...board.runs.values()])
-			if (!isSchedulable(ref.workflow)) stopRun(board, ref, ReasonCode.cancelled, now)
+		for (const id of [...this.#changedWorkflows]) {
+			const workflow = board.workflows.get(id)
+			if (workflow === undefined || isSchedulable(workflow)) continue
+			for (const ref of listRuns(board, workflow)) stopRun(board, ref, ReasonCode.cancelled, now)
+		}
+		this.#changedWorkflows.clear()
 	}
 
 	#advance(board: Board, taskId: string, now: number): void {
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -6,6 +6,7 @@
 import {
 	type Board,
 	type CatalogEntry,
+	type Clock,
 	type Controller,
 	type NodeRoom,
 	type Occurrence,
@@ -45,6 +46,9 @@
 /** Shortest time between two rounds: changes that come together are decided on together. */
 const ROUND_INTERVAL_MS = 15
 
+/** Share of the time that rounds may take: a slow host has to renew leases and start runs as well. */
+const ROUND_TIME_SHARE = 0.25
+
 /** How often a round is made while something waits and nothing changes. */
 const WAITING_INTERVAL_MS = 250
 
@@ -102,18 +106,20 @@
 	readonly #holds = new Map<string, RoomHold>()
 	/** Tasks whose room did not become free in time, by the first task's id: they wait for no run to end by itself. */
 	readonly #overdue = new Set<string>()
-	readonly #readWallClock: () => number
+	readonly #clock: Clock
 	#roundAt = 0
 	/** Groups of tasks that room was withheld for in this round. */
 	#withheld = 0
 	/** Monotonic time at which each waiting step became ready, by occurrence and step. */
 	readonly #readyAt = new Map<string, number>()
 	#nextDueWallMs = Infinity
+	/** Monotonic time at which the first step is ready that was put off after a refused start. */
+	#delayedUntil = Infinity
 	/** When it was last logged that a task waits for room, by the first task's id. */
 	readonly #notedAt = new Map<string, number>()
 
-	constructor(readWallClock: () => number, policy: RunPlacementPolicy = new PackedRunPlacement()) {
-		this.#readWallClock = readWallClock
+	constructor(clock: Clock, policy: RunPlacementPolicy = new PackedRunPlacement()) {
+		this.#clock = clock
 		this.#policy = policy
 	}
 
@@ -128,12 +134,15 @@
 		}
 		if (board.lifecycle.get("state") !== Lifecycle.serving) return undefined
 		if (now < this.#roundAt) return this.#roundAt
-		this.#roundAt = now + ROUND_INTERVAL_MS
 		if (!isTermProven(board, now) || now - catalog.evidenceAt > CATALOG_FRESH_MS)
 			return now + WAITING_INTERVAL_MS
 		const waiting = this.#placeAll(board, catalog, now)
-		const dueInMs = this.#nextDueWallMs - this.#readWallClock()
-		return Math.min(waiting > 0 ? now + WAITING_INTERVAL_MS : Infinity, now + Math.max(0, dueInMs))
+		const tookMs = this.#clock.now() - now
+		this.#roundAt = now + Math.max(ROUND_INTERVAL_MS, tookMs / ROUND_TIME_SHARE)
+		const dueInMs = this.#nextDueWallMs - this.#clock.readWallClock()
+		const isWaiting = waiting > 0 || this.#holds.size > 0
+		const waitUntil = isWaiting ? now + WAITING_INTERVAL_MS : Infinity
+		return Math.min(waitUntil, this.#delayedUntil, now + Math.max(0, dueInMs))
 	}
 
 	/** Places what fits and returns how many steps have tasks that wait. */
@@ -141,7 +150,11 @@
 		const active = [...board.workflows.values()].filter(isSchedulable)
 		const guaranteed = findGuaranteed(catalog.catalog, active)
 		this.#openDue(board, active)
-		const ready = listReady(active, guaranteed, now)
+		const steps = listReady(active, guaranteed)
+		const ready = steps.filter(({step}) => step.notBefore <= now)
+		this.#delayedUntil = Math.min(
+			...steps.map(({step}) => (step.notBefore > now ? step.notBefore : Infinity))
+		)
 		this.#noteReady(ready, now)
 		if (ready.length === 0) return 0
 		const rooms = listRooms(board, catalog, guaranteed, now)
@@ -154,11 +167,13 @@
 
 	/** Creates occurrences that have become due. */
 	#openDue(board: Board, active: readonly WorkflowEntry[]): void {
-		const wallNow = this.#readWallClock()
+		const wallNow = this.#clock.readWallClock()
 		this.#nextDueWallMs = Infinity
 		for (const workflow of active) {
 			const total = countOccurrences(workflow.record)
-			for (let index = workflow.occurrences.size; index < total; index++) {
+			for (let index = 0; index < total; index++) {
+				// A successor may know a later occurrence from its row before an earlier one, which had no run yet.
+				if (workflow.occurrences.has(index)) continue
 				const occurrence = createOccurrence(workflow.record, index)
 				const dueWallMs = occurrence.dueWallMs + DUE_MARGIN_MS
 				if (workflow.record.spec.schedule !== undefined && dueWallMs > wallNow) {
@@ -285,7 +300,7 @@
 			const ref = refs[index]
 			if (ref === undefined) continue
 			addDemand(room.free, spec, -1)
-			room.runs.push(buildPlannedRun(ref, rank))
+			room.listRuns().push(buildPlannedRun(ref, rank))
 		}
 		const rooms = slots.map(({room}) => room)
 		if (slots.every(slot => slot.isFree)) {
@@ -353,19 +368,14 @@
 }
 
 /** Steps whose turn has come and that have tasks waiting, in the order in which they are served. */
-function listReady(
-	active: readonly WorkflowEntry[],
-	guaranteed: ReadonlySet<string>,
-	now: number
-): ReadyStep[] {
+function listReady(active: readonly WorkflowEntry[], guaranteed: ReadonlySet<string>): ReadyStep[] {
 	const ready: ReadyStep[] = []
 	for (const workflow of active) {
 		const rank = findRank(workflow, guaranteed)
 		for (const occurrence of workflow.occurrences.values())
 			for (const [stepIndex, spec] of workflow.record.spec.steps.entries()) {
 				const step = occurrence.steps[stepIndex]
-				if (step === undefined || step.notBefore > now || !isStepReady(spec, step, occurrence))
-					continue
+				if (step === undefined || !isStepReady(spec, step, occurrence)) continue
 				ready.push({workflow, occurrence, stepIndex, spec, step, rank})
 			}
 	}
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -54,13 +54,13 @@
 
 export class RunReportController implements Controller {
 	readonly name = "run-report"
-	readonly reads = [SectionName.nodes, SectionName.workflows, SectionName.terms]
-	readonly #changedNodes: Set<string>
+	readonly reads = [SectionName.nodeReports, SectionName.workflows, SectionName.terms]
+	readonly #changedReports: Set<string>
 	readonly #ends = new Map<string, EndsOfWorker>()
 	#lapseCheckAt = 0
 
 	constructor(board: Board) {
-		this.#changedNodes = board.nodes.watch()
+		this.#changedReports = board.nodeReports.watch()
 	}
 
 	step(board: Board, now: number): number | undefined {
@@ -70,12 +70,14 @@
 			for (const id of [...board.health.keys()]) board.health.delete(id)
 			return undefined
 		}
-		if (this.#ends.size === 0) for (const id of board.nodes.keys()) this.#changedNodes.add(id)
-		for (const id of this.#changedNodes) {
+		if (this.#ends.size === 0)
+			for (const id of board.nodeReports.keys()) this.#changedReports.add(id)
+		for (const id of this.#changedReports) {
 			const node = board.nodes.get(id)
-			if (node?.report !== undefined) this.#takeIn(board, node, node.report, now)
+			const report = board.nodeReports.get(id)
+			if (node !== undefined && report !== undefined) this.#takeIn(board, node, report, now)
 		}
-		this.#changedNodes.clear()
+		this.#changedReports.clear()
 		this.#acknowledge(board)
 		if (now >= this.#lapseCheckAt) {
 			this.#lapseCheckAt = now + LAPSE_CHECK_INTERVAL_MS
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -19,11 +19,11 @@
 	CommandKind,
 	EventLevel,
 	FOLLOW_ANSWER_TIMEOUT_MS,
-	FOLLOW_RETRY_DELAY_MS,
 	FOLLOW_WAIT_MS,
+	OUTAGE_RETRY_MIN_MS,
+	Outage,
 	PLATFORM_TIMEOUT_MS,
 	PROGRESS_PREFIX,
-	RefusedError,
 	SectionName,
 	WORKFLOW_PREFIX,
 	WorkflowRowKind,
@@ -63,6 +63,8 @@
 	#rows: readonly TableRow[] = []
 	#followInFlight = false
 	#followAt = 0
+	readonly #followOutage = new Outage("workflow-follow")
+	readonly #commitOutage = new Outage("workflow-commit")
 	#batch: CommitBatch | undefined
 	#commitAt = 0
 	/** Workflows with something to write, in the order in which they changed. */
@@ -138,14 +140,12 @@
 
 	#settleFollow(board: Board, {result}: Completion<"table-follow">, now: number): void {
 		if (result.isErr()) {
-			const reason = result.error instanceof RefusedError ? result.error.code : "no-answer"
-			const fields = {detail: result.error.message}
-			board.record(EventLevel.info, "workflow-follow-failed", fields, reason)
-			this.#followAt = now + FOLLOW_RETRY_DELAY_MS
+			this.#followAt = now + this.#followOutage.noteFailure(board, result.error)
 			// Whatever was missed is read again in full.
 			this.#afterVersion = undefined
 			return
 		}
+		this.#followOutage.noteSuccess(board)
 		const changes = result.value
 		if (board.terms.has("loaded")) {
 			this.#adoptRows(board, changes.rows, now)
@@ -166,7 +166,7 @@
 	#settleProgress(board: Board, {result}: Completion<"table-scan">, now: number): void {
 		if (result.isErr()) {
 			this.#afterVersion = undefined
-			this.#followAt = now + FOLLOW_RETRY_DELAY_MS
+			this.#followAt = now + this.#followOutage.noteFailure(board, result.error)
 			return
 		}
 		this.#adoptRows(board, this.#rows, now)
@@ -299,13 +299,11 @@
 		this.#batch = undefined
 		if (batch === undefined) return
 		if (result.isErr()) {
-			const reason = result.error instanceof RefusedError ? result.error.code : "no-answer"
-			const fields = {rows: batch.writes.length, detail: result.error.message}
-			board.record(EventLevel.info, "workflow-commit-failed", fields, reason)
 			this.#putBack(batch)
-			this.#commitAt = now + FOLLOW_RETRY_DELAY_MS
+			this.#commitAt = now + this.#commitOutage.noteFailure(board, result.error)
 			return
 		}
+		this.#commitOutage.noteSuccess(board)
 		if (!result.value.committed) {
 			this.#adoptConflicts(board, batch, result.value.conflicts, now)
 			this.#putBack(batch)
@@ -340,7 +338,7 @@
 		adoptVersions(batch, versions)
 		const keys = [...versions.keys()].slice(0, COMMIT_ROWS_MAX).join(" ")
 		board.record(EventLevel.info, "workflow-commit-conflict", {keys})
-		this.#commitAt = now + FOLLOW_RETRY_DELAY_MS
+		this.#commitAt = now + OUTAGE_RETRY_MIN_MS
 	}
 }
 
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -28,6 +28,7 @@
 	type NewTransition,
 	type NodeEntry,
 	type NodeHealth,
+	type NodeReport,
 	type NoticeKind,
 	type PeerEntry,
 	type PeerNews,
@@ -74,6 +75,7 @@
 	ended: "ended",
 	catalog: "catalog",
 	nodes: "nodes",
+	nodeReports: "nodeReports",
 	acknowledgements: "acknowledgements",
 	workflows: "workflows",
 	terms: "terms",
@@ -153,6 +155,8 @@
 	readonly catalog = new Section<"current", CatalogEntry>()
 	/** Workers of the domain that this host holds, by id. */
 	readonly nodes = new Section<string, NodeEntry>()
+	/** What each of them last listed, by its id; kept apart, since most reports change nothing but progress. */
+	readonly nodeReports = new Section<string, NodeReport>()
 	/** Ends of runs that are durable, by worker id. */
 	readonly acknowledgements = new Section<string, EndAcknowledgement>()
 	/** Workflows of the domain that this host holds. */
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -145,6 +145,12 @@
 /** Most generations in one answer about the bundle's history. */
 export const BUNDLE_HISTORY_MAX = 50
 
+/** Processor time that the holder of a domain of some 250 workers needs when work comes at its worst, in cores. */
+export const HOLDER_CORES = 0.6
+
+/** How long a host with less than that leaves a domain without a holder to larger hosts; they poll each second. */
+export const HOLDER_DEFERRAL_MS = 300
+
 /**
  * Time after its last proven renewal for which a domain's holder gives orders to workers. Less than the time after
  * which another host may take over, so that the two never give orders at once.
@@ -176,8 +182,12 @@
 export const FOLLOW_WAIT_MS = 900
 /** Time beyond the wait after which a follow-up counts as unanswered. */
 export const FOLLOW_ANSWER_TIMEOUT_MS = 800
-/** Pause after a follow-up or a read that failed. */
-export const FOLLOW_RETRY_DELAY_MS = 150
+/**
+ * Pause before something that failed is tried again, doubled at each failure up to the second: short enough to notice
+ * at once that an outage has ended, long enough not to add to an overload.
+ */
+export const OUTAGE_RETRY_MIN_MS = 150
+export const OUTAGE_RETRY_MAX_MS = 600
 
 /** Age of the catalog's evidence from which a host takes the platform to be out of its reach. */
 export const CATALOG_FRESH_MS = 2300
--- a/src/policies/run-placement.ts
+++ b/src/policies/run-placement.ts
@@ -14,7 +14,8 @@
 	/** Chosen only where no other worker will do. */
 	readonly isDoubted: boolean
 	readonly free: {cpuMillis: number; memoryMb: number; accelerators: number}
-	readonly runs: RoomRun[]
+	/** Its runs; reckoned at the first call, since most rounds need those of few workers. */
+	listRuns(): RoomRun[]
 }
 
 /** A run that is on a worker, with its place in the queue and what stopping it would throw away. */
@@ -68,17 +69,17 @@
 		const slots = rooms
 			.filter(room => isEligible(room, unit.spec))
 			.flatMap(room => listSlots(room, unit, listVictims(room, unit)))
+		if (slots.length < unit.refs.length) return undefined
 		// What costs no work is weighed by itself: the cheapest choice of all may cost more than is allowed.
 		const free = slots.filter(({isFree}) => isFree)
-		const candidates = [
-			{slots: this.#chooseNear(unit, free), extra: 0},
-			{slots: this.#chooseNear(unit, slots), extra: 0},
-			{slots: chooseBest(free, unit), extra: unit.remoteCost},
-			{slots: chooseBest(slots, unit), extra: unit.remoteCost}
-		]
+		const pools = free.length === slots.length ? [free] : [free, slots]
+		const candidates = pools.map(pool => ({slots: this.#chooseNear(unit, pool), extra: 0}))
+		if (hasPlaceOfChoice(unit) && unit.remoteCost < Infinity)
+			for (const pool of pools)
+				candidates.push({slots: chooseBest(pool, unit), extra: unit.remoteCost})
 		let best: {slots: readonly Slot[]; cost: number} | undefined
 		for (const {slots: chosen, extra} of candidates) {
-			if (chosen === undefined || extra === Infinity || !isAllowed(chosen, unit)) continue
+			if (chosen === undefined || !isAllowed(chosen, unit)) continue
 			const cost = computeTotal(chosen, unit) + extra
 			if (best === undefined || cost < best.cost) best = {slots: chosen, cost}
 		}
@@ -94,18 +95,21 @@
 
 	/** In the rack of the data, or for a tightly coupled gang in any one rack; else anywhere. */
 	#chooseNear(unit: PlacementUnit, slots: readonly Slot[]): readonly Slot[] | undefined {
-		const {spec, refs} = unit
+		const {spec} = unit
 		if (spec.dataRack !== undefined)
 			return chooseBest(
 				slots.filter(({room}) => room.rack === spec.dataRack),
 				unit
 			)
-		return spec.tightlyCoupled && refs.length > 1
-			? chooseRack(slots, unit)
-			: chooseBest(slots, unit)
+		return hasPlaceOfChoice(unit) ? chooseRack(slots, unit) : chooseBest(slots, unit)
 	}
 }
 
+/** True where it matters in which rack the tasks run. */
+function hasPlaceOfChoice({spec, refs}: PlacementUnit): boolean {
+	return spec.dataRack !== undefined || (spec.tightlyCoupled && refs.length > 1)
+}
+
 function isEligible({labels}: NodeRoom, {requiredLabel}: StepSpec): boolean {
 	return requiredLabel === undefined || labels.includes(requiredLabel)
 }
@@ -158,12 +162,13 @@
 }
 
 /** Tasks of the same step of the same occurrence that the worker has already. */
-function countOfStep({runs}: NodeRoom, {refs, spec}: PlacementUnit): number {
+function countOfStep(room: NodeRoom, {refs, spec}: PlacementUnit): number {
 	const first = refs[0]
 	if (spec.maxPerWorker === undefined || first === undefined) return 0
-	return runs.filter(
-		({ref}) => ref.occurrence === first.occurrence && ref.stepIndex === first.stepIndex
-	).length
+	return room
+		.listRuns()
+		.filter(({ref}) => ref.occurrence === first.occurrence && ref.stepIndex === first.stepIndex)
+		.length
 }
 
 /** True where the run's room can be reckoned with, and it need not be stopped. */
@@ -172,16 +177,18 @@
 }
 
 /** Runs that will make way: those that are leaving already, then those whose stopping costs least. */
-function listVictims({runs}: NodeRoom, unit: PlacementUnit): RoomRun[] {
+function listVictims(room: NodeRoom, unit: PlacementUnit): RoomRun[] {
 	if (unit.lossMax < 0) return []
-	return runs
+	return room
+		.listRuns()
 		.filter(run => isLeaving(run, unit) || (run.rank > unit.rank && !run.isProtected))
 		.sort((a, b) => Number(isLeaving(b, unit)) - Number(isLeaving(a, unit)) || a.loss - b.loss)
 }
 
 /** All runs in the order in which they are expected to end; their loss is the time until then. */
-function listEnds({runs}: NodeRoom): RoomRun[] {
-	return runs
+function listEnds(room: NodeRoom): RoomRun[] {
+	return room
+		.listRuns()
 		.map(run => ({...run, loss: run.remainingMs / MS_PER_S, isEnding: false, isStopping: false}))
 		.sort((a, b) => a.loss - b.loss)
 }
@@ -203,6 +210,10 @@
 function chooseBest(slots: readonly Slot[], unit: PlacementUnit): readonly Slot[] | undefined {
 	const needed = unit.refs.length
 	if (slots.length < needed) return undefined
+	if (needed === 1) {
+		const first = slots.reduce((best, slot) => (compareSlots(slot, best, unit) < 0 ? slot : best))
+		return closeGaps([first], slots)
+	}
 	const sorted = [...slots].sort((a, b) => compareSlots(a, b, unit))
 	return closeGaps(sorted.slice(0, needed), slots)
 }
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -42,7 +42,9 @@
 	revokeMs: z.number().min(MS_MIN),
 	stopMs: z.number().min(MS_MIN),
 	stateKeptMs: z.number().min(MS_MIN),
-	remoteFactor: z.number().min(1)
+	remoteFactor: z.number().min(1),
+	cores: z.number().positive().default(1),
+	coreShare: z.number().positive().max(1).default(1)
 })
 const LOG_LEVELS = ["trace", "debug", "info", "warn", "error", "silent"] as const
 
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -17,6 +17,9 @@
 	readonly stateKeptMs: number
 	/** How many times as long a task runs away from its data or its gang's rack. */
 	readonly remoteFactor: number
+	/** Processor cores of this host, and the share of each that it may use. */
+	readonly cores: number
+	readonly coreShare: number
 }
 
 /** What a process learns from its settings file. */
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -226,7 +226,6 @@
 	/** Monotonic time by which everything that this or an earlier holder left there has lapsed, unless renewed. */
 	readonly lapsesAt: number
 	readonly failures: number
-	readonly report: NodeReport | undefined
 }
 
 /** Up to which position the ends of an incarnation are durable here, so that the worker may forget them. */
--- /dev/null
+++ b/src/utils/outage.ts
@@ -0,0 +1,38 @@
+/**
+ * Follows whether something that a controller depends on answers. A line is logged when it is lost and when it is
+ * regained, not for each failure in between, and the pause before the next try doubles up to a bound.
+ */
+import {
+	type Board,
+	type CallError,
+	EventLevel,
+	OUTAGE_RETRY_MAX_MS,
+	OUTAGE_RETRY_MIN_MS,
+	ReasonCode
+} from "../internal.js"
+
+export class Outage {
+	readonly #name: string
+	#failures = 0
+
+	/** The events are named `name-lost` and `name-regained`. */
+	constructor(name: string) {
+		this.#name = name
+	}
+
+	/** Returns how long to wait before the next try, in ms. */
+	noteFailure(board: Board, error: CallError): number {
+		if (this.#failures === 0) {
+			const fields = {detail: error.message}
+			board.record(EventLevel.warn, `${this.#name}-lost`, fields, ReasonCode.platformUnavailable)
+		}
+		const delayMs = OUTAGE_RETRY_MIN_MS * 2 ** this.#failures++
+		return Math.min(OUTAGE_RETRY_MAX_MS, delayMs)
+	}
+
+	noteSuccess(board: Board): void {
+		if (this.#failures > 0)
+			board.record(EventLevel.info, `${this.#name}-regained`, {failures: this.#failures})
+		this.#failures = 0
+	}
+}
--- a/src/utils/rooms.ts
+++ b/src/utils/rooms.ts
@@ -13,8 +13,7 @@
 	type WorkflowEntry,
 	computeRank,
 	isFinal,
-	isNodeOpen,
-	listTaskRefs
+	isNodeOpen
 } from "../internal.js"
 
 /** A run that will have ended this soon is waited for rather than stopped: stopping takes about as long. */
@@ -67,6 +66,7 @@
 ): NodeRoom {
 	const {id, incarnation, rack, labels, capacity} = registration
 	const used = board.runs.sumOn(id)
+	let runs: RoomRun[] | undefined
 	return {
 		id,
 		incarnation,
@@ -78,7 +78,8 @@
 			memoryMb: capacity.memoryMb - used.memoryMb,
 			accelerators: capacity.accelerators - used.accelerators
 		},
-		runs: [...board.runs.listOn(id).values()].map(ref => buildRoomRun(ref, guaranteed, now))
+		listRuns: () =>
+			(runs ??= [...board.runs.listOn(id).values()].map(ref => buildRoomRun(ref, guaranteed, now)))
 	}
 }
 
@@ -115,10 +116,9 @@
 }
 
 /** A gang ends with the slowest of its members. */
-function isEnding({workflow, occurrence, stepIndex, spec, task}: TaskRef, now: number): boolean {
-	if (!spec.gang) return computeRemaining(task, now) < ENDS_SOON_MS
-	const members = listTaskRefs(workflow, occurrence, stepIndex)
-	return members.every(member => computeRemaining(member.task, now) < ENDS_SOON_MS)
+function isEnding({step, spec, task}: TaskRef, now: number): boolean {
+	const members = spec.gang ? step.tasks : [task]
+	return members.every(member => computeRemaining(member, now) < ENDS_SOON_MS)
 }
 
 /** Time that a run still needs at the rate that it had until its last report; infinite where that is not known. */
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -61,6 +61,15 @@
 	noteProgress(board, workflow, occurrence)
 }
 
+/** Every run of the workflow that may be on a worker. */
+export function listRuns(board: Board, workflow: WorkflowEntry): TaskRef[] {
+	const refs: TaskRef[] = []
+	for (const occurrence of workflow.occurrences.values())
+		for (const stepIndex of occurrence.steps.keys())
+			refs.push(...listTaskRefs(workflow, occurrence, stepIndex))
+	return refs.filter(({taskId}) => board.runs.has(taskId))
+}
+
 export function noteRunning(board: Board, ref: TaskRef, now: number): void {
 	if (ref.task.phase !== TaskPhase.starting) return
 	ref.task.phase = TaskPhase.running
