--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -3,7 +3,14 @@
 import {ReplyKind, WorkflowAction} from "../src/internal.js"
 import {decodeWorkflow} from "../platform/records.js"
 import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
-import {BATCH, CALLER_KEY, URGENT, createCatalogRecord, createDomain} from "./fixtures/domain.js"
+import {
+	BATCH,
+	CALLER_KEY,
+	OTHER_KEY,
+	URGENT,
+	createCatalogRecord,
+	createDomain
+} from "./fixtures/domain.js"
 
 const ID_A = "00000000000000aa"
 const ID_B = "00000000000000bb"
@@ -147,6 +154,56 @@
 		expect([...used]).to.deep.equal(["w2"])
 	})
 
+	it("moves work off a worker that leaves, unless it ends before", async () => {
+		const {first, fleet, submit, advance} = await createServingDomain({workers: 1})
+		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 6000}))
+		await submit(first, `${BATCH}${ID_B}`, createJob({workMs: 2500}))
+		await advance(500)
+		fleet.addWorker("w2")
+		fleet.register("w1", "draining", 2500)
+		await advance(2000)
+		const starts = fleet.ledger.starts.map(({task, worker}) => `${task} ${worker}`)
+		expect(starts).to.deep.equal([`${ID_A}.0.0.0 w1`, `${ID_B}.0.0.0 w1`, `${ID_A}.0.0.0 w2`])
+	})
+
+	it("lets work with checkpoints go on until shortly before its worker leaves", async () => {
+		const {first, fleet, submit, advanceUntil} = await createServingDomain({workers: 1})
+		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 9000, checkpointing: true}))
+		await advanceUntil(() => fleet.ledger.starts.length === 1)
+		fleet.addWorker("w2")
+		fleet.register("w1", "draining", 5000)
+		const movedAfterMs = await advanceUntil(() => fleet.ledger.starts.length === 2)
+		expect(movedAfterMs).to.be.within(3000, 5000)
+	})
+
+	it("completes urgent work in time at twice the load that its workers hold", async () => {
+		const {first, fleet, ask, advance, clock} = await createServingDomain()
+		const workMs = 2500
+		const objectiveMs = 1.5 * workMs + 400
+		const acceptedAt = new Map<string, number>()
+		const completedAt = new Map<string, number>()
+		const pass = async (ms: number) => {
+			for (let passed = 0; passed < ms; passed += 50) {
+				await advance(50)
+				for (const task of fleet.ledger.done)
+					if (!completedAt.has(task)) completedAt.set(task, clock.now())
+			}
+		}
+		for (let index = 0; index < 25; index++) {
+			const id = index.toString(16).padStart(16, "0")
+			const spec = decodeWorkflow(createJob({gpu: 8, workMs}))
+			const path = `${URGENT}${id}`
+			await ask(first, {action: WorkflowAction.submit, path, spec, key: OTHER_KEY})
+			acceptedAt.set(id, clock.now())
+			await pass(600)
+		}
+		await pass(10000)
+		const inTime = [...acceptedAt].filter(
+			([id, time]) => (completedAt.get(`${id}.0.0.0`) ?? Infinity) - time <= objectiveMs
+		)
+		expect(inTime.length).to.be.at.least(10)
+	})
+
 	it("accepts a job once where the answer to its commit was lost", async () => {
 		const {first, fleet, plan, submit, advance} = await createServingDomain()
 		let lost = 0
@@ -248,6 +305,17 @@
 		expect(tookMs).to.be.below(1000)
 	})
 
+	it("keeps the domain while an overloaded store refuses three renewals of four", async () => {
+		const {first, plan, advance, addHost} = await createServingDomain()
+		addHost()
+		let renewals = 0
+		plan.isRefused = (hostId, call) =>
+			hostId === first.id && isCallTo(call, "/v1/rows-tx") && renewals++ % 4 !== 3
+		await advance(12000)
+		expect(first.board.authority.get("fleet")?.epoch).to.equal(1)
+		expect(first.board.authority.get("fleet")?.mine).to.equal(true)
+	})
+
 	it("keeps work running through an outage of the store", async () => {
 		const {first, fleet, plan, submit, advance, readState} = await createServingDomain({hosts: 2})
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, workMs: 6000}))
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -6,6 +6,8 @@
 /** Unrenewed time after which another host may take a zone over. */
 export const HOLDER_LEASE_MS = 3000
 export const HOLDER_RENEW_INTERVAL_MS = 1000
+/** Pause after a renewal that failed: an overloaded table refuses some calls, and the lease allows for several. */
+export const HOLDER_RETRY_DELAY_MS = 250
 
 /** Deadline of one call about the holder's rows: a renewal that is lost must be repeated before the lease lapses. */
 export const AUTHORITY_TIMEOUT_MS = 1500
@@ -212,6 +214,13 @@
 export const RUN_STALL_MS = 2600
 export const RUN_STALL_SHARE = 0.08
 
+/** How often the runs on workers that are about to leave are looked at. */
+export const DRAIN_CHECK_INTERVAL_MS = 200
+/** Time for the stop of a run and for the age of the notice: the list of workers is read each 0.8 s. */
+export const DRAIN_MARGIN_MS = 1000
+/** Workers stay a little longer than they announce: a run that would end within this time is left to end. */
+export const DRAIN_LINGER_MS = 1500
+
 /** Pause before the tasks of a step are placed again after a start was refused. */
 export const STEP_RETRY_DELAY_MS = 150
 
@@ -222,7 +231,7 @@
 export const INTAKE_CALL_TIMEOUT_MS = 1200
 /** Kept of a caller's patience for the reply to reach it. */
 export const INTAKE_MARGIN_MS = 150
-/** Pause before a caller's call to the table is repeated. */
+/** Pause before a caller's call to the table is repeated for the first time; it doubles with each one after it. */
 export const INTAKE_RETRY_DELAY_MS = 80
 /** How often the platform may refuse a caller's call before the caller is refused. */
 export const INTAKE_REFUSED_RETRIES = 3
