Count the wait of a small host from when it saw the domain vacant

Change: the wait is one poll, 1 s; a changed holder row counts as seen anew; a small host that finds itself holder from an earlier life gives the domain up.

--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -66,7 +66,7 @@
 		this.#nextAt = now + HOLDER_RENEW_INTERVAL_MS
 		if (entry?.mine === true) this.#renew(board, entry, now)
 		else if (entry !== undefined && now >= this.#computeLapse(board, entry))
-			this.#takeOver(board, entry, now)
+			this.#claim(board, entry, now)
 		else this.#readRows(board, now)
 		return this.#nextAt
 	}
@@ -77,12 +77,22 @@
 	 */
 	#computeLapse(board: Board, entry: AuthorityEntry | undefined): number {
 		if (entry === undefined || entry.mine) return Infinity
-		const wasThisHost = entry.holder === board.settings.hostId && this.#restarted
-		if (wasThisHost) return this.#notBefore
+		if (this.#wasThisHost(board, entry)) return this.#notBefore
 		const lapsesAt = entry.holder === "" ? entry.observedAt : entry.observedAt + HOLDER_LEASE_MS + 1
 		return Math.max(this.#notBefore, lapsesAt + computeDeferral(board.settings))
 	}
 
+	#wasThisHost(board: Board, {holder}: AuthorityEntry): boolean {
+		return this.#restarted && holder === board.settings.hostId
+	}
+
+	/** A small host that held the domain in an earlier life gives it up to larger ones. */
+	#claim(board: Board, entry: AuthorityEntry, now: number): void {
+		if (this.#wasThisHost(board, entry) && computeDeferral(board.settings) > 0)
+			this.#vacate(board, entry, now)
+		else this.#takeOver(board, entry, now)
+	}
+
 	#readRows(board: Board, now: number): void {
 		const zone = findAuthorityScope(board.settings)
 		this.#inFlight = issueTableRead(
@@ -122,11 +132,15 @@
 	#yieldZone(board: Board, entry: AuthorityEntry | undefined, now: number): number | undefined {
 		if (entry?.mine !== true) return undefined
 		if (now < this.#notBefore) return this.#notBefore
+		this.#vacate(board, entry, now)
+		return undefined
+	}
+
+	#vacate(board: Board, entry: AuthorityEntry, now: number): void {
 		const row: HolderRow = {holder: "", address: "", epoch: entry.epoch}
 		this.#commit(board, now, YIELD, [
 			{key: formatHolderKey(entry.zone), ifVersion: entry.holderVersion, value: JSON.stringify(row)}
 		])
-		return undefined
 	}
 
 	/**
@@ -178,7 +192,9 @@
 		}
 		if (command.subject === YIELD) {
 			const entry = board.authority.get(findAuthorityScope(board.settings))
-			if (entry !== undefined) board.authority.set(entry.zone, {...entry, holder: "", mine: false})
+			const observedAt = command.issuedAt
+			if (entry !== undefined)
+				board.authority.set(entry.zone, {...entry, holder: "", mine: false, observedAt})
 			board.record(EventLevel.info, "zone-yielded", {zone: findAuthorityScope(board.settings)})
 			return
 		}
@@ -215,7 +231,8 @@
 		const value = decodeHolderRow(holderRow?.value)
 		const leaseVersion = leaseRow?.version ?? 0
 		if (known === undefined) this.#restarted = value.holder === hostId
-		const unchanged = known?.leaseVersion === leaseVersion
+		const holderVersion = holderRow?.version ?? 0
+		const unchanged = known?.leaseVersion === leaseVersion && known.holderVersion === holderVersion
 		const mine =
 			value.holder === hostId && (known?.mine === true || known?.epoch === value.epoch - 1)
 		if (known?.mine === true && !mine)
@@ -225,7 +242,7 @@
 			holder: value.holder,
 			address: value.address,
 			epoch: value.epoch,
-			holderVersion: holderRow?.version ?? 0,
+			holderVersion,
 			leaseVersion,
 			observedAt: this.#findObservedAt(known, mine, unchanged, now),
 			mine
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -151,7 +151,7 @@
 export const HOLDER_CORES = 0.6
 
 /** How long a host with less than that leaves a domain without a holder to larger hosts; they poll each second. */
-export const HOLDER_DEFERRAL_MS = 300
+export const HOLDER_DEFERRAL_MS = 1000
 
 /**
  * Time after its last proven renewal for which a domain's holder gives orders to workers. Less than the time after
