--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -90,7 +90,8 @@
 				dispatcher: this.#agent,
 				headers: body === undefined ? headers : {"content-type": "application/json", ...headers},
 				body: body === undefined ? null : JSON.stringify(body),
-				signal: AbortSignal.timeout(timeoutMs)
+				// Deadlines are reckoned in fractions of a millisecond, which timers refuse.
+				signal: AbortSignal.timeout(Math.ceil(timeoutMs))
 			})
 			const text = await response.body.text()
 			return ok({
