Let larger hosts have their chance after an outage of the table

While the table is out of reach for longer than the lease and the wait, every host finds the lease lapsed, so that whoever is answered first takes the domain. Change: a small host counts its wait from the first read that showed the domain free; a read that fails starts it anew.

--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -321,6 +321,25 @@
 		expect(isHolder(second)).to.equal(true)
 	})
 
+	it("leaves the domain to a larger host after an outage of the store", async () => {
+		const {addHost, advance, advanceUntil, plan, findHolder} = createDomain()
+		const first = addHost()
+		await advanceUntil(() => first.board.terms.has("loaded"))
+		const small = addHost({coreShare: 0.3})
+		await advance(300)
+		const large = addHost()
+		await advance(1500)
+		first.stop()
+		first.board.authority.delete("fleet")
+		plan.isLost = (hostId, call) => call.target === STORE_TARGET && hostId === large.id
+		plan.isRefused = (hostId, call) => call.target === STORE_TARGET && hostId === small.id
+		await advance(8000)
+		plan.isLost = () => false
+		plan.isRefused = () => false
+		await advanceUntil(() => findHolder() !== undefined)
+		expect(findHolder()?.id).to.equal(large.id)
+	})
+
 	it("has a small host hold the domain where there is no larger one", async () => {
 		const {addHost, advanceUntil} = createDomain()
 		const small = addHost({coreShare: 0.3})
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -52,6 +52,8 @@
 	#notBefore = 0
 	/** True while the row names this host from before it was restarted. */
 	#restarted = false
+	/** When a read first showed that the domain has no holder; undefined while reads fail, or show one. */
+	#seenFreeAt: number | undefined
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
@@ -78,8 +80,10 @@
 	#computeLapse(board: Board, entry: AuthorityEntry | undefined): number {
 		if (entry === undefined || entry.mine) return Infinity
 		if (this.#wasThisHost(board, entry)) return this.#notBefore
-		const lapsesAt = entry.holder === "" ? entry.observedAt : entry.observedAt + HOLDER_LEASE_MS + 1
-		return Math.max(this.#notBefore, lapsesAt + computeDeferral(board.settings))
+		const deferralMs = computeDeferral(board.settings)
+		// Larger hosts must have had their chance: after an outage of the table every host finds the lease lapsed.
+		const freeAt = deferralMs > 0 ? (this.#seenFreeAt ?? Infinity) : computeFreeAt(entry)
+		return Math.max(this.#notBefore, freeAt + deferralMs)
 	}
 
 	#wasThisHost(board: Board, {holder}: AuthorityEntry): boolean {
@@ -177,6 +181,7 @@
 
 	/** A commit whose answer was lost is settled by reading back; a renewal is due again soon. */
 	#settleFailure(board: Board, subject: string, now: number): void {
+		this.#seenFreeAt = undefined
 		if (subject === RENEW) this.#nextAt = Math.min(this.#nextAt, now + HOLDER_RETRY_DELAY_MS)
 		if (subject !== TAKE && subject !== YIELD) return
 		this.#notBefore = now + RETRY_BASE_MS
@@ -237,7 +242,7 @@
 			value.holder === hostId && (known?.mine === true || known?.epoch === value.epoch - 1)
 		if (known?.mine === true && !mine)
 			board.record(EventLevel.warn, "zone-lost", {zone, epoch: known.epoch})
-		board.authority.set(zone, {
+		const entry = {
 			zone,
 			holder: value.holder,
 			address: value.address,
@@ -246,12 +251,20 @@
 			leaseVersion,
 			observedAt: this.#findObservedAt(known, mine, unchanged, now),
 			mine
-		})
+		}
+		board.authority.set(zone, entry)
+		const isFree = !mine && now >= computeFreeAt(entry)
+		this.#seenFreeAt = isFree ? (this.#seenFreeAt ?? now) : undefined
 		// A renewal whose answer was lost changed the lease row: the next one names the new version at once.
 		if (mine && !unchanged) this.#nextAt = now
 	}
 }
 
+/** When an entry that stays as it is means that there is no holder. */
+function computeFreeAt({holder, observedAt}: AuthorityEntry): number {
+	return holder === "" ? observedAt : observedAt + HOLDER_LEASE_MS + 1
+}
+
 /** Small hosts let larger ones take a domain first. */
 function computeDeferral({domain}: HostSettings): number {
 	if (domain === undefined) return 0
