--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -224,7 +224,11 @@
 			observedAt: sentAt,
 			mine: true
 		})
-		if (subject === TAKE) board.record(EventLevel.info, "zone-taken", {zone, epoch})
+		if (subject === TAKE) {
+			const {holder: previous, observedAt} = entry
+			const unrenewedMs = Math.round(sentAt - observedAt)
+			board.record(EventLevel.info, "zone-taken", {zone, epoch, previous, unrenewedMs})
+		}
 	}
 
 	#adoptRows(board: Board, rows: readonly TableRow[], now: number): void {
--- a/src/types/reasons.ts
+++ b/src/types/reasons.ts
@@ -44,6 +44,8 @@
 	/** Lower-class work made way for urgent work. */
 	preempted: "preempted",
 	workerLeaving: "worker-leaving",
+	/** Another member of the same gang is gone or being stopped. */
+	gangStopped: "gang-stopped",
 	/** Work was moved so that free accelerators join into larger blocks. */
 	defragmented: "defragmented"
 } as const
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -3,10 +3,10 @@
 	type Board,
 	type NodeEntry,
 	type Occurrence,
-	type ReasonCode,
 	type TaskRef,
 	type WorkflowEntry,
 	EventLevel,
+	ReasonCode,
 	STEP_RETRY_DELAY_MS,
 	TaskPhase,
 	WorkflowState,
@@ -115,7 +115,7 @@
 		const {phase} = member.task
 		const isUp =
 			phase === TaskPhase.planned || phase === TaskPhase.starting || phase === TaskPhase.running
-		if (isUp) stopRun(board, member, "worker-lost", now)
+		if (isUp) stopRun(board, member, ReasonCode.gangStopped, now)
 	}
 }
 
