--- /dev/null
+++ b/__tests__/domain-failover.test.ts
@@ -0,0 +1,100 @@
+/** What a change of holder costs: time until work starts again, and what becomes of the work that runs. */
+import {expect} from "chai"
+import {Lifecycle, WorkflowAction} from "../src/internal.js"
+import {decodeWorkflow} from "../platform/records.js"
+import {STORE_TARGET} from "../standins/fleet/fleet.js"
+import {BATCH, type DomainHost, URGENT, createDomain} from "./fixtures/domain.js"
+
+const BATCH_ID = "00000000000000aa"
+const URGENT_ID = "00000000000000bb"
+const BATCH_TASKS = 6
+const FAULT_MS = 8000
+const OFFSETS = Array.from({length: 10}, (_, index) => index * 100)
+
+/** Lease of 2 s, a poll of 1 s, and 0.3 s to load the workflows and to start. */
+const LOST_MAX_MS = 3300
+/** A poll of 1 s, and 0.3 s to load and to start. */
+const HANDED_OVER_MAX_MS = 1300
+
+type Domain = ReturnType<typeof createDomain>
+type Fault = (domain: Domain, holder: DomainHost) => void
+
+const FAULTS: readonly {readonly name: string; readonly maxMs: number; readonly cause: Fault}[] = [
+	{
+		name: "killed",
+		maxMs: LOST_MAX_MS,
+		cause: (_, holder) => {
+			holder.stop()
+			holder.board.authority.delete("fleet")
+		}
+	},
+	{
+		name: "frozen",
+		maxMs: LOST_MAX_MS,
+		cause: ({clock}, holder) => {
+			holder.clock.pause()
+			clock.schedule(FAULT_MS, () => {
+				holder.clock.resume()
+			})
+		}
+	},
+	{
+		name: "cut off from the table",
+		maxMs: LOST_MAX_MS,
+		cause: ({clock, plan}, holder) => {
+			plan.isLost = (hostId, call) => hostId === holder.id && call.target === STORE_TARGET
+			clock.schedule(FAULT_MS, () => {
+				plan.isLost = () => false
+			})
+		}
+	},
+	{
+		name: "stopped",
+		maxMs: HANDED_OVER_MAX_MS,
+		cause: (_, holder) => {
+			holder.board.lifecycle.set("state", Lifecycle.drained)
+		}
+	}
+]
+
+function createJob(count: number, workMs: number) {
+	const payload = {workMs, cpu: 1000, gpu: 1}
+	const steps = [{count, gpu: 1, cpu: 1000, estimate_ms: workMs}]
+	return decodeWorkflow({spec: JSON.stringify(payload), steps})
+}
+
+/** A domain of two hosts whose first one holds it and has work running, `offsetMs` later. */
+async function createBusyDomain(offsetMs: number) {
+	const domain = createDomain()
+	domain.fleet.addWorker("w1")
+	domain.fleet.addWorker("w2")
+	const first = domain.addHost()
+	await domain.advanceUntil(() => domain.findHolder() !== undefined)
+	const second = domain.addHost()
+	const path = `${BATCH}${BATCH_ID}`
+	const spec = createJob(BATCH_TASKS, 2 * FAULT_MS)
+	await domain.ask(first, {action: WorkflowAction.submit, path, spec})
+	await domain.advanceUntil(() => domain.fleet.ledger.starts.length === BATCH_TASKS)
+	await domain.advance(1000 + offsetMs)
+	return {...domain, first, second}
+}
+
+describe("a change of the domain's holder", () => {
+	for (const {name, maxMs, cause} of FAULTS)
+		it(`costs no running work, and bounded time, where the holder is ${name}`, async () => {
+			const took: number[] = []
+			for (const offsetMs of OFFSETS) {
+				const {first, second, fleet, ...domain} = await createBusyDomain(offsetMs)
+				cause({fleet, ...domain}, first)
+				const path = `${URGENT}${URGENT_ID}`
+				void second.ask({action: WorkflowAction.submit, path, spec: createJob(1, 500)})
+				const hasStarted = () => fleet.ledger.starts.length > BATCH_TASKS
+				took.push(await domain.advanceUntil(hasStarted))
+				await domain.advance(2 * FAULT_MS + 2000)
+				expect(fleet.ledger.starts).to.have.length(BATCH_TASKS + 1)
+				expect(fleet.ledger.done.size).to.equal(BATCH_TASKS + 1)
+				expect(fleet.ledger.broken).to.deep.equal([])
+			}
+			expect(Math.max(...took)).to.be.below(maxMs)
+		})
+})
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -1,6 +1,6 @@
 /**
  * Decides which waiting tasks of the domain start next and where. One round goes through everything that is ready, in
- * the order of rank and acceptance; guaranteed work and other work of priority 0 may have lower work stopped. Room
+ * the order of the queue policy; guaranteed work and other work of priority 0 may have lower work stopped. Room
  * that is being freed for such work is kept from everything after it.
  */
 import {
