--- a/__tests__/domain-failover.test.ts
+++ b/__tests__/domain-failover.test.ts
@@ -3,7 +3,7 @@
 import {Lifecycle, WorkflowAction} from "../src/internal.js"
 import {decodeWorkflow} from "../platform/records.js"
 import {STORE_TARGET} from "../standins/fleet/fleet.js"
-import {BATCH, type DomainHost, URGENT, createDomain} from "./fixtures/domain.js"
+import {BATCH, type DomainHost, URGENT, createDomain, createJob} from "./fixtures/domain.js"
 
 const BATCH_ID = "00000000000000aa"
 const URGENT_ID = "00000000000000bb"
@@ -57,12 +57,6 @@
 	}
 ]
 
-function createJob(count: number, workMs: number) {
-	const payload = {workMs, cpu: 1000, gpu: 1}
-	const steps = [{count, gpu: 1, cpu: 1000, estimate_ms: workMs}]
-	return decodeWorkflow({spec: JSON.stringify(payload), steps})
-}
-
 /** A domain of two hosts whose first one holds it and has work running, `offsetMs` later. */
 async function createBusyDomain(offsetMs: number) {
 	const domain = createDomain()
@@ -72,7 +66,7 @@
 	await domain.advanceUntil(() => domain.findHolder() !== undefined)
 	const second = domain.addHost()
 	const path = `${BATCH}${BATCH_ID}`
-	const spec = createJob(BATCH_TASKS, 2 * FAULT_MS)
+	const spec = decodeWorkflow(createJob({count: BATCH_TASKS, workMs: 2 * FAULT_MS}))
 	await domain.ask(first, {action: WorkflowAction.submit, path, spec})
 	await domain.advanceUntil(() => domain.fleet.ledger.starts.length === BATCH_TASKS)
 	await domain.advance(1000 + offsetMs)
@@ -87,7 +81,11 @@
 				const {first, second, fleet, ...domain} = await createBusyDomain(offsetMs)
 				cause({fleet, ...domain}, first)
 				const path = `${URGENT}${URGENT_ID}`
-				void second.ask({action: WorkflowAction.submit, path, spec: createJob(1, 500)})
+				void second.ask({
+					action: WorkflowAction.submit,
+					path,
+					spec: decodeWorkflow(createJob({workMs: 500}))
+				})
 				const hasStarted = () => fleet.ledger.starts.length > BATCH_TASKS
 				took.push(await domain.advanceUntil(hasStarted))
 				await domain.advance(2 * FAULT_MS + 2000)
--- a/src/controllers/node-drain.ts
+++ b/src/controllers/node-drain.ts
@@ -35,13 +35,13 @@
 		const stopMs = board.settings.domain?.stopMs ?? 0
 		for (const ref of [...board.runs.listOn(registration.id).values()]) {
 			if (ref.task.phase !== TaskPhase.running) continue
-			if (mustMove(ref, leavesAt, stopMs, now)) stopRun(board, ref, ReasonCode.workerLeaving, now)
+			if (isMoveDue(ref, leavesAt, stopMs, now)) stopRun(board, ref, ReasonCode.workerLeaving, now)
 		}
 	}
 }
 
 /** Whether the run has to be stopped now, on a worker that leaves at `leavesAt` at the earliest. */
-function mustMove(ref: TaskRef, leavesAt: number, stopMs: number, now: number): boolean {
+function isMoveDue(ref: TaskRef, leavesAt: number, stopMs: number, now: number): boolean {
 	const {checkpoints, longRunning} = ref.spec
 	const endsAt = longRunning ? Infinity : now + estimateRemaining(ref, now)
 	if (checkpoints || longRunning)
