Name the constants of leaving workers apart from the host's own drain

Cause: read as a newcomer: DRAIN_CHECK_INTERVAL_MS stood twice with two values, in host.ts for a stopping host and in the constants for workers that leave; OVERDUE_FACTOR did not say where it comes from. Change: the constants of node-drain begin with NODE_DRAIN; the factor names its origin. No behaviour, no assertion.

--- a/src/controllers/node-drain.ts
+++ b/src/controllers/node-drain.ts
@@ -8,9 +8,9 @@
 	type Controller,
 	type NodeEntry,
 	type TaskRef,
-	DRAIN_CHECK_INTERVAL_MS,
-	DRAIN_LINGER_MS,
-	DRAIN_MARGIN_MS,
+	NODE_DRAIN_CHECK_INTERVAL_MS,
+	NODE_DRAIN_LINGER_MS,
+	NODE_DRAIN_MARGIN_MS,
 	ReasonCode,
 	SectionName,
 	TaskPhase,
@@ -28,7 +28,7 @@
 		const leaving = [...board.nodes.values()].filter(({leavesAt}) => leavesAt !== undefined)
 		if (leaving.length === 0) return undefined
 		if (isTermProven(board, now)) for (const node of leaving) this.#moveRuns(board, node, now)
-		return now + DRAIN_CHECK_INTERVAL_MS
+		return now + NODE_DRAIN_CHECK_INTERVAL_MS
 	}
 
 	#moveRuns(board: Board, {registration, leavesAt = Infinity}: NodeEntry, now: number): void {
@@ -45,6 +45,6 @@
 	const {checkpoints, longRunning} = ref.spec
 	const endsAt = longRunning ? Infinity : now + estimateRemaining(ref, now)
 	if (checkpoints || longRunning)
-		return endsAt > leavesAt && now >= leavesAt - stopMs - DRAIN_MARGIN_MS
-	return endsAt > leavesAt + DRAIN_LINGER_MS
+		return endsAt > leavesAt && now >= leavesAt - stopMs - NODE_DRAIN_MARGIN_MS
+	return endsAt > leavesAt + NODE_DRAIN_LINGER_MS
 }
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -222,11 +222,11 @@
 export const RUN_STALL_SHARE = 0.08
 
 /** How often the runs on workers that are about to leave are looked at. */
-export const DRAIN_CHECK_INTERVAL_MS = 200
+export const NODE_DRAIN_CHECK_INTERVAL_MS = 200
 /** Time for the stop of a run and for the age of the notice: the list of workers is read each 0.8 s. */
-export const DRAIN_MARGIN_MS = 1000
+export const NODE_DRAIN_MARGIN_MS = 1000
 /** Workers stay a little longer than they announce: a run that would end within this time is left to end. */
-export const DRAIN_LINGER_MS = 1500
+export const NODE_DRAIN_LINGER_MS = 1500
 
 /** Pause before the tasks of a step are placed again after a start was refused. */
 export const STEP_RETRY_DELAY_MS = 150
--- a/src/policies/run-queue.ts
+++ b/src/policies/run-queue.ts
@@ -46,7 +46,7 @@
 /** Time besides the work itself: the commit of the plan, the start, the report of the end and its commit. */
 const ORDER_TIME_MS = 200
 
-/** Times the objective after which a workflow counts as not served in time at all. */
+/** Times the objective up to which the platform's operators still count a workflow as served, though late. */
 const OVERDUE_FACTOR = 3
 
 /**
