--- a/__tests__/api.test.ts
+++ b/__tests__/api.test.ts
@@ -104,19 +104,19 @@
 			/more than/
 		],
 		[
-			"a wait that is no number",
+			"a wait that is not a number",
 			{method: "GET", path: "/v1/jobs/abc?waitMs=soon", token: CALLER_TOKEN},
 			ReasonCode.malformed,
 			/waitMs/
 		],
 		[
-			"a history without end",
+			"a history limit above the maximum",
 			{method: "GET", path: "/v1/bundle/history?limit=100000", token: OPERATOR_TOKEN},
 			ReasonCode.malformed,
 			/limit/
 		],
 		[
-			"a job that there is none of",
+			"an unknown job",
 			{method: "GET", path: "/v1/jobs/abc", token: CALLER_TOKEN},
 			ReasonCode.notFound,
 			/no such job/
@@ -130,7 +130,7 @@
 		]
 	]
 	for (const [what, refused, reason, detail] of refusals)
-		it(`turns down ${what} as a problem`, async () => {
+		it(`refuses ${what} with a problem document`, async () => {
 			const {status, body} = await attempt<Problem>(refused)
 			expect(status).to.equal(findStatus(reason))
 			expect(body).to.include({
--- a/__tests__/caller-api.test.ts
+++ b/__tests__/caller-api.test.ts
@@ -20,7 +20,7 @@
 		expect(response.status).to.equal(401)
 	})
 
-	it("asks callers to come again, rather than refuse them, before it has a bundle", async () => {
+	it("asks callers to try again, instead of refusing them, before it has a bundle", async () => {
 		const response = await createApi({withBundle: false}).request("/v1/jobs", {headers})
 		expect(response.status).to.equal(503)
 		const {reason, ran, askAgain} = (await response.json()) as Record<string, unknown>
--- a/__tests__/docs.test.ts
+++ b/__tests__/docs.test.ts
@@ -9,7 +9,7 @@
 	return readFileSync(fileURLToPath(new URL(`../docs/${name}`, import.meta.url)), "utf8")
 }
 
-/** Cells of every table row, the first without its backquotes. */
+/** Cells of every table row, without backquotes. */
 function readRows(page: string): string[][] {
 	return page
 		.split("\n")
--- a/__tests__/settings-reload.test.ts
+++ b/__tests__/settings-reload.test.ts
@@ -1,14 +1,14 @@
 import {expect} from "chai"
 import {createBoard, createSettings} from "./fixtures/board.js"
 
-describe("settings that are read again", () => {
-	it("are taken over where they name the same host", () => {
+describe("settings that are reloaded", () => {
+	it("are adopted if only the log level changes", () => {
 		const board = createBoard()
 		expect(board.adoptSettings(createSettings({logLevel: "debug"}))).to.equal(true)
 		expect(board.settings.logLevel).to.equal("debug")
 	})
 
-	it("need a restart where they name other addresses", () => {
+	it("need a restart if an address changes", () => {
 		const board = createBoard()
 		const moved = createSettings({platformUrl: "http://127.0.0.2"})
 		expect(board.adoptSettings(moved)).to.equal(false)
--- a/__tests__/settings.test.ts
+++ b/__tests__/settings.test.ts
@@ -38,7 +38,7 @@
 			expect(decodeSettings(createSettings(change))._unsafeUnwrapErr().message).to.match(message)
 		})
 
-	it("name the file that is missing or no YAML", () => {
+	it("name the file that is missing or is not YAML", () => {
 		expect(loadSettings("/none.yaml")._unsafeUnwrapErr().message).to.match(/none\.yaml.*ENOENT/)
 		expect(decodeSettings("a: [")._unsafeUnwrapErr().message).to.match(/malformed settings/)
 	})
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -1,4 +1,4 @@
-// Bundles the programs into dist/: the two that ship, and the stand-ins that tests and the demo start. With the
+// Bundles the daemon, the tool, and the stand-ins that tests and the demo start, into dist/. With the
 // argument `platform`, bundles the daemon of the users' platform into target/ instead.
 import {build} from "esbuild"
 
