--- a/__tests__/scenarios.test.ts
+++ b/__tests__/scenarios.test.ts
@@ -6,11 +6,11 @@
 
 const FOLDER = fileURLToPath(new URL("./scenarios/", import.meta.url))
 const SEED = 1
-/** Scenarios at a time, of about seven processes each. */
+/** Scenarios that run at the same time, each with about seven processes. */
 const AT_ONCE = 4
 const LIMIT_MS = 240000
 
-/** Runs the scenarios a few at a time, in order; each verdict is taken by its own test. */
+/** Starts the scenarios in order, at most `CONCURRENCY` at a time. Each test awaits the result of its own file. */
 function startScenarios(files: readonly string[]): Map<string, Promise<Verdict>> {
 	const verdicts = new Map<string, Promise<Verdict>>()
 	const running: Promise<unknown>[] = []
