--- a/__tests__/authority.test.ts
+++ b/__tests__/authority.test.ts
@@ -64,11 +64,11 @@
 				kind === CommandKind.tableCommit &&
 				losses-- > 0
 			holder.lifecycle.set("state", Lifecycle.drained)
-			const isTaken = () => other.authority.get("zone-a")?.mine === true
+			const isTaken = () => other.authority.get("zone-a")?.isHeldHere === true
 			const allowance = isLossy ? 2500 : 0
 			const took = advanceUntil(isTaken, 10000)
 			expect(took).to.be.at.most(HAND_OVER_TARGET_MS + allowance)
-			expect(holder.authority.get("zone-a")?.mine).to.equal(false)
+			expect(holder.authority.get("zone-a")?.isHeldHere).to.equal(false)
 			expect(other.authority.get("zone-a")?.epoch).to.equal(2)
 		}
 	})
@@ -78,7 +78,7 @@
 		const {hostId} = holder.settings
 		cluster.killHost(hostId)
 		const {board} = cluster.addHost(hostId, "zone-a")
-		const took = advanceUntil(() => board.authority.get("zone-a")?.mine === true, 10000)
+		const took = advanceUntil(() => board.authority.get("zone-a")?.isHeldHere === true, 10000)
 		expect(took).to.be.at.most(HAND_OVER_TARGET_MS)
 		expect(board.authority.get("zone-a")?.epoch).to.equal(2)
 	})
@@ -93,7 +93,7 @@
 			return isTakeOver
 		}
 		clock.advance(20000)
-		expect(other.authority.get("zone-a")?.mine).to.equal(false)
+		expect(other.authority.get("zone-a")?.isHeldHere).to.equal(false)
 		expect(takeOvers).to.be.greaterThan(2).and.lessThan(20)
 	})
 
@@ -118,7 +118,7 @@
 				for (const {id} of jobs)
 					expect(runs().filter(({jobId}) => jobId === id).length).to.be.at.most(1)
 				const holders = [...cluster.hosts.values()].filter(
-					({board}) => board.authority.get("zone-a")?.mine
+					({board}) => board.authority.get("zone-a")?.isHeldHere
 				)
 				expect(holders).to.have.length(1)
 			}
--- a/__tests__/domain-hosts.test.ts
+++ b/__tests__/domain-hosts.test.ts
@@ -22,7 +22,7 @@
 }
 
 function isHolder({board}: DomainHost): boolean {
-	return board.authority.get("fleet")?.mine === true
+	return board.authority.get("fleet")?.isHeldHere === true
 }
 
 describe("the hosts of a domain", () => {
@@ -43,7 +43,7 @@
 		const reply = await ask(first, {
 			action: WorkflowAction.submit,
 			path: `${BATCH}${ID_A}`,
-			patienceMs: 500,
+			replyTimeoutMs: 500,
 			spec: decodeWorkflow(createJob())
 		})
 		expect(reply.kind === ReplyKind.refused && reply.refusal.reason).to.equal("answer-lost")
@@ -96,7 +96,7 @@
 		first.stop()
 		fleet.addWorker("w1")
 		const second = addHost()
-		await advanceUntil(() => second.board.authority.get("fleet")?.mine === true)
+		await advanceUntil(() => second.board.authority.get("fleet")?.isHeldHere === true)
 		await advance(3000)
 		expect(fleet.ledger.starts.map(({task}) => task)).to.deep.equal([`${ID_A}.0.0.0`])
 	})
@@ -161,7 +161,7 @@
 			hostId === first.id && isCallTo(call, "/v1/rows-tx") && renewals++ % 4 !== 3
 		await advance(12000)
 		expect(first.board.authority.get("fleet")?.epoch).to.equal(1)
-		expect(first.board.authority.get("fleet")?.mine).to.equal(true)
+		expect(first.board.authority.get("fleet")?.isHeldHere).to.equal(true)
 	})
 
 	it("keeps work running through an outage of the store", async () => {
--- a/__tests__/limits.test.ts
+++ b/__tests__/limits.test.ts
@@ -37,7 +37,7 @@
 	for (const host of HOSTS) cluster.addHost(host, "zone-a")
 	clock.advance(5000)
 	const boards = HOSTS.map(host => cluster.hosts.get(host)!.board)
-	const holder = boards.find(board => board.authority.get("zone-a")?.mine === true)!
+	const holder = boards.find(board => board.authority.get("zone-a")?.isHeldHere === true)!
 	const submit = (key: string, spec: JobSpec, host = holder.settings.hostId): (() => Reply) => {
 		let heard: Reply | undefined
 		const identity = {workspace: WORKSPACE, caller: "clerk", operator: false}
--- a/__tests__/loop.test.ts
+++ b/__tests__/loop.test.ts
@@ -13,7 +13,7 @@
 } from "../src/internal.js"
 import {createBoard} from "./fixtures/board.js"
 
-function createCounter(name: string): Controller & {steps: number} {
+function createCountingController(name: string): Controller & {steps: number} {
 	return {
 		name,
 		reads: [SectionName.completions, SectionName.lifecycle],
@@ -29,7 +29,7 @@
 function createLoop() {
 	const clock = new ManualClock()
 	const board = createBoard()
-	const [one, other] = [createCounter("one"), createCounter("other")]
+	const [one, other] = [createCountingController("one"), createCountingController("other")]
 	const loop = new ControllerLoop(board, clock, [one, other])
 	loop.start()
 	clock.advance(1)
--- a/__tests__/peers.test.ts
+++ b/__tests__/peers.test.ts
@@ -1,17 +1,17 @@
 import {expect} from "chai"
 import fc from "fast-check"
-import {CommandKind, HOLDER_LEASE_MS, MalformedError, type PeerNews} from "../src/internal.js"
+import {CommandKind, HOLDER_LEASE_MS, MalformedError, type PeerStatus} from "../src/internal.js"
 import {PeerSeal} from "../src/adapters/peer-seal.js"
 import {
-	decodeNews,
+	decodePeerStatus,
 	decodeNotices,
-	encodeNews,
+	encodePeerStatus,
 	encodeNotices
 } from "../src/adapters/peer-messages.js"
 import {createCluster, waitFor, createBundleContent} from "./fixtures/cluster.js"
 import {createRig, isPlatformCommand} from "./fixtures/in-process.js"
 
-function createNews(fields: Partial<PeerNews> = {}): PeerNews {
+function createPeerStatus(fields: Partial<PeerStatus> = {}): PeerStatus {
 	return {
 		hostId: "host-1",
 		zone: "zone-a",
@@ -28,9 +28,9 @@
 
 describe("peer messages", () => {
 	it("are unchanged by encoding and decoding", () => {
-		const news = createNews({bundle: "{}"})
-		expect(decodeNews(encodeNews(news, true))._unsafeUnwrap()).to.deep.equal({
-			...news,
+		const status = createPeerStatus({bundle: "{}"})
+		expect(decodePeerStatus(encodePeerStatus(status, true))._unsafeUnwrap()).to.deep.equal({
+			...status,
 			wantsBundle: true
 		})
 		const notice = {
@@ -45,14 +45,14 @@
 	it("are refused as malformed where a value makes no sense", () => {
 		const wrong = [{hostId: ""}, {zone: "No Zone"}, {evidenceAgeMs: -1}, {evidenceAgeMs: NaN}]
 		for (const fields of wrong)
-			expect(decodeNews(encodeNews(createNews(fields), false))._unsafeUnwrapErr()).to.be.instanceOf(
-				MalformedError
-			)
+			expect(
+				decodePeerStatus(encodePeerStatus(createPeerStatus(fields), false))._unsafeUnwrapErr()
+			).to.be.instanceOf(MalformedError)
 	})
 
 	it("never crash the reader, whatever the bytes", () => {
 		const property = fc.property(fc.uint8Array({maxLength: 200}), bytes => {
-			for (const result of [decodeNews(bytes), decodeNotices(bytes)])
+			for (const result of [decodePeerStatus(bytes), decodeNotices(bytes)])
 				if (result.isErr()) expect(result.error).to.be.instanceOf(MalformedError)
 		})
 		fc.assert(property, {seed: 5, numRuns: 2000})
@@ -125,7 +125,7 @@
 		plan.isCut = hostId => hostId.startsWith("zone-a")
 		const lostAt = clock.now()
 		clock.advance(10000)
-		expect(holder.peers.get("zone-b-1")!.heardAt).to.be.greaterThan(lostAt + 5000)
+		expect(holder.peers.get("zone-b-1")!.observedAt).to.be.greaterThan(lostAt + 5000)
 		expect(holder.bundle.get("current")!.evidenceAt).to.be.at.most(lostAt)
 		expect(cluster.hosts.size).to.equal(4)
 	})
@@ -138,13 +138,13 @@
 				cluster.daemons.get(name)!.lines.some(line => line.includes("bundle-adopted"))
 			await waitFor("both adopt", () => [...cluster.daemons.keys()].every(name => isAdopted(name)))
 			await waitFor("each receives the other's generation", async () => {
-				const heard = await Promise.all(
+				const received = await Promise.all(
 					[...cluster.daemons.values()].map(async host => {
 						const {body} = await cluster.readBundle(host)
 						return body.adopted.filter(({generation}) => generation === 1).length
 					})
 				)
-				return heard.every(count => count === 2)
+				return received.every(count => count === 2)
 			})
 		} finally {
 			await cluster.stopAll()
--- a/bench/zone-board.ts
+++ b/bench/zone-board.ts
@@ -57,7 +57,7 @@
 		holderVersion: 1,
 		leaseVersion: 1,
 		observedAt: 0,
-		mine: true
+		isHeldHere: true
 	})
 	board.bundle.set("current", {
 		bundle: {
@@ -125,7 +125,7 @@
 		acceptedAtWallMs: seenAt,
 		writeId: ""
 	}
-	board.jobs.set(id, {record, version: 1, seenAt, avoid: [], notBefore: 0})
+	board.jobs.set(id, {record, version: 1, seenAt, failedOn: [], notBefore: 0})
 	return record
 }
 
--- a/src/adapters/back-ends.ts
+++ b/src/adapters/back-ends.ts
@@ -1,17 +1,17 @@
 /** Workers and endpoints over HTTP. */
 import {type Result} from "neverthrow"
 import {type CallError, type Command, CommandKind, InvariantError} from "../internal.js"
-import {type Carrier} from "./command-runner.js"
+import {type CommandExecutor} from "./command-runner.js"
 import {type HttpClient} from "./http-client.js"
 import {
 	callReportSchema,
 	endpointStatusSchema,
-	nothingSchema,
+	nullSchema,
 	taskReportSchema,
 	workerStatusSchema
 } from "./schemas.js"
 
-export class WorkerCarrier implements Carrier {
+export class WorkerClient implements CommandExecutor {
 	readonly kinds = [
 		CommandKind.workerRenew,
 		CommandKind.workerReserve,
@@ -25,7 +25,7 @@
 		this.#http = http
 	}
 
-	carry({kind, request, target, timeoutMs}: Command): Promise<Result<unknown, CallError>> {
+	execute({kind, request, target, timeoutMs}: Command): Promise<Result<unknown, CallError>> {
 		switch (kind) {
 			case CommandKind.workerRenew:
 				return this.#http.post(`${target}/renew`, request, workerStatusSchema, timeoutMs)
@@ -34,7 +34,7 @@
 			case CommandKind.workerStart:
 				return this.#http.post(`${target}/start`, request, taskReportSchema, timeoutMs)
 			case CommandKind.workerRelease:
-				return this.#http.post(`${target}/release`, request, nothingSchema, timeoutMs)
+				return this.#http.post(`${target}/release`, request, nullSchema, timeoutMs)
 			case CommandKind.workerStop:
 				return this.#http.post(`${target}/stop`, request, taskReportSchema, timeoutMs)
 			default:
@@ -43,7 +43,7 @@
 	}
 }
 
-export class EndpointCarrier implements Carrier {
+export class EndpointClient implements CommandExecutor {
 	readonly kinds = [
 		CommandKind.endpointStatus,
 		CommandKind.endpointCall,
@@ -55,7 +55,7 @@
 		this.#http = http
 	}
 
-	carry({kind, request, target, timeoutMs}: Command): Promise<Result<unknown, CallError>> {
+	execute({kind, request, target, timeoutMs}: Command): Promise<Result<unknown, CallError>> {
 		switch (kind) {
 			case CommandKind.endpointStatus:
 				return this.#http.post(`${target}/status`, {}, endpointStatusSchema, timeoutMs)
--- a/src/adapters/command-runner.ts
+++ b/src/adapters/command-runner.ts
@@ -11,9 +11,9 @@
 } from "../internal.js"
 
 /** Executes commands of some kinds: translates them to a protocol and the answers back, and makes no decisions. */
-export interface Carrier {
+export interface CommandExecutor {
 	readonly kinds: readonly CommandKind[]
-	carry(command: Command): Promise<Result<unknown, CallError>>
+	execute(command: Command): Promise<Result<unknown, CallError>>
 }
 
 /** Is notified of every finished call. */
@@ -23,20 +23,24 @@
 
 export class CommandRunner {
 	readonly #board: Board
-	readonly #carriers = new Map<CommandKind, Carrier>()
+	readonly #executors = new Map<CommandKind, CommandExecutor>()
 	readonly #observe: CallObserver
-	#busy = 0
+	#inFlight = 0
 
-	constructor(board: Board, carriers: readonly Carrier[], observe: CallObserver = () => undefined) {
+	constructor(
+		board: Board,
+		executors: readonly CommandExecutor[],
+		observe: CallObserver = () => undefined
+	) {
 		this.#board = board
 		this.#observe = observe
-		for (const carrier of carriers)
-			for (const kind of carrier.kinds) this.#carriers.set(kind, carrier)
+		for (const executor of executors)
+			for (const kind of executor.kinds) this.#executors.set(kind, executor)
 	}
 
 	/** Number of commands that are being executed. */
-	get busy(): number {
-		return this.#busy
+	get inFlight(): number {
+		return this.#inFlight
 	}
 
 	/** Takes every command out of the outbox and starts it. */
@@ -48,18 +52,18 @@
 	}
 
 	async #run(command: Command): Promise<void> {
-		const carrier = this.#carriers.get(command.kind)
-		if (carrier === undefined) throw new InvariantError(`no executor for command ${command.kind}`)
-		this.#busy++
+		const executor = this.#executors.get(command.kind)
+		if (executor === undefined) throw new InvariantError(`no executor for command ${command.kind}`)
+		this.#inFlight++
 		const startedAt = performance.now()
 		let result: Result<unknown, CallError>
 		try {
-			result = await carrier.carry(command)
+			result = await executor.execute(command)
 		} catch (error) {
-			const why = error instanceof Error ? error.message : String(error)
-			result = err(new TransportError(command.target, why, true))
+			const detail = error instanceof Error ? error.message : String(error)
+			result = err(new TransportError(command.target, detail, true))
 		}
-		this.#busy--
+		this.#inFlight--
 		const outcome = result.isOk() ? OK : result.error.name
 		this.#observe(command.kind, outcome, performance.now() - startedAt)
 		this.#board.completions.set(command.id, {command, result} as Completion)
--- a/src/adapters/gateway.ts
+++ b/src/adapters/gateway.ts
@@ -17,7 +17,7 @@
 /** Time without a reply after which the caller gets an unknown outcome; longer than any wait request. */
 const REPLY_TIMEOUT_MS = MAX_WAIT_MS + 15000
 
-interface Waiter {
+interface PendingReply {
 	readonly resolve: (reply: Reply) => void
 	readonly cancelTimer: () => void
 }
@@ -25,7 +25,7 @@
 export class Gateway {
 	readonly #board: Board
 	readonly #clock: Clock
-	readonly #waiters = new Map<string, Waiter>()
+	readonly #pendingReplies = new Map<string, PendingReply>()
 
 	constructor(board: Board, clock: Clock) {
 		this.#board = board
@@ -33,18 +33,18 @@
 	}
 
 	get pending(): number {
-		return this.#waiters.size
+		return this.#pendingReplies.size
 	}
 
 	ask(request: NewRequest): Promise<Reply> {
 		const id = `${this.#board.settings.hostId}-r${this.#board.nextSequence()}`
 		return new Promise(resolve => {
 			const cancelTimer = this.#clock.schedule(REPLY_TIMEOUT_MS, () => {
-				this.#waiters.delete(id)
+				this.#pendingReplies.delete(id)
 				const refusal = buildRefusal(ReasonCode.answerLost, RanState.unknown, "no reply in time")
 				resolve({kind: ReplyKind.refused, refusal})
 			})
-			this.#waiters.set(id, {resolve, cancelTimer})
+			this.#pendingReplies.set(id, {resolve, cancelTimer})
 			this.#board.requests.set(id, {...request, id, arrivedAt: this.#clock.now()})
 		})
 	}
@@ -53,10 +53,10 @@
 	drain(): void {
 		for (const [id, reply] of [...this.#board.replies.entries()]) {
 			this.#board.replies.take(id)
-			const waiter = this.#waiters.get(id)
-			this.#waiters.delete(id)
-			waiter?.cancelTimer()
-			waiter?.resolve(reply)
+			const pending = this.#pendingReplies.get(id)
+			this.#pendingReplies.delete(id)
+			pending?.cancelTimer()
+			pending?.resolve(reply)
 		}
 	}
 }
--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -16,7 +16,7 @@
 const CONNECT_TIMEOUT_MS = 1000
 const KEEP_ALIVE_MS = 10000
 const CONNECTIONS_PER_ORIGIN = 16
-const HTTP_REFUSED_MIN = 400
+const HTTP_CLIENT_ERROR_MIN = 400
 const HTTP_SERVER_ERROR_MIN = 500
 
 /** Error codes of connections that failed before any byte of the request was sent. */
@@ -71,7 +71,8 @@
 		return answer.andThen((answered): Result<T, CallError> => {
 			if (answered.status >= HTTP_SERVER_ERROR_MIN)
 				return err(new TransportError(url, `status ${answered.status}`, true))
-			if (answered.status >= HTTP_REFUSED_MIN) return err(buildRefused(url, answered.body))
+			if (answered.status >= HTTP_CLIENT_ERROR_MIN)
+				return err(buildRefusedError(url, answered.body))
 			return checkValue(`answer of ${url}`, schema, answered.body)
 		})
 	}
@@ -108,7 +109,7 @@
 	}
 }
 
-function buildRefused(url: string, answer: unknown): RefusedError {
+function buildRefusedError(url: string, answer: unknown): RefusedError {
 	const {code, detail} = (answer ?? {}) as RefusalBody
 	return new RefusedError(
 		url,
@@ -120,7 +121,7 @@
 function describeFailure(url: string, error: unknown): CallError {
 	if (error instanceof SyntaxError) return new MalformedError(`answer of ${url}`, error.message)
 	const code = (error as {code?: unknown}).code
-	const why = error instanceof Error ? error.message : String(error)
+	const detail = error instanceof Error ? error.message : String(error)
 	const sent = !(typeof code === "string" && UNSENT_CODES.has(code))
-	return new TransportError(url, typeof code === "string" ? `${code} ${why}` : why, sent)
+	return new TransportError(url, typeof code === "string" ? `${code} ${detail}` : detail, sent)
 }
--- a/src/adapters/peer-messages.ts
+++ b/src/adapters/peer-messages.ts
@@ -3,8 +3,8 @@
 import {err, ok, type Result} from "neverthrow"
 import {
 	type JobNotice,
-	type PeerNews,
-	type PeerQuestion,
+	type PeerStatus,
+	type PeerQuery,
 	MalformedError,
 	NoticeKind
 } from "../internal.js"
@@ -15,28 +15,31 @@
 	NoticesSchema
 } from "../gen/cardamomhook/peer/v1/peer_pb.js"
 
-const NAME = /^[a-z0-9][a-z0-9-]{0,62}$/
-const JOB_ID = /^[0-9a-f]{32}$/
-const KINDS: readonly string[] = Object.values(NoticeKind)
+const NAME_PATTERN = /^[a-z0-9][a-z0-9-]{0,62}$/
+const JOB_ID_PATTERN = /^[0-9a-f]{32}$/
+const NOTICE_KINDS: readonly string[] = Object.values(NoticeKind)
 
-export function encodeNews(news: PeerNews, wantsBundle: boolean): Uint8Array<ArrayBuffer> {
-	const {bundle, evidenceAgeMs, ...plain} = news
-	const message = create(NewsSchema, {...plain, wantsBundle})
+export function encodePeerStatus(
+	status: PeerStatus,
+	wantsBundle: boolean
+): Uint8Array<ArrayBuffer> {
+	const {bundle, evidenceAgeMs, ...fields} = status
+	const message = create(NewsSchema, {...fields, wantsBundle})
 	if (bundle !== undefined) message.bundle = bundle
 	if (evidenceAgeMs !== undefined) message.evidenceAgeMs = evidenceAgeMs
 	return toBinary(NewsSchema, message)
 }
 
-export function decodeNews(bytes: Uint8Array): Result<PeerQuestion, MalformedError> {
-	let news: News
+export function decodePeerStatus(bytes: Uint8Array): Result<PeerQuery, MalformedError> {
+	let message: News
 	try {
-		news = fromBinary(NewsSchema, bytes)
+		message = fromBinary(NewsSchema, bytes)
 	} catch (error) {
 		return err(describeMalformed(error))
 	}
-	const {hostId, zone, generation, bundle, wantsBundle, queued, freeAccelerators} = news
-	const {evidenceAgeMs, stopping, holding} = news
-	if (!NAME.test(hostId) || !NAME.test(zone))
+	const {hostId, zone, generation, bundle, wantsBundle, queued, freeAccelerators} = message
+	const {evidenceAgeMs, stopping, holding} = message
+	if (!NAME_PATTERN.test(hostId) || !NAME_PATTERN.test(zone))
 		return err(
 			new MalformedError(
 				"peer message",
@@ -53,14 +56,14 @@
 	hostId: string,
 	notices: readonly JobNotice[]
 ): Uint8Array<ArrayBuffer> {
-	const plain = notices.map(({kind, jobId, zone}) => ({kind, jobId, zone}))
-	return toBinary(NoticesSchema, create(NoticesSchema, {hostId, notices: plain}))
+	const entries = notices.map(({kind, jobId, zone}) => ({kind, jobId, zone}))
+	return toBinary(NoticesSchema, create(NoticesSchema, {hostId, notices: entries}))
 }
 
 export function decodeNotices(bytes: Uint8Array): Result<readonly JobNotice[], MalformedError> {
 	try {
 		const {hostId, notices} = fromBinary(NoticesSchema, bytes)
-		if (!NAME.test(hostId) || !notices.every(isNotice))
+		if (!NAME_PATTERN.test(hostId) || !notices.every(isNotice))
 			return err(new MalformedError("peer message", "hostId, kind, jobId or zone is invalid"))
 		return ok(
 			notices.map(({kind, jobId, zone}) => ({kind: kind as NoticeKind, jobId, zone, hostId}))
@@ -71,7 +74,7 @@
 }
 
 function isNotice({kind, jobId, zone}: Notice): boolean {
-	return KINDS.includes(kind) && JOB_ID.test(jobId) && NAME.test(zone)
+	return NOTICE_KINDS.includes(kind) && JOB_ID_PATTERN.test(jobId) && NAME_PATTERN.test(zone)
 }
 
 function describeMalformed(error: unknown): MalformedError {
--- a/src/adapters/peer-seal.ts
+++ b/src/adapters/peer-seal.ts
@@ -35,8 +35,8 @@
 		return this.#open(Direction.request, method, sealed)
 	}
 
-	openAnswer(method: string, asked: Sealed, sealed: Sealed): Result<Uint8Array, RefusedError> {
-		if (!isSame(asked.nonce, sealed.nonce))
+	openAnswer(method: string, request: Sealed, sealed: Sealed): Result<Uint8Array, RefusedError> {
+		if (!isSame(request.nonce, sealed.nonce))
 			return err(new RefusedError("peer", "unauthenticated", "the answer is to another request"))
 		return this.#open(Direction.answer, method, sealed)
 	}
--- a/src/adapters/peers.ts
+++ b/src/adapters/peers.ts
@@ -23,7 +23,7 @@
 	type CallError,
 	type Clock,
 	type Command,
-	type PeerNews,
+	type PeerStatus,
 	CommandKind,
 	InvariantError,
 	MAX_BODY_BYTES,
@@ -32,8 +32,8 @@
 	TransportError
 } from "../internal.js"
 import {PeerService, type Sealed, SealedSchema} from "../gen/cardamomhook/peer/v1/peer_pb.js"
-import {type Carrier} from "./command-runner.js"
-import {decodeNews, decodeNotices, encodeNews, encodeNotices} from "./peer-messages.js"
+import {type CommandExecutor} from "./command-runner.js"
+import {decodePeerStatus, decodeNotices, encodePeerStatus, encodeNotices} from "./peer-messages.js"
 import {type PeerSeal} from "./peer-seal.js"
 
 /** Messages may contain a bundle, which can be larger than a caller's request. */
@@ -45,7 +45,7 @@
 	readonly client: Client<typeof PeerService>
 }
 
-export class PeerCarrier implements Carrier {
+export class PeerClient implements CommandExecutor {
 	readonly kinds = [CommandKind.peerExchange, CommandKind.peerNotifyJob]
 	readonly #hostId: string
 	readonly #seal: PeerSeal
@@ -56,13 +56,13 @@
 		this.#seal = seal
 	}
 
-	async carry(command: Command): Promise<Result<unknown, CallError>> {
+	async execute(command: Command): Promise<Result<unknown, CallError>> {
 		switch (command.kind) {
 			case CommandKind.peerExchange: {
-				const {wantsBundle, ...news} = command.request
-				const payload = encodeNews(news, wantsBundle)
+				const {wantsBundle, ...status} = command.request
+				const payload = encodePeerStatus(status, wantsBundle)
 				const answer = await this.#call(command, PeerService.method.exchange.name, payload)
-				return answer.andThen(decodeNews)
+				return answer.andThen(decodePeerStatus)
 			}
 			case CommandKind.peerNotifyJob: {
 				const payload = encodeNotices(this.#hostId, command.request.notices)
@@ -84,23 +84,23 @@
 		method: string,
 		payload: Uint8Array
 	): Promise<Result<Uint8Array, CallError>> {
-		const asked = this.#seal.sealRequest(method, payload)
+		const request = this.#seal.sealRequest(method, payload)
 		const connection = this.#connect(target)
 		try {
 			const {client} = connection
 			const isExchange = method === PeerService.method.exchange.name
 			const answer = isExchange
-				? await client.exchange(asked, {timeoutMs})
-				: await client.notifyJobs(asked, {timeoutMs})
-			return this.#seal.openAnswer(method, asked, answer)
+				? await client.exchange(request, {timeoutMs})
+				: await client.notifyJobs(request, {timeoutMs})
+			return this.#seal.openAnswer(method, request, answer)
 		} catch (error) {
-			return err(this.#settleFailure(target, connection, error))
+			return err(this.#handleFailure(target, connection, error))
 		}
 	}
 
 	#connect(target: string): Connection {
-		const known = this.#connections.get(target)
-		if (known !== undefined) return known
+		const existing = this.#connections.get(target)
+		if (existing !== undefined) return existing
 		const manager = new Http2SessionManager(target, {idleConnectionTimeoutMs: IDLE_CONNECTION_MS})
 		const transport = createConnectTransport({
 			baseUrl: target,
@@ -114,7 +114,7 @@
 		return connection
 	}
 
-	#settleFailure(target: string, connection: Connection, error: unknown): CallError {
+	#handleFailure(target: string, connection: Connection, error: unknown): CallError {
 		const {code, rawMessage} = ConnectError.from(error)
 		if (code === Code.Unauthenticated || code === Code.InvalidArgument)
 			return new RefusedError(target, Code[code].toLowerCase(), rawMessage)
@@ -124,8 +124,8 @@
 	}
 }
 
-interface Waiter {
-	readonly resolve: (news: PeerNews) => void
+interface PendingReply {
+	readonly resolve: (status: PeerStatus) => void
 	readonly cancelTimer: () => void
 }
 
@@ -134,7 +134,7 @@
 	readonly #board: Board
 	readonly #clock: Clock
 	readonly #seal: PeerSeal
-	readonly #waiters = new Map<string, Waiter>()
+	readonly #pendingReplies = new Map<string, PendingReply>()
 	readonly #sessions = new Set<ServerHttp2Session>()
 	#server: Http2Server | undefined
 
@@ -172,12 +172,12 @@
 
 	/** Resolves the pending queries whose replies are on the board. */
 	drain(): void {
-		for (const [id, news] of [...this.#board.peerReplies.entries()]) {
+		for (const [id, status] of [...this.#board.peerReplies.entries()]) {
 			this.#board.peerReplies.take(id)
-			const waiter = this.#waiters.get(id)
-			this.#waiters.delete(id)
-			waiter?.cancelTimer()
-			waiter?.resolve(news)
+			const pending = this.#pendingReplies.get(id)
+			this.#pendingReplies.delete(id)
+			pending?.cancelTimer()
+			pending?.resolve(status)
 		}
 	}
 
@@ -188,27 +188,27 @@
 
 	#addRoutes(router: ConnectRouter): void {
 		router.service(PeerService, {
-			exchange: sealed => this.#exchange(sealed),
-			notifyJobs: sealed => this.#takeNotices(sealed)
+			exchange: sealed => this.#handleQuery(sealed),
+			notifyJobs: sealed => this.#handleNotices(sealed)
 		})
 	}
 
-	async #exchange(sealed: Sealed): Promise<Sealed> {
+	async #handleQuery(sealed: Sealed): Promise<Sealed> {
 		const method = PeerService.method.exchange.name
-		const question = unwrap(this.#seal.openRequest(method, sealed).andThen(decodeNews))
-		const id = `${question.hostId}-p${this.#board.nextSequence()}`
-		const news = await new Promise<PeerNews>((resolve, reject) => {
+		const received = unwrap(this.#seal.openRequest(method, sealed).andThen(decodePeerStatus))
+		const id = `${received.hostId}-p${this.#board.nextSequence()}`
+		const status = await new Promise<PeerStatus>((resolve, reject) => {
 			const cancelTimer = this.#clock.schedule(PEER_TIMEOUT_MS, () => {
-				this.#waiters.delete(id)
+				this.#pendingReplies.delete(id)
 				reject(new ConnectError("no reply in time", Code.DeadlineExceeded))
 			})
-			this.#waiters.set(id, {resolve, cancelTimer})
-			this.#board.peerRequests.set(id, {id, question, arrivedAt: this.#clock.now()})
+			this.#pendingReplies.set(id, {resolve, cancelTimer})
+			this.#board.peerRequests.set(id, {id, query: received, arrivedAt: this.#clock.now()})
 		})
-		return this.#seal.sealAnswer(method, sealed.nonce, encodeNews(news, false))
+		return this.#seal.sealAnswer(method, sealed.nonce, encodePeerStatus(status, false))
 	}
 
-	#takeNotices(sealed: Sealed): Sealed {
+	#handleNotices(sealed: Sealed): Sealed {
 		const method = PeerService.method.notifyJobs.name
 		const notices = unwrap(this.#seal.openRequest(method, sealed).andThen(decodeNotices))
 		for (const notice of notices)
--- a/src/adapters/platform.ts
+++ b/src/adapters/platform.ts
@@ -1,17 +1,17 @@
 /** The platform's table, object store and host list over HTTP. */
 import {type Result} from "neverthrow"
 import {type CallError, type Command, CommandKind, InvariantError} from "../internal.js"
-import {type Carrier} from "./command-runner.js"
+import {type CommandExecutor} from "./command-runner.js"
 import {type HttpClient} from "./http-client.js"
 import {
 	commitAnswerSchema,
 	hostListAnswerSchema,
-	nothingSchema,
+	nullSchema,
 	objectBodySchema,
 	tableRowsSchema
 } from "./schemas.js"
 
-export class PlatformCarrier implements Carrier {
+export class PlatformClient implements CommandExecutor {
 	readonly kinds = [
 		CommandKind.tableRead,
 		CommandKind.tableScan,
@@ -28,7 +28,7 @@
 		this.#url = url
 	}
 
-	carry({kind, request, timeoutMs}: Command): Promise<Result<unknown, CallError>> {
+	execute({kind, request, timeoutMs}: Command): Promise<Result<unknown, CallError>> {
 		switch (kind) {
 			case CommandKind.tableRead:
 				return this.#http.post(`${this.#url}/table/read`, request, tableRowsSchema, timeoutMs)
@@ -37,7 +37,7 @@
 			case CommandKind.tableCommit:
 				return this.#http.post(`${this.#url}/table/commit`, request, commitAnswerSchema, timeoutMs)
 			case CommandKind.objectPut:
-				return this.#http.post(`${this.#url}/objects/put`, request, nothingSchema, timeoutMs)
+				return this.#http.post(`${this.#url}/objects/put`, request, nullSchema, timeoutMs)
 			case CommandKind.objectGet:
 				return this.#http.post(`${this.#url}/objects/get`, request, objectBodySchema, timeoutMs)
 			case CommandKind.hostList:
--- a/src/adapters/schemas.ts
+++ b/src/adapters/schemas.ts
@@ -68,7 +68,7 @@
 	error: z.string().optional()
 })
 
-export const nothingSchema = z.null()
+export const nullSchema = z.null()
 export const objectBodySchema = z.string().nullable()
 
 /** Requests to workers and endpoints, which the stand-ins validate with these schemas. */
--- a/src/adapters/telemetry.ts
+++ b/src/adapters/telemetry.ts
@@ -13,9 +13,9 @@
 	findAuthorityScope
 } from "../internal.js"
 
-const STANDARD_OUTPUT = 1
+const STDOUT_FD = 1
 /** Maximum size of the log buffer, in characters. */
-const LOG_WAITING_MAX = 1048576
+const LOG_BUFFER_MAX_CHARS = 1048576
 
 const MS_PER_S = 1000
 /** Histogram buckets, from the duration of a call within a zone to the longest wait of a caller. */
@@ -36,8 +36,8 @@
 	readonly #jobs: Gauge<"state">
 	readonly #durations: Histogram<"event" | "of">
 	readonly #calls: Histogram<"kind" | "result">
-	readonly #dropped: Counter
-	readonly #output = destination({dest: STANDARD_OUTPUT, sync: false, maxLength: LOG_WAITING_MAX})
+	readonly #droppedLines: Counter
+	readonly #output = destination({dest: STDOUT_FD, sync: false, maxLength: LOG_BUFFER_MAX_CHARS})
 
 	constructor(board: Board) {
 		this.#board = board
@@ -76,13 +76,13 @@
 			buckets: LATENCY_BUCKETS_S,
 			registers: [this.#registry]
 		})
-		this.#dropped = new Counter({
+		this.#droppedLines = new Counter({
 			name: "cardamomhook_log_lines_dropped_total",
 			help: "Log lines dropped because standard output was not read in time",
 			registers: [this.#registry]
 		})
 		this.#output.on("drop", () => {
-			this.#dropped.inc()
+			this.#droppedLines.inc()
 		})
 	}
 
--- a/src/controllers/admission.ts
+++ b/src/controllers/admission.ts
@@ -14,7 +14,7 @@
 	type Refusal,
 	type Reply,
 	type SubmitRequest,
-	type Verdict,
+	type TransitionResult,
 	type WorkspaceConfig,
 	ACCEPT_TIMEOUT_MS,
 	EventLevel,
@@ -40,7 +40,7 @@
 
 export class AdmissionController implements Controller {
 	readonly name = "admission"
-	readonly reads = [SectionName.requests, SectionName.verdicts, SectionName.completions]
+	readonly reads = [SectionName.requests, SectionName.transitionResults, SectionName.completions]
 	readonly #policies: Policies
 	readonly #readWallClock: () => number
 	/** Requests by the id of the transition that they wait for. */
@@ -54,7 +54,8 @@
 	}
 
 	step(board: Board, now: number): number | undefined {
-		for (const verdict of board.takeVerdicts(this.name)) this.#settleVerdict(board, verdict)
+		for (const verdict of board.takeTransitionResults(this.name))
+			this.#settleVerdict(board, verdict)
 		for (const completion of board.takeCompletions(this.name))
 			this.#settleRead(board, completion as Completion<"table-read">)
 		for (const request of [...board.requests.values()]) {
@@ -120,7 +121,7 @@
 
 	/** Returns the length of this zone's queue; undefined if this host doesn't schedule the zone. */
 	#countZoneQueued(board: Board): number | undefined {
-		if (board.authority.get(board.settings.zone)?.mine !== true) return undefined
+		if (board.authority.get(board.settings.zone)?.isHeldHere !== true) return undefined
 		let queued = 0
 		for (const {record} of board.jobs.values()) if (record.state === JobState.queued) queued++
 		return queued
@@ -158,7 +159,7 @@
 		}
 	}
 
-	#settleVerdict(board: Board, {transition, result}: Verdict): void {
+	#settleVerdict(board: Board, {transition, result}: TransitionResult): void {
 		const request = this.#waiting.get(transition.id)
 		this.#waiting.delete(transition.id)
 		if (request === undefined) return
--- a/src/controllers/answer.ts
+++ b/src/controllers/answer.ts
@@ -12,7 +12,7 @@
 	type JobRecord,
 	type Refusal,
 	type TableRow,
-	type Verdict,
+	type TransitionResult,
 	ACCEPT_TIMEOUT_MS,
 	CommandKind,
 	JobState,
@@ -50,7 +50,7 @@
 	readonly reads = [
 		SectionName.requests,
 		SectionName.completions,
-		SectionName.verdicts,
+		SectionName.transitionResults,
 		SectionName.ended,
 		SectionName.notices,
 		SectionName.lifecycle
@@ -60,7 +60,7 @@
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
-		for (const verdict of board.takeVerdicts(this.name)) this.#settleCancel(board, verdict)
+		for (const verdict of board.takeTransitionResults(this.name)) this.#settleCancel(board, verdict)
 		this.#takeNotices(board, now)
 		for (const request of [...board.requests.values()]) this.#takeUp(board, request, now)
 		if (board.lifecycle.get("state") !== Lifecycle.serving) this.#endWaits(now)
@@ -233,7 +233,7 @@
 		this.#cancels.set(id, request)
 	}
 
-	#settleCancel(board: Board, {transition, result}: Verdict): void {
+	#settleCancel(board: Board, {transition, result}: TransitionResult): void {
 		const request = this.#cancels.get(transition.id)
 		this.#cancels.delete(transition.id)
 		if (request === undefined) return
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -64,11 +64,11 @@
 		const entry = board.authority.get(findAuthorityScope(board.settings))
 		if (board.lifecycle.get("state") === Lifecycle.drained)
 			return this.#yieldZone(board, entry, now)
-		if (stopping && entry?.mine !== true) return undefined
+		if (stopping && entry?.isHeldHere !== true) return undefined
 		const dueAt = Math.min(this.#nextAt, this.#computeLapse(board, entry))
 		if (now < dueAt) return dueAt
-		this.#nextAt = now + computeInterval(board.settings, entry?.mine === true)
-		if (entry?.mine === true) this.#renew(board, entry, now)
+		this.#nextAt = now + computeInterval(board.settings, entry?.isHeldHere === true)
+		if (entry?.isHeldHere === true) this.#renew(board, entry, now)
 		else if (entry !== undefined && now >= this.#computeLapse(board, entry))
 			this.#claim(board, entry, now)
 		else this.#readRows(board, now)
@@ -80,7 +80,7 @@
 	 * or the holder was this host before its restart.
 	 */
 	#computeLapse(board: Board, entry: AuthorityEntry | undefined): number {
-		if (entry === undefined || entry.mine) return Infinity
+		if (entry === undefined || entry.isHeldHere) return Infinity
 		if (this.#wasThisHost(board, entry)) return this.#notBefore
 		const deferralMs = computeDeferral(board.settings)
 		// Larger hosts go first. After an outage of the table every host finds the lease expired, so a small one counts
@@ -138,7 +138,7 @@
 	}
 
 	#yieldZone(board: Board, entry: AuthorityEntry | undefined, now: number): number | undefined {
-		if (entry?.mine !== true) return undefined
+		if (entry?.isHeldHere !== true) return undefined
 		if (now < this.#notBefore) return this.#notBefore
 		this.#vacate(board, entry, now)
 		return undefined
@@ -162,7 +162,7 @@
 		unchanged: boolean,
 		now: number
 	): number {
-		if (mine) return known?.mine === true ? known.observedAt : this.#takenAt
+		if (mine) return known?.isHeldHere === true ? known.observedAt : this.#takenAt
 		return unchanged && known !== undefined ? known.observedAt : now
 	}
 
@@ -203,7 +203,7 @@
 			const entry = board.authority.get(findAuthorityScope(board.settings))
 			const observedAt = command.issuedAt
 			if (entry !== undefined)
-				board.authority.set(entry.zone, {...entry, holder: "", mine: false, observedAt})
+				board.authority.set(entry.zone, {...entry, holder: "", isHeldHere: false, observedAt})
 			board.record(EventLevel.info, "zone-yielded", {zone: findAuthorityScope(board.settings)})
 			return
 		}
@@ -226,7 +226,7 @@
 			holderVersion,
 			leaseVersion,
 			observedAt: sentAt,
-			mine: true
+			isHeldHere: true
 		})
 		if (subject === TAKE) {
 			const {holder: previous, observedAt} = entry
@@ -247,8 +247,8 @@
 		const holderVersion = holderRow?.version ?? 0
 		const unchanged = known?.leaseVersion === leaseVersion && known.holderVersion === holderVersion
 		const mine =
-			value.holder === hostId && (known?.mine === true || known?.epoch === value.epoch - 1)
-		if (known?.mine === true && !mine)
+			value.holder === hostId && (known?.isHeldHere === true || known?.epoch === value.epoch - 1)
+		if (known?.isHeldHere === true && !mine)
 			board.record(EventLevel.warn, "zone-lost", {zone, epoch: known.epoch})
 		const entry = {
 			zone,
@@ -258,7 +258,7 @@
 			holderVersion,
 			leaseVersion,
 			observedAt: this.#findObservedAt(known, mine, unchanged, now),
-			mine
+			isHeldHere: mine
 		}
 		board.authority.set(zone, entry)
 		const isFree = !mine && now >= computeFreeAt(board.settings, entry)
--- a/src/controllers/bundle.ts
+++ b/src/controllers/bundle.ts
@@ -75,7 +75,7 @@
 
 	/** Evidence is valid only for the generation that it was given for; a bundle may arrive without evidence. */
 	#adoptFromPeers(board: Board): void {
-		for (const {news, evidenceAt} of board.peers.values()) {
+		for (const {status: news, evidenceAt} of board.peers.values()) {
 			const known = board.bundle.get("current")
 			const {generation, bundle: text} = news
 			if (generation === known?.bundle.generation)
--- a/src/controllers/call.ts
+++ b/src/controllers/call.ts
@@ -13,8 +13,8 @@
 	type JobEntry,
 	type Outcome,
 	type Policies,
-	type Verdict,
-	CALL_ABANDON_MS,
+	type TransitionResult,
+	CALL_INSPECT_TIMEOUT_MS,
 	CallStage,
 	CommandKind,
 	ENDPOINT_LOST_MS,
@@ -42,7 +42,7 @@
 	readonly name = "call"
 	readonly reads = [
 		SectionName.completions,
-		SectionName.verdicts,
+		SectionName.transitionResults,
 		SectionName.jobs,
 		SectionName.endpoints,
 		SectionName.authority,
@@ -57,8 +57,9 @@
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
-		for (const verdict of board.takeVerdicts(this.name)) this.#settleVerdict(board, verdict, now)
-		if (board.authority.get(board.settings.zone)?.mine !== true) {
+		for (const verdict of board.takeTransitionResults(this.name))
+			this.#settleVerdict(board, verdict, now)
+		if (board.authority.get(board.settings.zone)?.isHeldHere !== true) {
 			for (const id of [...board.calls.keys()]) board.calls.delete(id)
 			return undefined
 		}
@@ -147,7 +148,7 @@
 		let best: EndpointEntry | undefined
 		let bestFree = 0
 		const inSight = [...board.endpoints.values()].filter(endpoint => isInSight(endpoint, now))
-		const preferred = inSight.filter(({host}) => !job.avoid.includes(host.id))
+		const preferred = inSight.filter(({host}) => !job.failedOn.includes(host.id))
 		for (const endpoint of preferred.length > 0 ? preferred : inSight) {
 			const free = countFree(endpoint, taken.get(endpoint.host.id) ?? 0, now)
 			if (free > bestFree) [best, bestFree] = [endpoint, free]
@@ -186,7 +187,7 @@
 		})
 	}
 
-	#settleVerdict(board: Board, {transition, result}: Verdict, now: number): void {
+	#settleVerdict(board: Board, {transition, result}: TransitionResult, now: number): void {
 		const call = board.calls.get(transition.jobId)
 		if (call === undefined) return
 		if (transition.kind !== TransitionKind.claim || result.isErr()) {
@@ -290,7 +291,7 @@
 
 	#inspectIfDue(board: Board, call: CallEntry, now: number): number | undefined {
 		if (call.stage !== CallStage.inspecting) return undefined
-		if (now - call.since > CALL_ABANDON_MS) {
+		if (now - call.since > CALL_INSPECT_TIMEOUT_MS) {
 			this.#retryOrEnd(board, call, {kind: OutcomeKind.unknown, reason: ReasonCode.answerLost})
 			return undefined
 		}
--- a/src/controllers/catalog.ts
+++ b/src/controllers/catalog.ts
@@ -77,7 +77,7 @@
 		const entry = {catalog, zonesOut, recordVersion: answer.version, evidenceAt}
 		const haveZonesChanged = [...zonesOut].join() !== [...(known?.zonesOut ?? [])].join()
 		if (!isNewer && !haveZonesChanged) {
-			board.catalog.refresh("current", entry)
+			board.catalog.setSilently("current", entry)
 			return
 		}
 		board.catalog.set("current", entry)
--- a/src/controllers/cluster-view.ts
+++ b/src/controllers/cluster-view.ts
@@ -55,7 +55,7 @@
 			address: `http://${callerAddress.host}:${callerAddress.port}`,
 			leaving: board.lifecycle.get("state") !== Lifecycle.serving
 		}
-		const peers = [...board.peers.values()].map(({news}) => ({
+		const peers = [...board.peers.values()].map(({status: news}) => ({
 			id: news.hostId,
 			role: HostRole.daemon,
 			zone: news.zone,
--- a/src/controllers/defragment.ts
+++ b/src/controllers/defragment.ts
@@ -43,7 +43,7 @@
 		const zone = content?.zones.find(({name}) => name === board.settings.zone)
 		const movesPerHour = zone?.defragmentMovesPerHour ?? 0
 		if (content === undefined || movesPerHour === 0) return undefined
-		if (board.authority.get(board.settings.zone)?.mine !== true) return undefined
+		if (board.authority.get(board.settings.zone)?.isHeldHere !== true) return undefined
 		if (now < this.#nextAt) return this.#nextAt
 		this.#nextAt = now + DEFRAGMENT_INTERVAL_MS
 		this.#movedAt = this.#movedAt.filter(at => now - at < HOUR_MS)
--- a/src/controllers/endpoint.ts
+++ b/src/controllers/endpoint.ts
@@ -27,7 +27,7 @@
 		const authority = board.authority.get(board.settings.zone)
 		const listed = new Set<string>()
 		let earliest: number | undefined
-		for (const host of authority?.mine === true ? board.hosts.values() : []) {
+		for (const host of authority?.isHeldHere === true ? board.hosts.values() : []) {
 			if (host.role !== HostRole.endpoint || host.zone !== board.settings.zone) continue
 			listed.add(host.id)
 			const dueAt = this.#pollIfDue(board, host, now)
--- a/src/controllers/expiry.ts
+++ b/src/controllers/expiry.ts
@@ -24,14 +24,15 @@
 		SectionName.jobs,
 		SectionName.gangs,
 		SectionName.calls,
-		SectionName.verdicts,
+		SectionName.transitionResults,
 		SectionName.authority
 	]
 	readonly #ending = new Set<string>()
 
 	step(board: Board, now: number): number | undefined {
-		for (const {transition} of board.takeVerdicts(this.name)) this.#ending.delete(transition.jobId)
-		if (board.authority.get(board.settings.zone)?.mine !== true) {
+		for (const {transition} of board.takeTransitionResults(this.name))
+			this.#ending.delete(transition.jobId)
+		if (board.authority.get(board.settings.zone)?.isHeldHere !== true) {
 			this.#ending.clear()
 			return undefined
 		}
--- a/src/controllers/gang.ts
+++ b/src/controllers/gang.ts
@@ -9,7 +9,7 @@
 	type Controller,
 	type GangEntry,
 	type TaskReport,
-	type Verdict,
+	type TransitionResult,
 	CommandKind,
 	EventLevel,
 	GangStage,
@@ -52,7 +52,7 @@
 	readonly name = "gang"
 	readonly reads = [
 		SectionName.completions,
-		SectionName.verdicts,
+		SectionName.transitionResults,
 		SectionName.placements,
 		SectionName.jobs,
 		SectionName.workers,
@@ -62,9 +62,10 @@
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
-		for (const verdict of board.takeVerdicts(this.name)) this.#settleVerdict(board, verdict, now)
+		for (const verdict of board.takeTransitionResults(this.name))
+			this.#settleVerdict(board, verdict, now)
 		const authority = board.authority.get(board.settings.zone)
-		if (authority?.mine !== true) {
+		if (authority?.isHeldHere !== true) {
 			for (const id of [...board.gangs.keys()]) board.gangs.delete(id)
 			for (const id of [...board.placements.keys()]) board.placements.take(id)
 			return undefined
@@ -159,7 +160,7 @@
 		}
 	}
 
-	#settleVerdict(board: Board, {transition, result}: Verdict, now: number): void {
+	#settleVerdict(board: Board, {transition, result}: TransitionResult, now: number): void {
 		const gang = board.gangs.get(transition.jobId)
 		if (gang === undefined) return
 		if (transition.kind === TransitionKind.claim) {
--- a/src/controllers/ledger.ts
+++ b/src/controllers/ledger.ts
@@ -108,7 +108,7 @@
 	#send(board: Board, work: LedgerWork, now: number): void {
 		const {transition, base} = work
 		const authority = board.authority.get(board.settings.zone)
-		if (isHolderTransition(transition) && authority?.mine !== true) {
+		if (isHolderTransition(transition) && authority?.isHeldHere !== true) {
 			this.#conclude(
 				board,
 				work,
@@ -261,14 +261,14 @@
 			this.#storeRecord(board, result.value.record, result.value.version)
 			this.#announceChange(board, transition, result.value.record)
 		}
-		board.verdicts.set(transition.id, {transition, result})
+		board.transitionResults.set(transition.id, {transition, result})
 	}
 
 	/** Notifies the holder of a job accepted or cancelled here, so that it doesn't wait for its next scan. */
 	#announceChange(board: Board, transition: Transition, {id, zone}: JobRecord): void {
 		if (isHolderTransition(transition)) return
 		const authority = board.authority.get(zone)
-		if (authority?.mine !== true) board.announce(NoticeKind.changed, id, zone)
+		if (authority?.isHeldHere !== true) board.announce(NoticeKind.changed, id, zone)
 	}
 
 	/** Reads the rows of this zone's jobs that other hosts report as changed. */
@@ -300,7 +300,7 @@
 			return
 		}
 		const authority = board.authority.get(board.settings.zone)
-		if (authority?.mine !== true || record.zone !== authority.zone) {
+		if (authority?.isHeldHere !== true || record.zone !== authority.zone) {
 			board.jobs.delete(record.id)
 			this.#activeValues.delete(record.id)
 			return
@@ -313,7 +313,7 @@
 	/** Scans the active rows to keep `jobs` up to date while this host holds the zone. */
 	#followZone(board: Board, now: number): number | undefined {
 		const authority = board.authority.get(board.settings.zone)
-		if (authority?.mine !== true) {
+		if (authority?.isHeldHere !== true) {
 			if (this.#epoch !== 0) this.#forgetZone(board)
 			return undefined
 		}
--- a/src/controllers/node-drain.ts
+++ b/src/controllers/node-drain.ts
@@ -9,7 +9,7 @@
 	type NodeEntry,
 	type TaskRef,
 	NODE_DRAIN_CHECK_INTERVAL_MS,
-	NODE_DRAIN_LINGER_MS,
+	NODE_DRAIN_GRACE_MS,
 	NODE_DRAIN_MARGIN_MS,
 	ReasonCode,
 	SectionName,
@@ -46,5 +46,5 @@
 	const endsAt = longRunning ? Infinity : now + estimateRemaining(ref, now)
 	if (checkpoints || longRunning)
 		return endsAt > leavesAt && now >= leavesAt - stopMs - NODE_DRAIN_MARGIN_MS
-	return endsAt > leavesAt + NODE_DRAIN_LINGER_MS
+	return endsAt > leavesAt + NODE_DRAIN_GRACE_MS
 }
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -12,7 +12,7 @@
 	type WorkerRegistration,
 	CommandKind,
 	EventLevel,
-	HOLDER_PROOF_MS,
+	DOMAIN_LEASE_USABLE_MS,
 	NODE_ANSWER_TIMEOUT_MS,
 	NODE_RENEW_WAIT_MS,
 	NODE_RETRY_DELAY_MS,
@@ -137,7 +137,10 @@
 			issuedAt: now
 		})
 		if (isRenewed)
-			board.nodes.refresh(id, {...node, lapsesAt: Math.max(node.lapsesAt, computeLapse(now))})
+			board.nodes.setSilently(id, {
+				...node,
+				leaseExpiresAt: Math.max(node.leaseExpiresAt, computeLapse(now))
+			})
 	}
 
 	#settle(board: Board, completion: Completion, now: number): void {
@@ -163,7 +166,7 @@
 		}
 		for (const [id, node] of [...board.nodes.entries()]) {
 			if (listed.has(id)) continue
-			if (now > node.lapsesAt) {
+			if (now > node.leaseExpiresAt) {
 				board.nodes.delete(id)
 				board.nodeReports.take(id)
 				this.#renewAt.delete(id)
@@ -185,7 +188,7 @@
 				clockMs: 0,
 				clockReadAt: 0,
 				answeredAt: 0,
-				lapsesAt: computeLapse(this.#takenAt + HOLDER_PROOF_MS),
+				leaseExpiresAt: computeLapse(this.#takenAt + DOMAIN_LEASE_USABLE_MS),
 				failures: 0,
 				leavesAt: computeLeavesAt(registration, undefined, now)
 			})
@@ -205,7 +208,7 @@
 		const leavesAt = computeLeavesAt(registration, known, now)
 		const entry = {...known, registration, listed: true, leavesAt}
 		if (isSame) {
-			board.nodes.refresh(registration.id, entry)
+			board.nodes.setSilently(registration.id, entry)
 			return
 		}
 		board.nodes.set(registration.id, entry)
@@ -258,7 +261,7 @@
 			answeredAt: now,
 			failures: 0
 		}
-		if (node.incarnation === incarnation && node.failures === 0) board.nodes.refresh(id, entry)
+		if (node.incarnation === incarnation && node.failures === 0) board.nodes.setSilently(id, entry)
 		else board.nodes.set(id, entry)
 		board.nodeReports.set(id, {sentAt, receivedAt: now, running, ends})
 	}
--- a/src/controllers/notice.ts
+++ b/src/controllers/notice.ts
@@ -37,7 +37,7 @@
 		for (const notice of this.#takeAnnouncements(board))
 			for (const peer of listPeers(board))
 				if (peer.zone === notice.zone) append(outgoing, peer, notice)
-		for (const {jobId, until} of [...board.watches.values()]) {
+		for (const {jobId, untilByHost: until} of [...board.watches.values()]) {
 			const record = board.ended.get(jobId)
 			if (record !== undefined) this.#tellWatchers(board, outgoing, record, until)
 			if (record !== undefined || [...until.values()].every(at => at < now))
@@ -48,9 +48,9 @@
 	}
 
 	#watch(board: Board, {jobId, hostId}: JobNotice, now: number): void {
-		const until = new Map(board.watches.get(jobId)?.until)
+		const until = new Map(board.watches.get(jobId)?.untilByHost)
 		until.set(hostId, now + MAX_WAIT_MS)
-		board.watches.set(jobId, {jobId, until})
+		board.watches.set(jobId, {jobId, untilByHost: until})
 	}
 
 	#takeAnnouncements(board: Board): JobNotice[] {
--- a/src/controllers/peer.ts
+++ b/src/controllers/peer.ts
@@ -8,7 +8,7 @@
 	type Completion,
 	type Controller,
 	type HostRecord,
-	type PeerNews,
+	type PeerStatus,
 	CommandKind,
 	PEER_EXCHANGE_INTERVAL_MS,
 	PEER_TIMEOUT_MS,
@@ -55,13 +55,13 @@
 		return this.#nextAt
 	}
 
-	#ask(board: Board, peer: HostRecord, news: PeerNews, now: number): void {
+	#ask(board: Board, peer: HostRecord, news: PeerStatus, now: number): void {
 		if (this.#inFlight.has(peer.id)) return
 		this.#inFlight.add(peer.id)
 		this.#issue(board, peer, ROUND, news, now)
 	}
 
-	#issue(board: Board, peer: HostRecord, purpose: string, news: PeerNews, now: number): void {
+	#issue(board: Board, peer: HostRecord, purpose: string, news: PeerStatus, now: number): void {
 		board.issue<"peer-exchange">({
 			kind: CommandKind.peerExchange,
 			owner: this.name,
@@ -83,29 +83,29 @@
 		if (result.isErr() || result.value.hostId !== peerId) return
 		const news = result.value
 		const known = board.peers.get(peerId)
-		if (known !== undefined && known.news.generation > news.generation) return
+		if (known !== undefined && known.status.generation > news.generation) return
 		const evidenceAt =
 			news.evidenceAgeMs === undefined ? undefined : command.issuedAt - news.evidenceAgeMs
-		board.peers.set(peerId, {news, heardAt: command.issuedAt, evidenceAt})
+		board.peers.set(peerId, {status: news, observedAt: command.issuedAt, evidenceAt})
 	}
 
 	#reply(board: Board, id: string, now: number): void {
 		const request = board.peerRequests.take(id)
 		if (request === undefined) return
-		const {question} = request
+		const {query: question} = request
 		board.peerReplies.set(id, buildPeerNews(board, question.wantsBundle, now))
 		this.#noteQuestion(board, question, now)
 	}
 
 	/** A peer's query carries its status too, but no evidence: it may have been delayed for any time. */
-	#noteQuestion(board: Board, news: PeerNews, now: number): void {
+	#noteQuestion(board: Board, news: PeerStatus, now: number): void {
 		const known = board.peers.get(news.hostId)
-		if (known !== undefined && known.news.generation > news.generation) return
-		const same = known?.news.generation === news.generation
+		if (known !== undefined && known.status.generation > news.generation) return
+		const same = known?.status.generation === news.generation
 		const evidenceAt = same ? known.evidenceAt : undefined
 		board.peers.set(news.hostId, {
-			news: {...news, bundle: undefined, evidenceAgeMs: undefined},
-			heardAt: now,
+			status: {...news, bundle: undefined, evidenceAgeMs: undefined},
+			observedAt: now,
 			evidenceAt
 		})
 	}
@@ -116,12 +116,12 @@
 	 */
 	#fetchIfBehind(board: Board, now: number): number {
 		const generation = board.bundle.get("current")?.bundle.generation ?? 0
-		const ahead = [...board.peers.values()].filter(({news}) => news.generation > generation)
+		const ahead = [...board.peers.values()].filter(({status: news}) => news.generation > generation)
 		if (this.#fetching || ahead.length === 0) return Infinity
-		if (ahead.some(({news}) => news.bundle !== undefined)) return Infinity
+		if (ahead.some(({status: news}) => news.bundle !== undefined)) return Infinity
 		if (now < this.#fetchAt) return this.#fetchAt
 		const chosen = ahead[this.#fetches++ % ahead.length]
-		const peer = board.hosts.get(chosen?.news.hostId ?? "")
+		const peer = board.hosts.get(chosen?.status.hostId ?? "")
 		if (peer === undefined) return now + RETRY_BASE_MS
 		this.#fetching = true
 		this.#issue(board, peer, FETCH, buildPeerNews(board, false, now), now)
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -65,7 +65,7 @@
 	step(board: Board, now: number): number | undefined {
 		const content = board.bundle.get("current")?.bundle.content
 		const authority = board.authority.get(board.settings.zone)
-		if (content === undefined || authority?.mine !== true || !isStartPermitted(board, now))
+		if (content === undefined || authority?.isHeldHere !== true || !isStartPermitted(board, now))
 			return undefined
 		if (board.lifecycle.get("state") !== Lifecycle.serving) return undefined
 		this.#queue.sync(board)
@@ -133,7 +133,7 @@
 		const {id, workspace, spec} = job.record
 		const policy = this.#policies.placement.find(content.policies.placement)
 		const restrict = backfill.restrict(job)
-		const request = {jobId: id, workspace, shape: spec.shape, avoid: job.avoid, restrict}
+		const request = {jobId: id, workspace, shape: spec.shape, avoid: job.failedOn, restrict}
 		return this.#keeper.place(policy, request, buildJobTask(job.record, "", [], now), index, now)
 	}
 
@@ -157,8 +157,9 @@
 		const {homes} = this.#keeper
 		if (homes !== this.#published) {
 			const ids = new Set(homes.list.map(({unit}) => unit.id))
-			for (const id of [...board.homes.keys()]) if (!ids.has(id)) board.homes.delete(id)
-			for (const home of homes.list) board.homes.set(home.unit.id, home)
+			for (const id of [...board.guaranteePlacements.keys()])
+				if (!ids.has(id)) board.guaranteePlacements.delete(id)
+			for (const home of homes.list) board.guaranteePlacements.set(home.unit.id, home)
 			if (homes.count !== this.#published?.count) noteHomes(board, homes)
 			this.#published = homes
 		}
@@ -192,7 +193,7 @@
 }
 
 /** Formats what placement depends on: if one job can't be placed, no other job with the same key can. */
-function formatRefusedKey({record, avoid}: JobEntry): string {
+function formatRefusedKey({record, failedOn: avoid}: JobEntry): string {
 	const {workspace, spec} = record
 	const {members, accelerators, adjacency, cpus, memoryMb} = spec.shape
 	const stoppable = spec.repeatable || spec.checkpoint
--- a/src/controllers/reclaim.ts
+++ b/src/controllers/reclaim.ts
@@ -38,7 +38,7 @@
 	readonly reads = [
 		SectionName.waiting,
 		SectionName.fleet,
-		SectionName.homes,
+		SectionName.guaranteePlacements,
 		SectionName.holds,
 		SectionName.gangs,
 		SectionName.jobs,
@@ -51,7 +51,7 @@
 
 	step(board: Board, now: number): number | undefined {
 		const fleet = board.fleet.get("current")
-		if (fleet === undefined || board.authority.get(board.settings.zone)?.mine !== true) {
+		if (fleet === undefined || board.authority.get(board.settings.zone)?.isHeldHere !== true) {
 			for (const id of [...board.holds.keys()]) board.holds.delete(id)
 			return undefined
 		}
@@ -93,7 +93,7 @@
 	/** Adds at most one hold, since the fleet index must include it before the next one is decided. */
 	#reclaimOne(board: Board, fleet: FleetIndex, now: number): void {
 		if (this.#triedVersion === fleet.version && this.#triedWaiting === board.waiting.size) return
-		const homes = new GuaranteeHomes([...board.homes.values()])
+		const homes = new GuaranteeHomes([...board.guaranteePlacements.values()])
 		const tried = new Set<string>()
 		for (const job of listClaimants(board)) {
 			const key = formatClaimKey(job)
--- a/src/controllers/rehome.ts
+++ b/src/controllers/rehome.ts
@@ -29,7 +29,7 @@
 		SectionName.gangs,
 		SectionName.calls,
 		SectionName.authority,
-		SectionName.verdicts
+		SectionName.transitionResults
 	]
 	readonly #policies: Policies
 	readonly #moving = new Set<string>()
@@ -40,7 +40,7 @@
 
 	step(board: Board, now: number): number | undefined {
 		this.#settleVerdicts(board)
-		if (board.authority.get(board.settings.zone)?.mine !== true) return undefined
+		if (board.authority.get(board.settings.zone)?.isHeldHere !== true) return undefined
 		const content = board.bundle.get("current")?.bundle.content
 		const zone = content?.zones.find(({name}) => name === board.settings.zone)
 		if (content === undefined || zone === undefined || zone.inService) return undefined
@@ -53,7 +53,7 @@
 	}
 
 	#settleVerdicts(board: Board): void {
-		for (const {transition, result} of board.takeVerdicts(this.name)) {
+		for (const {transition, result} of board.takeTransitionResults(this.name)) {
 			this.#moving.delete(transition.jobId)
 			if (transition.kind !== TransitionKind.rehome || result.isErr()) continue
 			board.announce(NoticeKind.changed, transition.jobId, transition.zone)
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -162,8 +162,8 @@
 
 	/** A start renews the worker's lease, so the time by which runs on that worker have expired moves as well. */
 	#noteGrant(board: Board, node: NodeEntry, now: number): void {
-		const lapsesAt = Math.max(node.lapsesAt, computeLapse(now))
-		board.nodes.refresh(node.registration.id, {...node, lapsesAt})
+		const lapsesAt = Math.max(node.leaseExpiresAt, computeLapse(now))
+		board.nodes.setSilently(node.registration.id, {...node, leaseExpiresAt: lapsesAt})
 	}
 
 	#sendStop(board: Board, {task, taskId}: TaskRef, now: number): void {
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -47,8 +47,8 @@
 
 const NO_HEALTH: NodeHealth = {
 	failedWorkflows: [],
-	closedUntil: 0,
-	doubtedUntil: 0,
+	quarantinedUntil: 0,
+	suspectUntil: 0,
 	foreignRuns: []
 }
 
@@ -150,7 +150,7 @@
 	#noteSuccess(board: Board, id: string): void {
 		const health = board.health.get(id)
 		if (health !== undefined && health.failedWorkflows.length > 0)
-			board.health.set(id, {...health, failedWorkflows: [], doubtedUntil: 0, closedUntil: 0})
+			board.health.set(id, {...health, failedWorkflows: [], suspectUntil: 0, quarantinedUntil: 0})
 	}
 
 	#noteFailure(board: Board, node: NodeEntry, ref: TaskRef, now: number): void {
@@ -173,12 +173,12 @@
 		const health = board.health.get(id) ?? NO_HEALTH
 		const failedWorkflows = [...new Set([...health.failedWorkflows, workflowId])]
 		const isClosed = failedWorkflows.length >= NODE_FAILURES_MAX
-		const closedUntil = isClosed ? now + NODE_QUARANTINE_MS : health.closedUntil
+		const closedUntil = isClosed ? now + NODE_QUARANTINE_MS : health.quarantinedUntil
 		board.health.set(id, {
 			...health,
 			failedWorkflows,
-			doubtedUntil: now + NODE_QUARANTINE_MS,
-			closedUntil
+			suspectUntil: now + NODE_QUARANTINE_MS,
+			quarantinedUntil: closedUntil
 		})
 		if (isClosed)
 			board.record(EventLevel.info, "worker-closed", {worker: id, failed: failedWorkflows.length})
@@ -237,7 +237,7 @@
 	/** A worker whose lease has expired runs nothing, even if it can't be reached. */
 	#releaseLapsed(board: Board, loadedAt: number, now: number): void {
 		for (const workerId of [...board.runs.listWorkers()]) {
-			const lapsesAt = board.nodes.get(workerId)?.lapsesAt ?? loadedAt + UNLISTED_LAPSE_MS
+			const lapsesAt = board.nodes.get(workerId)?.leaseExpiresAt ?? loadedAt + UNLISTED_LAPSE_MS
 			if (now <= lapsesAt) continue
 			for (const ref of [...board.runs.listOn(workerId).values()])
 				if (ref.task.phase !== TaskPhase.planned) releaseRun(board, ref, RunEnd.lapsed, now)
--- a/src/controllers/worker.ts
+++ b/src/controllers/worker.ts
@@ -39,7 +39,7 @@
 		for (const completion of board.takeCompletions(this.name))
 			this.#settle(board, completion as Completion<"worker-renew">, now)
 		const authority = board.authority.get(board.settings.zone)
-		if (authority?.mine !== true) {
+		if (authority?.isHeldHere !== true) {
 			this.#forgetAll(board)
 			return undefined
 		}
@@ -100,7 +100,7 @@
 			if (state === undefined) return
 			const entry = buildEntry(host, result.value, state, command.issuedAt, now)
 			if (known !== undefined && isSameButAge(known, entry, now))
-				board.workers.refresh(host.id, entry)
+				board.workers.setSilently(host.id, entry)
 			else board.workers.set(host.id, entry)
 			return
 		}
--- a/src/controllers/workflow-intake.ts
+++ b/src/controllers/workflow-intake.ts
@@ -359,7 +359,7 @@
 }
 
 function computeGiveUpAt({request}: Work): number {
-	return request.arrivedAt + Math.max(INTAKE_MARGIN_MS, request.patienceMs - INTAKE_MARGIN_MS)
+	return request.arrivedAt + Math.max(INTAKE_MARGIN_MS, request.replyTimeoutMs - INTAKE_MARGIN_MS)
 }
 
 function isOwn({workspace, queue}: Work, row: TableRow): boolean {
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -16,7 +16,7 @@
 	type EndpointEntry,
 	type FleetIndex,
 	type GangEntry,
-	type GuaranteeHome,
+	type GuaranteePlacement,
 	type HoldEntry,
 	type HostRecord,
 	type HostRequest,
@@ -31,7 +31,7 @@
 	type NodeReport,
 	type NoticeKind,
 	type PeerEntry,
-	type PeerNews,
+	type PeerStatus,
 	type PeerRequest,
 	type PlacementDecision,
 	type Reply,
@@ -41,7 +41,7 @@
 	type StopEntry,
 	type TermEntry,
 	type Transition,
-	type Verdict,
+	type TransitionResult,
 	type WaitingEntry,
 	type WatchEntry,
 	type WorkerEntry,
@@ -64,14 +64,14 @@
 	placements: "placements",
 	waiting: "waiting",
 	fleet: "fleet",
-	homes: "homes",
+	guaranteePlacements: "guaranteePlacements",
 	holds: "holds",
 	gangs: "gangs",
 	stops: "stops",
 	runTimes: "runTimes",
 	calls: "calls",
 	transitions: "transitions",
-	verdicts: "verdicts",
+	transitionResults: "transitionResults",
 	ended: "ended",
 	catalog: "catalog",
 	nodes: "nodes",
@@ -120,7 +120,7 @@
 	readonly peers = new Section<string, PeerEntry>()
 	/** Queries from peers; the reply to each has the same id. */
 	readonly peerRequests = new Section<string, PeerRequest>()
-	readonly peerReplies = new Section<string, PeerNews>()
+	readonly peerReplies = new Section<string, PeerStatus>()
 	/** Notices received from peers, until their reader takes them. */
 	readonly notices = new Section<string, JobNotice>()
 	/** Notices to send to peers. */
@@ -136,7 +136,7 @@
 	/** Free resources of the zone's workers; keyed `current`. */
 	readonly fleet = new Section<"current", FleetIndex>()
 	/** Where each guaranteed shape could be claimed now, by id of the guarantee unit. */
-	readonly homes = new Section<string, GuaranteeHome>()
+	readonly guaranteePlacements = new Section<string, GuaranteePlacement>()
 	/** Capacity held for a job while borrowers are stopped for it, by job id. */
 	readonly holds = new Section<string, HoldEntry>()
 	readonly gangs = new Section<string, GangEntry>()
@@ -148,7 +148,7 @@
 	/** Durable state transitions of jobs that controllers request from the ledger. */
 	readonly transitions = new Section<string, Transition>()
 	/** Results of transitions, until their owners take them. */
-	readonly verdicts = new Section<string, Verdict>()
+	readonly transitionResults = new Section<string, TransitionResult>()
 	/** Jobs that ended recently. */
 	readonly ended = new Section<string, JobRecord>()
 	/** Operators' configuration of the domain; keyed `current`. */
@@ -188,7 +188,7 @@
 
 	/** Adopts new settings. Returns false if they change the host's identity or an address, which needs a restart. */
 	adoptSettings(settings: HostSettings): boolean {
-		const identify = ({
+		const encodeIdentity = ({
 			hostId,
 			zone,
 			region,
@@ -198,7 +198,7 @@
 			domain
 		}: HostSettings) =>
 			JSON.stringify([hostId, zone, region, callerAddress, peerAddress, platformUrl, domain?.name])
-		if (identify(settings) !== identify(this.#settings)) return false
+		if (encodeIdentity(settings) !== encodeIdentity(this.#settings)) return false
 		this.#settings = settings
 		return true
 	}
@@ -216,8 +216,8 @@
 		this.completions.bind(id => {
 			onChange(SectionName.completions, this.completions.get(id)?.command.owner)
 		})
-		this.verdicts.bind(id => {
-			onChange(SectionName.verdicts, this.verdicts.get(id)?.transition.owner)
+		this.transitionResults.bind(id => {
+			onChange(SectionName.transitionResults, this.transitionResults.get(id)?.transition.owner)
 		})
 	}
 
@@ -258,12 +258,12 @@
 	}
 
 	/** Takes the results of all transitions that `owner` requested. */
-	takeVerdicts(owner: string): Verdict[] {
-		const taken: Verdict[] = []
-		for (const [id, verdict] of this.verdicts.entries()) {
-			if (verdict.transition.owner !== owner) continue
-			taken.push(verdict)
-			this.verdicts.take(id)
+	takeTransitionResults(owner: string): TransitionResult[] {
+		const taken: TransitionResult[] = []
+		for (const [id, result] of this.transitionResults.entries()) {
+			if (result.transition.owner !== owner) continue
+			taken.push(result)
+			this.transitionResults.take(id)
 		}
 		return taken
 	}
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -21,15 +21,15 @@
  */
 export class SystemClock implements Clock {
 	#suspendedMs = 0
-	#wallAheadMs = Date.now() - performance.now()
+	#wallOffsetMs = Date.now() - performance.now()
 
 	now(): number {
-		const steady = performance.now()
-		const wallAheadMs = Date.now() - steady
-		const jumpMs = wallAheadMs - this.#wallAheadMs
+		const monotonicMs = performance.now()
+		const wallOffsetMs = Date.now() - monotonicMs
+		const jumpMs = wallOffsetMs - this.#wallOffsetMs
 		if (jumpMs > SUSPENSION_MIN_MS) this.#suspendedMs += jumpMs
-		if (Math.abs(jumpMs) > SUSPENSION_MIN_MS) this.#wallAheadMs = wallAheadMs
-		return steady + this.#suspendedMs
+		if (Math.abs(jumpMs) > SUSPENSION_MIN_MS) this.#wallOffsetMs = wallOffsetMs
+		return monotonicMs + this.#suspendedMs
 	}
 
 	schedule(delayMs: number, callback: () => void): () => void {
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -89,7 +89,7 @@
 export const REHOME_IN_FLIGHT_MAX = 32
 
 /** Queue length up to which a zone keeps the jobs submitted in it, regardless of the queues of other zones. */
-export const LOCAL_QUEUE_SLACK = 64
+export const LOCAL_QUEUE_THRESHOLD = 64
 
 /** A payload of this size halves the weight of a zone in another region. */
 export const REGION_PAYLOAD_BYTES = 16384
@@ -122,7 +122,7 @@
 export const RECLAIM_CHECK_INTERVAL_MS = 500
 
 /** Delay before a job whose gang was aborted is placed again. */
-export const REPLACE_DELAY_MS = 500
+export const PLACEMENT_RETRY_DELAY_MS = 500
 
 export const ENDPOINT_POLL_INTERVAL_MS = 1000
 export const ENDPOINT_STATUS_TIMEOUT_MS = 1000
@@ -131,7 +131,7 @@
 export const ENDPOINT_LOST_MS = 3000
 
 /** How long an unanswered call is inspected before its outcome is reported as unknown. */
-export const CALL_ABANDON_MS = 30000
+export const CALL_INSPECT_TIMEOUT_MS = 30000
 
 export const PEER_EXCHANGE_INTERVAL_MS = 1000
 
@@ -157,7 +157,7 @@
  * Time after its last confirmed renewal for which a domain's holder sends commands to workers. Shorter than the
  * lease, after which another host may take over, so that two hosts never send commands at the same time.
  */
-export const HOLDER_PROOF_MS = 1800
+export const DOMAIN_LEASE_USABLE_MS = 1800
 
 /**
  * Lease and renewal of a domain's holder. Shorter than a zone's, because no work starts in the domain until the lease
@@ -173,7 +173,7 @@
 export const WORKER_CLOCK_ERROR = 0.02
 
 /** Added to a lease before the runs under it are considered stopped. */
-export const NODE_LAPSE_MARGIN_MS = 300
+export const NODE_LEASE_MARGIN_MS = 300
 
 /** How long a worker holds a renewal open for a run to end; the lease is renewed at least as often. */
 export const NODE_RENEW_WAIT_MS = 1500
@@ -226,7 +226,7 @@
 /** Allows for the stop of a run and for the age of the drain notice: the list of workers is read each 0.8 s. */
 export const NODE_DRAIN_MARGIN_MS = 1000
 /** Workers leave slightly later than they announce; a run that would end within this time is not stopped. */
-export const NODE_DRAIN_LINGER_MS = 1500
+export const NODE_DRAIN_GRACE_MS = 1500
 
 /** Delay before the tasks of a step are placed again after a refused start. */
 export const STEP_RETRY_DELAY_MS = 150
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -13,16 +13,16 @@
 
 /** A violated invariant; the process stops instead of acting on an invalid state. */
 export class InvariantError extends CardamomError {
-	constructor(what: string) {
-		super(`invariant broken: ${what}`)
+	constructor(detail: string) {
+		super(`invariant broken: ${detail}`)
 	}
 }
 
 /** A call without an answer. Whether it took effect is unknown, unless `sent` is false. */
 export class TransportError extends CardamomError {
 	readonly sent: boolean
-	constructor(target: string, why: string, sent: boolean) {
-		super(`no answer from ${target}: ${why}`)
+	constructor(target: string, detail: string, sent: boolean) {
+		super(`no answer from ${target}: ${detail}`)
 		this.sent = sent
 	}
 }
@@ -38,8 +38,8 @@
 
 /** An answer or input that could not be parsed or validated. */
 export class MalformedError extends CardamomError {
-	constructor(what: string, why: string) {
-		super(`malformed ${what}: ${why}`)
+	constructor(subject: string, detail: string) {
+		super(`malformed ${subject}: ${detail}`)
 	}
 }
 
--- a/src/core/loop.ts
+++ b/src/core/loop.ts
@@ -27,16 +27,16 @@
 	#running = false
 	#stopped = true
 
-	readonly #onRest: () => void
+	readonly #onIdle: () => void
 
 	/** `onIdle` runs after each turn, when no controller has work left; adapters drain the board in it. */
 	constructor(
 		board: Board,
 		clock: Clock,
 		controllers: readonly Controller[],
-		onRest: () => void = () => undefined
+		onIdle: () => void = () => undefined
 	) {
-		this.#onRest = onRest
+		this.#onIdle = onIdle
 		this.#board = board
 		this.#clock = clock
 		this.#slots = controllers.map(controller => ({controller, dirty: true, nextAt: undefined}))
@@ -68,7 +68,7 @@
 		}
 		this.#running = false
 		this.#armTimer()
-		this.#onRest()
+		this.#onIdle()
 	}
 
 	#registerReads(slot: Slot): void {
--- a/src/core/run-section.ts
+++ b/src/core/run-section.ts
@@ -30,13 +30,13 @@
 	accelerators: number
 }
 
-const NOTHING: ResourceDemand = {cpuMillis: 0, memoryMb: 0, accelerators: 0}
+const NO_DEMAND: ResourceDemand = {cpuMillis: 0, memoryMb: 0, accelerators: 0}
 const NO_RUNS: ReadonlyMap<string, TaskRef> = new Map()
 
 export class RunSection extends Section<string, TaskRef> {
 	readonly #byWorker = new Map<string, WorkerRuns>()
 	/** Worker to whose total each task was added. */
-	readonly #countedAt = new Map<string, string>()
+	readonly #workerOfTask = new Map<string, string>()
 
 	override set(taskId: string, ref: TaskRef): void {
 		this.#remove(taskId)
@@ -60,8 +60,8 @@
 	}
 
 	/** Total demand of the runs on one worker. */
-	sumOn(workerId: string): ResourceDemand {
-		return this.#byWorker.get(workerId) ?? NOTHING
+	sumDemandOn(workerId: string): ResourceDemand {
+		return this.#byWorker.get(workerId) ?? NO_DEMAND
 	}
 
 	/** Workers that have runs. */
@@ -78,25 +78,25 @@
 			accelerators: 0
 		}
 		this.#byWorker.set(workerId, entry)
-		this.#countedAt.set(taskId, workerId)
+		this.#workerOfTask.set(taskId, workerId)
 		entry.runs.set(taskId, ref)
-		count(entry, ref.spec, 1)
+		adjustDemand(entry, ref.spec, 1)
 	}
 
 	#remove(taskId: string): void {
-		const workerId = this.#countedAt.get(taskId)
+		const workerId = this.#workerOfTask.get(taskId)
 		if (workerId === undefined) return
-		this.#countedAt.delete(taskId)
+		this.#workerOfTask.delete(taskId)
 		const entry = this.#byWorker.get(workerId)
 		const ref = entry?.runs.get(taskId)
 		if (entry === undefined || ref === undefined) return
 		entry.runs.delete(taskId)
-		count(entry, ref.spec, -1)
+		adjustDemand(entry, ref.spec, -1)
 		if (entry.runs.size === 0) this.#byWorker.delete(workerId)
 	}
 }
 
-function count(entry: WorkerRuns, {demand, usesIdleCpu}: StepSpec, sign: 1 | -1): void {
+function adjustDemand(entry: WorkerRuns, {demand, usesIdleCpu}: StepSpec, sign: 1 | -1): void {
 	if (!usesIdleCpu) entry.cpuMillis += sign * demand.cpuMillis
 	entry.memoryMb += sign * demand.memoryMb
 	entry.accelerators += sign * demand.accelerators
--- a/src/core/section.ts
+++ b/src/core/section.ts
@@ -33,19 +33,19 @@
 
 	set(key: K, value: V): void {
 		this.#entries.set(key, value)
-		this.#noteChange(key)
+		this.#recordChange(key)
 		this.#onChange(key)
 	}
 
 	/** Replaces an entry without waking the section's readers, if nothing that they decide on has changed. */
-	refresh(key: K, value: V): void {
+	setSilently(key: K, value: V): void {
 		this.#entries.set(key, value)
 	}
 
 	delete(key: K): boolean {
 		const deleted = this.#entries.delete(key)
 		if (!deleted) return false
-		this.#noteChange(key)
+		this.#recordChange(key)
 		this.#onChange(key)
 		return true
 	}
@@ -53,7 +53,7 @@
 	/** Removes and returns an entry without waking the section's readers. */
 	take(key: K): V | undefined {
 		const value = this.#entries.get(key)
-		if (this.#entries.delete(key)) this.#noteChange(key)
+		if (this.#entries.delete(key)) this.#recordChange(key)
 		return value
 	}
 
@@ -69,7 +69,7 @@
 		return this.#entries.entries()
 	}
 
-	#noteChange(key: K): void {
+	#recordChange(key: K): void {
 		for (const changed of this.#watchers) changed.add(key)
 	}
 }
--- a/src/host.ts
+++ b/src/host.ts
@@ -13,14 +13,14 @@
 	createControllers,
 	findAuthorityScope
 } from "./internal.js"
-import {EndpointCarrier, WorkerCarrier} from "./adapters/back-ends.js"
+import {EndpointClient, WorkerClient} from "./adapters/back-ends.js"
 import {createCallerApi} from "./adapters/caller-api.js"
-import {type Carrier, CommandRunner} from "./adapters/command-runner.js"
+import {type CommandExecutor, CommandRunner} from "./adapters/command-runner.js"
 import {Gateway} from "./adapters/gateway.js"
 import {HttpClient} from "./adapters/http-client.js"
 import {PeerSeal} from "./adapters/peer-seal.js"
-import {PeerCarrier, PeerServer} from "./adapters/peers.js"
-import {PlatformCarrier} from "./adapters/platform.js"
+import {PeerClient, PeerServer} from "./adapters/peers.js"
+import {PlatformClient} from "./adapters/platform.js"
 import {Telemetry} from "./adapters/telemetry.js"
 
 const DRAIN_CHECK_INTERVAL_MS = 50
@@ -46,7 +46,7 @@
 
 /** The parts of a host that differ between deployments. */
 export interface HostWiring {
-	createCarriers(http: HttpClient, settings: HostSettings): readonly Carrier[]
+	createCarriers(http: HttpClient, settings: HostSettings): readonly CommandExecutor[]
 	createControllers(board: Board, clock: Clock): readonly Controller[]
 	/** The first one serves callers; `Host.start` returns its port. */
 	createFrontEnds(board: Board, gateway: Gateway, telemetry: Telemetry): readonly FrontEnd[]
@@ -58,12 +58,8 @@
 export class ZoneWiring implements HostWiring {
 	readonly hasPeers = true
 
-	createCarriers(http: HttpClient, {platformUrl}: HostSettings): readonly Carrier[] {
-		return [
-			new PlatformCarrier(http, platformUrl),
-			new WorkerCarrier(http),
-			new EndpointCarrier(http)
-		]
+	createCarriers(http: HttpClient, {platformUrl}: HostSettings): readonly CommandExecutor[] {
+		return [new PlatformClient(http, platformUrl), new WorkerClient(http), new EndpointClient(http)]
 	}
 
 	createControllers(_board: Board, clock: Clock): readonly Controller[] {
@@ -83,7 +79,7 @@
 	readonly #http = new HttpClient()
 	readonly #runner: CommandRunner
 	readonly #gateway: Gateway
-	readonly #peerCarrier: PeerCarrier | undefined
+	readonly #peerCarrier: PeerClient | undefined
 	readonly #peerServer: PeerServer | undefined
 	readonly #telemetry: Telemetry
 	readonly #frontEnds: readonly FrontEnd[]
@@ -95,7 +91,7 @@
 		const carriers = [...wiring.createCarriers(this.#http, settings)]
 		if (wiring.hasPeers) {
 			const seal = new PeerSeal(settings.peerSecrets)
-			this.#peerCarrier = new PeerCarrier(settings.hostId, seal)
+			this.#peerCarrier = new PeerClient(settings.hostId, seal)
 			this.#peerServer = new PeerServer(this.board, clock, seal)
 			carriers.push(this.#peerCarrier)
 		}
@@ -156,7 +152,7 @@
 		this.board.lifecycle.set("state", Lifecycle.stopping)
 		await this.#waitUntil(() => this.#isQuiet(), giveUpAt - handOverMs)
 		this.board.lifecycle.set("state", Lifecycle.drained)
-		await this.#waitUntil(() => this.board.authority.get(scope)?.mine !== true, giveUpAt)
+		await this.#waitUntil(() => this.board.authority.get(scope)?.isHeldHere !== true, giveUpAt)
 		await this.#waitUntil(() => this.#clock.now() >= closeAt, giveUpAt)
 		await Promise.all(this.#servers.map(server => this.#closeServer(server, giveUpAt)))
 		this.#loop.stop()
--- a/src/policies/guarantee-homes.ts
+++ b/src/policies/guarantee-homes.ts
@@ -2,7 +2,7 @@
 import {
 	type FleetTask,
 	type FleetWorker,
-	type GuaranteeHome,
+	type GuaranteePlacement,
 	type GuaranteeUnit,
 	HomeWorker
 } from "../internal.js"
@@ -13,12 +13,12 @@
 }
 
 export class GuaranteeHomes {
-	readonly list: readonly GuaranteeHome[]
+	readonly list: readonly GuaranteePlacement[]
 	/** Number of units that have a placement. */
 	readonly count: number
 	readonly #byWorker = new Map<string, WorkerHome[]>()
 
-	constructor(list: readonly GuaranteeHome[]) {
+	constructor(list: readonly GuaranteePlacement[]) {
 		this.list = list
 		this.count = list.filter(({members}) => members.length > 0).length
 		for (const {unit, members} of list) {
--- a/src/policies/guarantee.ts
+++ b/src/policies/guarantee.ts
@@ -6,7 +6,7 @@
 import {
 	type BundleContent,
 	type FleetWorker,
-	type GuaranteeHome,
+	type GuaranteePlacement,
 	type GuaranteeUnit,
 	type HomeFit,
 	Adjacency,
@@ -36,7 +36,7 @@
 		units: readonly GuaranteeUnit[],
 		workers: Iterable<FleetWorker>,
 		now: number
-	): readonly GuaranteeHome[]
+	): readonly GuaranteePlacement[]
 }
 
 /**
@@ -51,11 +51,11 @@
 		units: readonly GuaranteeUnit[],
 		workers: Iterable<FleetWorker>,
 		now: number
-	): readonly GuaranteeHome[] {
+	): readonly GuaranteePlacement[] {
 		const candidates = [...workers]
 			.filter(({usable}) => usable)
 			.map(worker => new HomeWorker(worker, now))
-		const homes = new Map<string, GuaranteeHome>()
+		const homes = new Map<string, GuaranteePlacement>()
 		const ordered = [...units].sort(compareDifficulty)
 		const active = new Set(
 			candidates.flatMap(({worker}) => worker.tasks.map(({workspace}) => workspace))
@@ -109,7 +109,7 @@
 	return fits.reduce((sum, {cost}) => sum + cost, 0)
 }
 
-function assignHome(unit: GuaranteeUnit, fits: readonly HomeFit[]): GuaranteeHome {
+function assignHome(unit: GuaranteeUnit, fits: readonly HomeFit[]): GuaranteePlacement {
 	for (const {worker, accelerators} of fits) worker.assign(unit, accelerators)
 	return {
 		unit,
--- a/src/policies/reclaim.ts
+++ b/src/policies/reclaim.ts
@@ -7,7 +7,7 @@
 	type FleetWorker,
 	type GangShape,
 	type GuaranteeHomes,
-	type HomeMember,
+	type AcceleratorBlock,
 	type JobRecord,
 	Adjacency,
 	PriorityClass,
@@ -29,7 +29,7 @@
 }
 
 export interface ReclaimChoice {
-	readonly members: readonly HomeMember[]
+	readonly members: readonly AcceleratorBlock[]
 	/** Jobs to stop; empty if enough capacity is already free. */
 	readonly victims: readonly string[]
 }
--- a/src/policies/zone-choice-load.ts
+++ b/src/policies/zone-choice-load.ts
@@ -5,12 +5,12 @@
  * so that a retry gets the same zone.
  */
 import {
-	type PeerNews,
+	type PeerStatus,
 	type ZoneChoiceContext,
 	type ZoneChoicePolicy,
 	type ZoneConfig,
 	JobKind,
-	LOCAL_QUEUE_SLACK,
+	LOCAL_QUEUE_THRESHOLD,
 	REGION_PAYLOAD_BYTES,
 	computeFraction
 } from "../internal.js"
@@ -39,18 +39,18 @@
 
 function findQueued({ownZone, ownQueued, peers}: ZoneChoiceContext, zone: string): number {
 	if (zone === ownZone && ownQueued !== undefined) return ownQueued
-	let latest: {news: PeerNews; heardAt: number} | undefined
+	let latest: {status: PeerStatus; observedAt: number} | undefined
 	for (const peer of peers) {
-		if (peer.news.zone !== zone || !peer.news.holding) continue
-		if (latest === undefined || peer.heardAt > latest.heardAt) latest = peer
+		if (peer.status.zone !== zone || !peer.status.holding) continue
+		if (latest === undefined || peer.observedAt > latest.observedAt) latest = peer
 	}
-	return latest?.news.queued ?? 0
+	return latest?.status.queued ?? 0
 }
 
 /** True if the zone's queue is long and that of another zone is less than half as long. */
 function isCrowded({name}: ZoneConfig, queued: ReadonlyMap<string, number>): boolean {
 	const here = queued.get(name) ?? 0
-	return here > LOCAL_QUEUE_SLACK && Math.min(...queued.values()) * 2 < here
+	return here > LOCAL_QUEUE_THRESHOLD && Math.min(...queued.values()) * 2 < here
 }
 
 function drawZone(
--- a/src/types/cluster.ts
+++ b/src/types/cluster.ts
@@ -92,7 +92,7 @@
 	readonly leaseVersion: number
 	/** Monotonic time at which this lease version was first read, or at which this host sent its write. */
 	readonly observedAt: number
-	readonly mine: boolean
+	readonly isHeldHere: boolean
 }
 
 export interface Guarantee {
--- a/src/types/commands.ts
+++ b/src/types/commands.ts
@@ -10,8 +10,8 @@
 	type HostRecord,
 	type JobNotice,
 	type LeaseAnswer,
-	type PeerNews,
-	type PeerQuestion,
+	type PeerStatus,
+	type PeerQuery,
 	type TaskReport,
 	type WorkerCapacity,
 	type WorkerListAnswer
@@ -245,7 +245,7 @@
 		request: {readonly taskId: string; readonly incarnation: string}
 		answer: CallReport
 	}
-	"peer-exchange": {request: PeerQuestion; answer: PeerNews}
+	"peer-exchange": {request: PeerQuery; answer: PeerStatus}
 	"peer-notify-job": {request: {readonly notices: readonly JobNotice[]}; answer: null}
 }
 
--- a/src/types/jobs.ts
+++ b/src/types/jobs.ts
@@ -112,7 +112,7 @@
 	/** Monotonic time at which this host first saw the job, less the time it was queued in earlier zones. */
 	readonly seenAt: number
 	/** Workers that this job failed on; the next attempt avoids them. */
-	readonly avoid: readonly string[]
+	readonly failedOn: readonly string[]
 	/** Earliest monotonic time of the next attempt. */
 	readonly notBefore: number
 }
--- a/src/types/peers.ts
+++ b/src/types/peers.ts
@@ -1,7 +1,7 @@
 /** Messages between hosts, independent of the wire format. */
 
 /** Status that a host reports to a peer. It carries ages instead of times, since clocks are not compared. */
-export interface PeerNews {
+export interface PeerStatus {
 	readonly hostId: string
 	readonly zone: string
 	/** The signed bundle as JSON, only in an answer to a query with `wantsBundle`. */
@@ -16,13 +16,13 @@
 	readonly stopping: boolean
 }
 
-export interface PeerQuestion extends PeerNews {
+export interface PeerQuery extends PeerStatus {
 	readonly wantsBundle: boolean
 }
 
 export interface PeerEntry {
-	readonly news: PeerNews
-	readonly heardAt: number
+	readonly status: PeerStatus
+	readonly observedAt: number
 	/**
 	 * Latest monotonic time at which the reported generation was known to be current. Set only by an answer, relative
 	 * to the time at which its query was issued: the transit time of an incoming query is unbounded.
@@ -33,7 +33,7 @@
 /** A query from a peer; the reply is posted to the board under the same id. */
 export interface PeerRequest {
 	readonly id: string
-	readonly question: PeerQuestion
+	readonly query: PeerQuery
 	readonly arrivedAt: number
 }
 
@@ -58,5 +58,5 @@
 /** Hosts whose callers wait for a job, each with the monotonic time at which the wait ends. */
 export interface WatchEntry {
 	readonly jobId: string
-	readonly until: ReadonlyMap<string, number>
+	readonly untilByHost: ReadonlyMap<string, number>
 }
--- a/src/types/requests.ts
+++ b/src/types/requests.ts
@@ -93,7 +93,7 @@
 	/** Empty if the caller sent none. */
 	readonly key: string
 	/** Time from arrival for which the caller waits for the reply. */
-	readonly patienceMs: number
+	readonly replyTimeoutMs: number
 	/** The submitted specification, or why it is malformed; undefined if none was sent. */
 	readonly spec: Result<WorkflowSpec, MalformedError> | undefined
 }
--- a/src/types/scheduling.ts
+++ b/src/types/scheduling.ts
@@ -22,21 +22,21 @@
 }
 
 /** Accelerators of one worker that one member of a gang can use. */
-export interface HomeMember {
+export interface AcceleratorBlock {
 	readonly workerId: string
 	readonly accelerators: readonly number[]
 }
 
 /** Where a guaranteed shape could be claimed now; `members` is empty if it fits nowhere. */
-export interface GuaranteeHome {
+export interface GuaranteePlacement {
 	readonly unit: GuaranteeUnit
-	readonly members: readonly HomeMember[]
+	readonly members: readonly AcceleratorBlock[]
 }
 
 /** Capacity held for a job until the borrowers that use it have stopped. */
 export interface HoldEntry {
 	readonly jobId: string
-	readonly members: readonly HomeMember[]
+	readonly members: readonly AcceleratorBlock[]
 	/** Jobs that are being stopped for it. */
 	readonly victims: readonly string[]
 	readonly reason: ReasonCode
--- a/src/types/transitions.ts
+++ b/src/types/transitions.ts
@@ -55,7 +55,7 @@
 	| (TransitionBase & {readonly kind: typeof TransitionKind.requestCancel})
 
 /** The committed record, or why the transition was refused. */
-export interface Verdict {
+export interface TransitionResult {
 	readonly transition: Transition
 	readonly result: Result<{record: JobRecord; version: number; created: boolean}, RefusalError>
 }
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -149,7 +149,7 @@
 	readonly record: WorkflowRecord
 	readonly occurrences: Map<number, Occurrence>
 	/** For each step, the estimated time from its start to the end of the last step that depends on it. */
-	readonly chainsMs: readonly number[]
+	readonly criticalPathsMs: readonly number[]
 	state: WorkflowState
 	savedState: WorkflowState
 	stateVersion: number
@@ -226,7 +226,7 @@
 	/** Monotonic time of the last answer. */
 	readonly answeredAt: number
 	/** Monotonic time by which, unless renewed, every lease granted by this or an earlier holder has expired. */
-	readonly lapsesAt: number
+	readonly leaseExpiresAt: number
 	readonly failures: number
 	/** Earliest monotonic time at which a draining worker leaves; undefined if the worker does not announce it. */
 	readonly leavesAt: number | undefined
@@ -243,9 +243,9 @@
 	/** Workflows whose runs failed on the worker since its last success. */
 	readonly failedWorkflows: readonly string[]
 	/** The worker gets no new runs before this monotonic time. */
-	readonly closedUntil: number
+	readonly quarantinedUntil: number
 	/** Before this monotonic time, the worker gets new runs only if no other worker fits. */
-	readonly doubtedUntil: number
+	readonly suspectUntil: number
 	/** Runs on the worker that its holder has no record of. */
 	readonly foreignRuns: readonly {readonly taskId: string; readonly run: number}[]
 }
--- a/src/utils/authority.ts
+++ b/src/utils/authority.ts
@@ -1,5 +1,10 @@
 /** Finds which host schedules: the holder of a zone, or of a domain of several zones. */
-import {type AuthorityEntry, type Board, type HostSettings, HOLDER_PROOF_MS} from "../internal.js"
+import {
+	type AuthorityEntry,
+	type Board,
+	type HostSettings,
+	DOMAIN_LEASE_USABLE_MS
+} from "../internal.js"
 
 /** Name in the keys of the holder's rows. */
 export function findAuthorityScope({domain, zone}: HostSettings): string {
@@ -9,11 +14,11 @@
 /** This host's term as holder of its domain, or undefined if it is not the holder. */
 export function findTerm(board: Board): AuthorityEntry | undefined {
 	const entry = board.authority.get(findAuthorityScope(board.settings))
-	return entry?.mine === true ? entry : undefined
+	return entry?.isHeldHere === true ? entry : undefined
 }
 
 /** True while no other host can have taken over, so that this host may command workers. */
 export function isTermProven(board: Board, now: number): boolean {
 	const term = findTerm(board)
-	return term !== undefined && now - term.observedAt < HOLDER_PROOF_MS
+	return term !== undefined && now - term.observedAt < DOMAIN_LEASE_USABLE_MS
 }
--- a/src/utils/fleet-tracker.ts
+++ b/src/utils/fleet-tracker.ts
@@ -6,7 +6,7 @@
 	type Board,
 	type FleetWorker,
 	type Holding,
-	type HomeMember,
+	type AcceleratorBlock,
 	type PlacementDecision,
 	FleetIndex,
 	HostRole,
@@ -94,7 +94,7 @@
 		board: Board,
 		kind: string,
 		jobId: string,
-		members: readonly HomeMember[] = []
+		members: readonly AcceleratorBlock[] = []
 	): void {
 		const source = `${kind} ${jobId}`
 		const holdings = members.map((member, at) =>
@@ -165,7 +165,7 @@
 	board: Board,
 	jobId: string,
 	taskId: string,
-	{workerId, accelerators}: HomeMember
+	{workerId, accelerators}: AcceleratorBlock
 ): WorkerHolding {
 	const shape = board.jobs.get(jobId)?.record.spec.shape
 	const {cpus = 0, memoryMb = 0} = shape ?? {}
--- a/src/utils/ledger.ts
+++ b/src/utils/ledger.ts
@@ -7,7 +7,7 @@
 	type Transition,
 	ANY_VERSION,
 	JobState,
-	REPLACE_DELAY_MS,
+	PLACEMENT_RETRY_DELAY_MS,
 	TransitionKind,
 	formatActiveKey,
 	formatCallerKey,
@@ -93,14 +93,14 @@
 ): JobEntry {
 	// A job that was moved here has waited in another zone; its age and its deadline include that time.
 	const seenAt = now - (record.waitedMs ?? 0)
-	if (known === undefined) return {record, version, seenAt, avoid: [], notBefore: 0}
+	if (known === undefined) return {record, version, seenAt, failedOn: [], notBefore: 0}
 	const requeued = known.record.state === JobState.claimed && record.state === JobState.queued
 	if (!requeued) return {...known, record, version}
-	const notBefore = now + REPLACE_DELAY_MS
+	const notBefore = now + PLACEMENT_RETRY_DELAY_MS
 	// Only an attempt that counts is evidence against its workers; a refused or withdrawn start is not.
 	if (record.attempts < known.record.attempts) return {...known, record, version, notBefore}
 	const failedOn = (known.record.claim?.members ?? []).map(member => member.workerId)
-	return {...known, record, version, notBefore, avoid: [...known.avoid, ...failedOn]}
+	return {...known, record, version, notBefore, failedOn: [...known.failedOn, ...failedOn]}
 }
 
 /** The pointer row adds the job to its caller's list at every host. */
--- a/src/utils/nodes.ts
+++ b/src/utils/nodes.ts
@@ -5,7 +5,7 @@
 	type NodeEntry,
 	CATALOG_FRESH_MS,
 	Lifecycle,
-	NODE_LAPSE_MARGIN_MS,
+	NODE_LEASE_MARGIN_MS,
 	NODE_LEASE_MS,
 	WORKER_CLOCK_ERROR
 } from "../internal.js"
@@ -17,7 +17,7 @@
 
 /** Time at which a lease granted at `grantedAt` has certainly expired on the worker, however slow its clock is. */
 export function computeLapse(grantedAt: number): number {
-	return grantedAt + NODE_LEASE_MS / (1 - WORKER_CLOCK_ERROR) + NODE_LAPSE_MARGIN_MS
+	return grantedAt + NODE_LEASE_MS / (1 - WORKER_CLOCK_ERROR) + NODE_LEASE_MARGIN_MS
 }
 
 /** True while the worker may be given new runs. */
--- a/src/utils/peers.ts
+++ b/src/utils/peers.ts
@@ -2,7 +2,7 @@
 import {
 	type Board,
 	type HostRecord,
-	type PeerNews,
+	type PeerStatus,
 	HostRole,
 	JobState,
 	Lifecycle,
@@ -40,11 +40,11 @@
 	return [...peers, ...peers].slice(from, from + count)
 }
 
-export function buildPeerNews(board: Board, withBundle: boolean, now: number): PeerNews {
+export function buildPeerNews(board: Board, withBundle: boolean, now: number): PeerStatus {
 	const {hostId, zone} = board.settings
 	const current = board.bundle.get("current")
 	const known = current !== undefined && Number.isFinite(current.evidenceAt)
-	const holding = board.authority.get(zone)?.mine === true
+	const holding = board.authority.get(zone)?.isHeldHere === true
 	return {
 		hostId,
 		zone,
--- a/src/utils/placement-queue.ts
+++ b/src/utils/placement-queue.ts
@@ -1,5 +1,11 @@
 /** Tracks the zone's queued tasks from changes of the board, instead of listing them again at every step. */
-import {type Board, type JobEntry, JobKind, JobState, REPLACE_DELAY_MS} from "../internal.js"
+import {
+	type Board,
+	type JobEntry,
+	JobKind,
+	JobState,
+	PLACEMENT_RETRY_DELAY_MS
+} from "../internal.js"
 
 interface Watches {
 	readonly jobs: Set<string>
@@ -83,7 +89,7 @@
 
 	#computeReadyAt(job: JobEntry): number {
 		const placedAt = this.#placedAt.get(job.record.id)
-		const replacedAt = placedAt === undefined ? 0 : placedAt + REPLACE_DELAY_MS
+		const replacedAt = placedAt === undefined ? 0 : placedAt + PLACEMENT_RETRY_DELAY_MS
 		return Math.max(replacedAt, job.notBefore)
 	}
 }
--- a/src/utils/ready-steps.ts
+++ b/src/utils/ready-steps.ts
@@ -23,7 +23,7 @@
 	const queues = new Map(catalog.queues.map(queue => [queue.name, queue]))
 	const ready: ReadyStep[] = []
 	for (const workflow of active) {
-		const {record, acceptedAt, chainsMs} = workflow
+		const {record, acceptedAt, criticalPathsMs: chainsMs} = workflow
 		const rank = findRank(workflow, guaranteed)
 		const queue = queues.get(record.queue)
 		for (const occurrence of workflow.occurrences.values()) {
--- a/src/utils/replies.ts
+++ b/src/utils/replies.ts
@@ -42,7 +42,7 @@
 		generation: current?.bundle.generation ?? 0,
 		ageMs: 0
 	}
-	const others = [...board.peers.values()].map(({news, heardAt}) => ({
+	const others = [...board.peers.values()].map(({status: news, observedAt: heardAt}) => ({
 		hostId: news.hostId,
 		zone: news.zone,
 		generation: news.generation,
--- a/src/utils/rooms.ts
+++ b/src/utils/rooms.ts
@@ -45,9 +45,9 @@
 	for (const node of board.nodes.values()) {
 		if (!isNodeOpen(node, catalog)) continue
 		const health = board.health.get(node.registration.id)
-		if (health !== undefined && (health.closedUntil > now || health.foreignRuns.length > 0))
+		if (health !== undefined && (health.quarantinedUntil > now || health.foreignRuns.length > 0))
 			continue
-		const isDoubted = health !== undefined && health.doubtedUntil > now
+		const isDoubted = health !== undefined && health.suspectUntil > now
 		const room = buildRoom(board, node, guaranteed, isDoubted, now)
 		const {service} = node.registration
 		const list = rooms.get(service)
@@ -65,7 +65,7 @@
 	now: number
 ): NodeRoom {
 	const {id, incarnation, rack, labels, capacity} = registration
-	const used = board.runs.sumOn(id)
+	const used = board.runs.sumDemandOn(id)
 	let runs: RoomRun[] | undefined
 	return {
 		id,
--- a/src/utils/workflows.ts
+++ b/src/utils/workflows.ts
@@ -112,7 +112,7 @@
 	return {
 		record,
 		occurrences: new Map(),
-		chainsMs: computeChains(record.spec.steps),
+		criticalPathsMs: computeChains(record.spec.steps),
 		state: WorkflowState.queued,
 		savedState: WorkflowState.queued,
 		stateVersion: 0,
--- a/standins/in-process.ts
+++ b/standins/in-process.ts
@@ -14,8 +14,8 @@
 	type HostRequest,
 	type HostSettings,
 	type JobNotice,
-	type PeerNews,
-	type PeerQuestion,
+	type PeerStatus,
+	type PeerQuery,
 	type Policies,
 	type Reply,
 	type WorkerCapacity,
@@ -69,7 +69,7 @@
 	readonly #keys = generateKeyPairSync("ed25519")
 	readonly #asked = new Map<string, (reply: Reply) => void>()
 	readonly pastRuns: RunEntry[] = []
-	readonly #askedByPeers = new Map<string, (news: PeerNews) => void>()
+	readonly #askedByPeers = new Map<string, (news: PeerStatus) => void>()
 	plan: FaultPlan
 
 	constructor({clock, plan = new CalmPlan(), policies}: InProcessOptions) {
@@ -310,7 +310,7 @@
 	/** A killed host never replies. */
 	#askPeer(
 		target: string,
-		question: PeerQuestion,
+		question: PeerQuery,
 		onResult: (result: Result<unknown, CallError>) => void
 	): void {
 		const host = this.hosts.get(target)
@@ -319,7 +319,7 @@
 		this.#askedByPeers.set(id, news => {
 			onResult(ok(news))
 		})
-		host.board.peerRequests.set(id, {id, question, arrivedAt: this.#clock.now()})
+		host.board.peerRequests.set(id, {id, query: question, arrivedAt: this.#clock.now()})
 	}
 
 	#notifyPeer(target: string, notices: readonly JobNotice[]): null {
