Rename names of the controllers of jobs

Cause: engineers who join read figurative or private names without knowing what they mean. Before and after: no token differs but names; the type check passes. Conclusion: one word for each concept over all parts.

--- a/__tests__/limits.test.ts
+++ b/__tests__/limits.test.ts
@@ -39,12 +39,12 @@
 	const boards = HOSTS.map(host => cluster.hosts.get(host)!.board)
 	const holder = boards.find(board => board.authority.get("zone-a")?.isHeldHere === true)!
 	const submit = (key: string, spec: JobSpec, host = holder.settings.hostId): (() => Reply) => {
-		let heard: Reply | undefined
+		let received: Reply | undefined
 		const identity = {workspace: WORKSPACE, caller: "clerk", operator: false}
 		cluster.ask(host, {kind: RequestKind.submit, identity, key, spec}, reply => {
-			heard = reply
+			received = reply
 		})
-		return () => heard!
+		return () => received!
 	}
 	const countRunning = (): number =>
 		[...holder.jobs.values()].filter(({record}) => record.state === JobState.claimed).length
@@ -78,8 +78,8 @@
 		const {clock, submit} = createLimitedZone({maxAccelerators: 4})
 		const reply = submit("large", createTask(8))
 		clock.advance(1000)
-		const heard = reply()
-		expect(heard.kind === ReplyKind.refused && heard.refusal).to.include({
+		const answer = reply()
+		expect(answer.kind === ReplyKind.refused && answer.refusal).to.include({
 			reason: ReasonCode.overQuota,
 			ran: "no"
 		})
--- a/__tests__/permits.test.ts
+++ b/__tests__/permits.test.ts
@@ -15,8 +15,8 @@
 import {createBundleContent} from "./fixtures/cluster.js"
 import {CLERK, createRig, isPlatformCommand} from "./fixtures/in-process.js"
 
-const OUT_AT_MS = 3000
-const WATCH_MS = 12000
+const TAKE_OUT_AT_MS = 3000
+const OBSERVE_MS = 12000
 const RUNS = 60
 
 interface Trial {
@@ -64,10 +64,10 @@
 	clock.schedule(trial.freezeAt + trial.freezeMs, () => {
 		frozen.loop.start()
 	})
-	clock.schedule(OUT_AT_MS, () => {
+	clock.schedule(TAKE_OUT_AT_MS, () => {
 		rollOut(["zone-a"])
 	})
-	for (let at = 0; at < OUT_AT_MS + WATCH_MS; at += 100) {
+	for (let at = 0; at < TAKE_OUT_AT_MS + OBSERVE_MS; at += 100) {
 		for (const kind of ["task", "call"] as const) submitTo(ask, holder.settings.hostId, kind, at)
 		clock.advance(100)
 	}
@@ -76,7 +76,7 @@
 		...cluster.endpoints.get("zone-a-endpoint")!.runs
 	]
 	const latest = Math.max(...runs.map(({startedWallMs}) => startedWallMs))
-	return {starts: runs.length, latestMs: latest - from - OUT_AT_MS}
+	return {starts: runs.length, latestMs: latest - from - TAKE_OUT_AT_MS}
 }
 
 function submitTo(
@@ -123,7 +123,7 @@
 	it("let nothing start in a zone later than the permit after it was taken out", function () {
 		this.timeout(180000)
 		let starts = 0
-		const at = fc.integer({min: 0, max: OUT_AT_MS + 3000})
+		const at = fc.integer({min: 0, max: TAKE_OUT_AT_MS + 3000})
 		const trial = fc.record({
 			seed: fc.integer({min: 1, max: 1e9}),
 			cutPlatformAt: at,
--- a/__tests__/rehome.test.ts
+++ b/__tests__/rehome.test.ts
@@ -65,7 +65,7 @@
 	return createSpec({kind, shape, payload, declaredRunMs: 20000, ...fields})
 }
 
-function createMove(fields: Partial<Extract<Transition, {kind: "rehome"}>> = {}): Transition {
+function createRehome(fields: Partial<Extract<Transition, {kind: "rehome"}>> = {}): Transition {
 	return {
 		id: "w",
 		jobId: "job",
@@ -133,14 +133,14 @@
 describe("moving a job's record", () => {
 	it("is refused once the job may have started", () => {
 		const claimed = createRecord("job", {state: JobState.claimed})
-		const result = applyTransition(createMove(), claimed, 1, "w")
+		const result = applyTransition(createRehome(), claimed, 1, "w")
 		expect(result._unsafeUnwrapErr().reason).to.equal(ReasonCode.alreadyClaimed)
 	})
 
 	it("takes the active row along and keeps the time waited", () => {
-		const record = applyTransition(createMove(), createRecord("job"), 1, "w")._unsafeUnwrap()
+		const record = applyTransition(createRehome(), createRecord("job"), 1, "w")._unsafeUnwrap()
 		expect(record).to.include({zone: "zone-b", movedFrom: "zone-a", waitedMs: 70})
-		const writes = buildActiveWrites(createMove(), record)
+		const writes = buildActiveWrites(createRehome(), record)
 		expect(writes.map(({key, value}) => [key, value])).to.deep.equal([
 			["active/zone-a/job", null],
 			["active/zone-b/job", "job"]
--- a/__tests__/write-window.test.ts
+++ b/__tests__/write-window.test.ts
@@ -23,7 +23,7 @@
 const accept: Transition = {...base, kind: TransitionKind.accept, record: createRecord("job")}
 const rehome: Transition = {...base, kind: TransitionKind.rehome, zone: "zone-b", waitedMs: 0}
 
-function fillFor(window: WriteWindow, transition: Transition): number {
+function fillWindow(window: WriteWindow, transition: Transition): number {
 	const before = window.inFlight
 	while (window.isOpenFor(transition)) window.noteSent()
 	return window.inFlight - before
@@ -56,14 +56,14 @@
 describe("the ledger's write window", () => {
 	it("keeps capacity for ending work that is under way", () => {
 		const window = new WriteWindow()
-		expect(fillFor(window, accept)).to.be.lessThan(WRITE_WINDOW_MAX)
-		expect(fillFor(window, rehome)).to.be.greaterThan(0)
+		expect(fillWindow(window, accept)).to.be.lessThan(WRITE_WINDOW_MAX)
+		expect(fillWindow(window, rehome)).to.be.greaterThan(0)
 		expect(window.inFlight).to.equal(WRITE_WINDOW_MAX)
 	})
 
 	it("halves once for commits lost together and widens with answers", () => {
 		const window = new WriteWindow()
-		fillFor(window, rehome)
+		fillWindow(window, rehome)
 		while (window.inFlight > 0) window.noteLoss(0, 2000)
 		expect(window.size).to.equal(WRITE_WINDOW_MAX / 2)
 		for (let at = 0; at < 20; at++) {
--- a/src/controllers/admission.ts
+++ b/src/controllers/admission.ts
@@ -54,8 +54,8 @@
 	}
 
 	step(board: Board, now: number): number | undefined {
-		for (const verdict of board.takeTransitionResults(this.name))
-			this.#settleVerdict(board, verdict)
+		for (const result of board.takeTransitionResults(this.name))
+			this.#settleTransition(board, result)
 		for (const completion of board.takeCompletions(this.name))
 			this.#settleRead(board, completion as Completion<"table-read">)
 		for (const request of [...board.requests.values()]) {
@@ -70,7 +70,7 @@
 		const content = board.bundle.get("current")?.bundle.content
 		const refusal = this.#check(board, request, content)
 		if (refusal !== undefined || content === undefined) {
-			this.#refuseUnlessKnown(
+			this.#refuseUnlessAccepted(
 				board,
 				request,
 				refusal ?? buildRefusal(ReasonCode.noBundle, RanState.no),
@@ -89,7 +89,7 @@
 		})
 		if (zone === undefined) {
 			const reason = ReasonCode.noZoneInService
-			this.#refuseUnlessKnown(board, request, buildRefusal(reason, RanState.no), now)
+			this.#refuseUnlessAccepted(board, request, buildRefusal(reason, RanState.no), now)
 			return
 		}
 		const id = board.requestTransition({
@@ -159,7 +159,7 @@
 		}
 	}
 
-	#settleVerdict(board: Board, {transition, result}: TransitionResult): void {
+	#settleTransition(board: Board, {transition, result}: TransitionResult): void {
 		const request = this.#waiting.get(transition.id)
 		this.#waiting.delete(transition.id)
 		if (request === undefined) return
@@ -182,7 +182,7 @@
 	}
 
 	/** Checks the job's row first: if the key was accepted before and the reply was lost, "not run" would be wrong. */
-	#refuseUnlessKnown(board: Board, request: SubmitRequest, refusal: Refusal, now: number): void {
+	#refuseUnlessAccepted(board: Board, request: SubmitRequest, refusal: Refusal, now: number): void {
 		const {workspace, caller} = request.identity
 		this.#refusing.set(request.id, {request, refusal})
 		issueTableRead(
--- a/src/controllers/answer.ts
+++ b/src/controllers/answer.ts
@@ -32,13 +32,13 @@
 	formatJobKey
 } from "../internal.js"
 
-type JobQuestion = Extract<HostRequest, {kind: "get" | "wait" | "cancel"}>
+type SingleJobRequest = Extract<HostRequest, {kind: "get" | "wait" | "cancel"}>
 
-interface Waiting {
-	readonly request: JobQuestion
+interface WaitingRequest {
+	readonly request: SingleJobRequest
 	until: number
-	readAt: number
-	busy: boolean
+	nextReadAt: number
+	inFlight: boolean
 	/** Set if the job ended during a read, whose result may not show it. */
 	outdated: boolean
 	/** Set once the job has ended and only its large answer remains to be read. */
@@ -55,14 +55,14 @@
 		SectionName.notices,
 		SectionName.lifecycle
 	]
-	readonly #waiting = new Map<string, Waiting>()
-	readonly #cancels = new Map<string, JobQuestion>()
+	readonly #waiting = new Map<string, WaitingRequest>()
+	readonly #cancels = new Map<string, SingleJobRequest>()
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
-		for (const verdict of board.takeTransitionResults(this.name)) this.#settleCancel(board, verdict)
+		for (const result of board.takeTransitionResults(this.name)) this.#settleCancel(board, result)
 		this.#takeNotices(board, now)
-		for (const request of [...board.requests.values()]) this.#takeUp(board, request, now)
+		for (const request of [...board.requests.values()]) this.#handleRequest(board, request, now)
 		if (board.lifecycle.get("state") !== Lifecycle.serving) this.#endWaits(now)
 		let earliest: number | undefined
 		for (const waiting of [...this.#waiting.values()]) {
@@ -72,7 +72,7 @@
 		return earliest
 	}
 
-	#takeUp(board: Board, request: HostRequest, now: number): void {
+	#handleRequest(board: Board, request: HostRequest, now: number): void {
 		switch (request.kind) {
 			case RequestKind.get:
 			case RequestKind.cancel:
@@ -83,8 +83,8 @@
 				this.#waiting.set(request.id, {
 					request,
 					until,
-					readAt: now,
-					busy: false,
+					nextReadAt: now,
+					inFlight: false,
 					outdated: false,
 					record: undefined
 				})
@@ -105,8 +105,8 @@
 		}
 		for (const waiting of this.#waiting.values()) {
 			if (!ended.has(waiting.request.jobId)) continue
-			waiting.readAt = now
-			waiting.outdated = waiting.busy
+			waiting.nextReadAt = now
+			waiting.outdated = waiting.inFlight
 		}
 	}
 
@@ -114,12 +114,12 @@
 	#endWaits(now: number): void {
 		for (const waiting of this.#waiting.values()) {
 			waiting.until = Math.min(waiting.until, now)
-			waiting.readAt = Math.min(waiting.readAt, now)
+			waiting.nextReadAt = Math.min(waiting.nextReadAt, now)
 		}
 	}
 
-	#advance(board: Board, waiting: Waiting, now: number): number | undefined {
-		if (waiting.busy) return undefined
+	#advance(board: Board, waiting: WaitingRequest, now: number): number | undefined {
+		if (waiting.inFlight) return undefined
 		if (waiting.record === undefined) {
 			const ended = board.ended.get(waiting.request.jobId)
 			if (ended !== undefined) {
@@ -127,8 +127,8 @@
 				return this.#waiting.has(waiting.request.id) ? now : undefined
 			}
 		}
-		if (now < waiting.readAt) return waiting.readAt
-		waiting.busy = true
+		if (now < waiting.nextReadAt) return waiting.nextReadAt
+		waiting.inFlight = true
 		const base = {owner: this.name, subject: waiting.request.id, target: ""}
 		const limits = {timeoutMs: PLATFORM_TIMEOUT_MS, issuedAt: now}
 		const key = waiting.record?.outcome?.answerRef
@@ -152,10 +152,10 @@
 	#settle(board: Board, {command, result}: Completion, now: number): void {
 		const waiting = this.#waiting.get(command.subject)
 		if (waiting === undefined) return
-		waiting.busy = false
-		waiting.readAt = Math.min(now + WAIT_POLL_INTERVAL_MS, Math.max(now, waiting.until))
+		waiting.inFlight = false
+		waiting.nextReadAt = Math.min(now + WAIT_POLL_INTERVAL_MS, Math.max(now, waiting.until))
 		if (result.isErr()) {
-			if (now >= waiting.until) this.#refuseUnread(board, waiting)
+			if (now >= waiting.until) this.#refuseUnreadable(board, waiting)
 		} else if (command.kind === CommandKind.objectGet)
 			this.#settleObject(board, waiting, result.value as string | null, now)
 		else {
@@ -166,24 +166,24 @@
 	}
 
 	/** Replies only with the complete answer; while it is missing, it is read again until the request's deadline. */
-	#settleObject(board: Board, waiting: Waiting, answer: string | null, now: number): void {
+	#settleObject(board: Board, waiting: WaitingRequest, answer: string | null, now: number): void {
 		const {record} = waiting
 		if (record?.outcome === undefined) return
 		if (answer === null) {
-			if (now >= waiting.until) this.#refuseUnread(board, waiting)
+			if (now >= waiting.until) this.#refuseUnreadable(board, waiting)
 			return
 		}
 		this.#reply(board, waiting, {...record, outcome: {...record.outcome, answer}})
 	}
 
-	#refuseUnread(board: Board, waiting: Waiting): void {
+	#refuseUnreadable(board: Board, waiting: WaitingRequest): void {
 		const ran = waiting.record === undefined ? RanState.unknown : RanState.yes
 		const {jobId} = waiting.request
 		const detail = "the job's record or answer can't be read now"
 		this.#refuse(board, waiting, buildRefusal(ReasonCode.platformUnavailable, ran, detail, jobId))
 	}
 
-	#answer(board: Board, waiting: Waiting, record: JobRecord | undefined, now: number): void {
+	#answer(board: Board, waiting: WaitingRequest, record: JobRecord | undefined, now: number): void {
 		const {request} = waiting
 		if (record === undefined || !isOwner(request.identity, record)) {
 			this.#refuse(
@@ -200,30 +200,30 @@
 		}
 		if (record.state !== JobState.ended && now < waiting.until) {
 			const pauseMs = waiting.outdated ? 0 : WAIT_POLL_INTERVAL_MS
-			waiting.readAt = Math.min(now + pauseMs, waiting.until)
+			waiting.nextReadAt = Math.min(now + pauseMs, waiting.until)
 			waiting.outdated = false
 			if (!board.jobs.has(record.id)) board.announce(NoticeKind.watched, record.id, record.zone)
 			return
 		}
 		if (record.outcome?.answerRef !== undefined) {
 			waiting.record = record
-			waiting.readAt = now
+			waiting.nextReadAt = now
 			return
 		}
 		this.#reply(board, waiting, record)
 	}
 
-	#reply(board: Board, {request}: Waiting, record: JobRecord): void {
+	#reply(board: Board, {request}: WaitingRequest, record: JobRecord): void {
 		this.#waiting.delete(request.id)
 		board.replies.set(request.id, {kind: ReplyKind.job, created: false, job: buildJobView(record)})
 	}
 
-	#refuse(board: Board, {request}: Waiting, refusal: Refusal): void {
+	#refuse(board: Board, {request}: WaitingRequest, refusal: Refusal): void {
 		this.#waiting.delete(request.id)
 		board.replies.set(request.id, {kind: ReplyKind.refused, refusal})
 	}
 
-	#cancel(board: Board, request: JobQuestion, now: number): void {
+	#cancel(board: Board, request: SingleJobRequest, now: number): void {
 		const id = board.requestTransition({
 			kind: TransitionKind.requestCancel,
 			jobId: request.jobId,
--- a/src/controllers/call.ts
+++ b/src/controllers/call.ts
@@ -57,8 +57,8 @@
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
-		for (const verdict of board.takeTransitionResults(this.name))
-			this.#settleVerdict(board, verdict, now)
+		for (const result of board.takeTransitionResults(this.name))
+			this.#settleTransition(board, result, now)
 		if (board.authority.get(board.settings.zone)?.isHeldHere !== true) {
 			for (const id of [...board.calls.keys()]) board.calls.delete(id)
 			return undefined
@@ -95,15 +95,15 @@
 	}
 
 	#dispatch(board: Board, now: number): void {
-		const taken = new Map<string, number>()
+		const usedSlots = new Map<string, number>()
 		for (const call of board.calls.values())
-			taken.set(call.endpointId, (taken.get(call.endpointId) ?? 0) + 1)
-		let free = this.#countFreeSlots(board, taken, now)
+			usedSlots.set(call.endpointId, (usedSlots.get(call.endpointId) ?? 0) + 1)
+		let free = this.#countFreeSlots(board, usedSlots, now)
 		if (free === 0) return
 		for (const job of this.#orderWaiting(board, now)) {
-			const endpoint = this.#choose(board, taken, job, now)
+			const endpoint = this.#chooseEndpoint(board, usedSlots, job, now)
 			if (endpoint === undefined) continue
-			taken.set(endpoint.host.id, (taken.get(endpoint.host.id) ?? 0) + 1)
+			usedSlots.set(endpoint.host.id, (usedSlots.get(endpoint.host.id) ?? 0) + 1)
 			this.#claim(board, job, endpoint, now)
 			if (--free === 0) return
 		}
@@ -131,26 +131,26 @@
 		return earliest
 	}
 
-	#countFreeSlots(board: Board, taken: ReadonlyMap<string, number>, now: number): number {
+	#countFreeSlots(board: Board, usedSlots: ReadonlyMap<string, number>, now: number): number {
 		let free = 0
 		for (const endpoint of board.endpoints.values())
-			free += countFree(endpoint, taken.get(endpoint.host.id) ?? 0, now)
+			free += countFree(endpoint, usedSlots.get(endpoint.host.id) ?? 0, now)
 		return free
 	}
 
 	/** Chooses the endpoint with the most free slots; one that the job failed on only if no other is usable. */
-	#choose(
+	#chooseEndpoint(
 		board: Board,
-		taken: ReadonlyMap<string, number>,
+		usedSlots: ReadonlyMap<string, number>,
 		job: JobEntry,
 		now: number
 	): EndpointEntry | undefined {
 		let best: EndpointEntry | undefined
 		let bestFree = 0
-		const inSight = [...board.endpoints.values()].filter(endpoint => isInSight(endpoint, now))
-		const preferred = inSight.filter(({host}) => !job.failedOn.includes(host.id))
-		for (const endpoint of preferred.length > 0 ? preferred : inSight) {
-			const free = countFree(endpoint, taken.get(endpoint.host.id) ?? 0, now)
+		const usable = [...board.endpoints.values()].filter(endpoint => isUsable(endpoint, now))
+		const preferred = usable.filter(({host}) => !job.failedOn.includes(host.id))
+		for (const endpoint of preferred.length > 0 ? preferred : usable) {
+			const free = countFree(endpoint, usedSlots.get(endpoint.host.id) ?? 0, now)
 			if (free > bestFree) [best, bestFree] = [endpoint, free]
 		}
 		return best
@@ -187,7 +187,7 @@
 		})
 	}
 
-	#settleVerdict(board: Board, {transition, result}: TransitionResult, now: number): void {
+	#settleTransition(board: Board, {transition, result}: TransitionResult, now: number): void {
 		const call = board.calls.get(transition.jobId)
 		if (call === undefined) return
 		if (transition.kind !== TransitionKind.claim || result.isErr()) {
@@ -354,10 +354,10 @@
 }
 
 /** Counts the slots free for calls; 0 while the endpoint is leaving or has not answered recently. */
-function countFree(endpoint: EndpointEntry, taken: number, now: number): number {
-	return isInSight(endpoint, now) ? Math.max(0, endpoint.slots - endpoint.foreignInUse - taken) : 0
+function countFree(endpoint: EndpointEntry, used: number, now: number): number {
+	return isUsable(endpoint, now) ? Math.max(0, endpoint.slots - endpoint.foreignInUse - used) : 0
 }
 
-function isInSight({leaving, confirmedAt}: EndpointEntry, now: number): boolean {
+function isUsable({leaving, confirmedAt}: EndpointEntry, now: number): boolean {
 	return !leaving && now - confirmedAt <= ENDPOINT_LOST_MS
 }
--- a/src/controllers/defragment.ts
+++ b/src/controllers/defragment.ts
@@ -23,7 +23,7 @@
 const HOUR_MS = 3600000
 
 /** No job is moved if the largest possible gang could use at least this share of the free accelerators. */
-const FIT_ENOUGH = 0.9
+const SUFFICIENT_FIT_SHARE = 0.9
 
 export class DefragmentController implements Controller {
 	readonly name = "defragment"
@@ -47,13 +47,13 @@
 		if (now < this.#nextAt) return this.#nextAt
 		this.#nextAt = now + DEFRAGMENT_INTERVAL_MS
 		this.#movedAt = this.#movedAt.filter(at => now - at < HOUR_MS)
-		if (this.#isQuiet(board, now) && this.#movedAt.length < movesPerHour)
+		if (this.#isIdle(board, now) && this.#movedAt.length < movesPerHour)
 			this.#move(board, content.policies.placement, now)
 		return this.#nextAt
 	}
 
 	/** Returns whether no reclaim or move is under way and a stopped job could start again. */
-	#isQuiet(board: Board, now: number): boolean {
+	#isIdle(board: Board, now: number): boolean {
 		if (this.#moving !== undefined && board.gangs.has(this.#moving)) {
 			if (board.stops.has(this.#moving)) return false
 		}
@@ -64,7 +64,11 @@
 
 	#move(board: Board, policyName: string, now: number): void {
 		const fleet = board.fleet.get("current")
-		if (fleet === undefined || (board.waiting.size === 0 && computeFit(fleet) >= FIT_ENOUGH)) return
+		if (
+			fleet === undefined ||
+			(board.waiting.size === 0 && computeFit(fleet) >= SUFFICIENT_FIT_SHARE)
+		)
+			return
 		const policy = this.#policies.placement.find(policyName)
 		const move = findDefragmentMove(fleet, policy, listMovable(board, now))
 		if (move === undefined) return
--- a/src/controllers/expiry.ts
+++ b/src/controllers/expiry.ts
@@ -41,14 +41,14 @@
 			const dueAt = this.#check(board, job, now)
 			if (dueAt !== undefined && (earliest === undefined || dueAt < earliest)) earliest = dueAt
 		}
-		this.#shed(board)
+		this.#shedOverflow(board)
 		return earliest
 	}
 
 	#check(board: Board, job: JobEntry, now: number): number | undefined {
 		const {record} = job
 		if (record.state !== JobState.queued || this.#ending.has(record.id)) return undefined
-		if (this.#isOnItsWay(board, record.id)) return undefined
+		if (this.#isDispatched(board, record.id)) return undefined
 		if (record.cancelRequested) {
 			this.#end(board, record.id, ReasonCode.cancelled)
 			return undefined
@@ -59,9 +59,9 @@
 			this.#end(board, record.id, ReasonCode.deadlinePassed)
 			return undefined
 		}
-		const hopelessAt = this.#checkFit(board, record, now)
-		if (dueAt === undefined || hopelessAt === undefined) return dueAt ?? hopelessAt
-		return Math.min(dueAt, hopelessAt)
+		const graceEndsAt = this.#checkFit(board, record, now)
+		if (dueAt === undefined || graceEndsAt === undefined) return dueAt ?? graceEndsAt
+		return Math.min(dueAt, graceEndsAt)
 	}
 
 	/** Ends a job that can never fit, after a grace period: workers that restart are missing for a while. */
@@ -70,27 +70,27 @@
 		const fleet = board.fleet.get("current")
 		if (waiting?.reason !== ReasonCode.noRoom || fleet === undefined || fleet.size === 0)
 			return undefined
-		const hopelessAt = waiting.since + NEVER_FITS_GRACE_MS
-		if (now < hopelessAt) return hopelessAt
+		const graceEndsAt = waiting.since + NEVER_FITS_GRACE_MS
+		if (now < graceEndsAt) return graceEndsAt
 		if (!isEverFitting(spec.shape, fleet.values())) this.#end(board, id, ReasonCode.neverFits)
 		return undefined
 	}
 
 	/** Enforces the queue limit: several hosts accept jobs at once, and only the holder knows the zone's whole queue. */
-	#shed(board: Board): void {
+	#shedOverflow(board: Board): void {
 		const content = board.bundle.get("current")?.bundle.content
 		if (content === undefined) return
 		const queued = [...board.jobs.values()].filter(
 			({record}) =>
 				record.state === JobState.queued &&
 				!this.#ending.has(record.id) &&
-				!this.#isOnItsWay(board, record.id)
+				!this.#isDispatched(board, record.id)
 		)
 		for (const {record} of listOverflow(queued, content))
 			this.#end(board, record.id, ReasonCode.queueFull)
 	}
 
-	#isOnItsWay(board: Board, id: string): boolean {
+	#isDispatched(board: Board, id: string): boolean {
 		return board.gangs.has(id) || board.placements.has(id) || board.calls.has(id)
 	}
 
--- a/src/controllers/gang.ts
+++ b/src/controllers/gang.ts
@@ -62,8 +62,8 @@
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
-		for (const verdict of board.takeTransitionResults(this.name))
-			this.#settleVerdict(board, verdict, now)
+		for (const result of board.takeTransitionResults(this.name))
+			this.#settleTransition(board, result, now)
 		const authority = board.authority.get(board.settings.zone)
 		if (authority?.isHeldHere !== true) {
 			for (const id of [...board.gangs.keys()]) board.gangs.delete(id)
@@ -152,15 +152,15 @@
 		} else if (command.kind === CommandKind.workerStart && result.error instanceof RefusedError) {
 			// Some refusals prove that the task never ran and never will, since the worker blocks its id. After any
 			// other, the answer to the stop call shows whether it ran.
-			const proven = NEVER_RAN_CODES.has(result.error.code)
-			const cleared = proven
+			const neverRan = NEVER_RAN_CODES.has(result.error.code)
+			const cleared = neverRan
 				? updateMember(gang, index, {state: MemberState.clear, ran: RanState.no})
 				: gang
 			this.#abort(board, cleared, ReasonCode.workerRefused, now, result.error.message)
 		}
 	}
 
-	#settleVerdict(board: Board, {transition, result}: TransitionResult, now: number): void {
+	#settleTransition(board: Board, {transition, result}: TransitionResult, now: number): void {
 		const gang = board.gangs.get(transition.jobId)
 		if (gang === undefined) return
 		if (transition.kind === TransitionKind.claim) {
@@ -236,11 +236,11 @@
 
 	#advanceStage(board: Board, gang: GangEntry, now: number): void {
 		const isSettingUp = gang.stage !== GangStage.running && gang.stage !== GangStage.aborting
-		const gone = isSettingUp
+		const cleared = isSettingUp
 			? gang.members.find(({state}) => state === MemberState.clear)
 			: undefined
-		if (gone !== undefined) {
-			const detail = gone.error ?? `worker ${gone.workerId} cleared the reservation`
+		if (cleared !== undefined) {
+			const detail = cleared.error ?? `worker ${cleared.workerId} cleared the reservation`
 			this.#abort(board, gang, ReasonCode.workerLost, now, detail)
 			return
 		}
@@ -311,25 +311,25 @@
 			this.#settleJob(board, gang, now)
 			return
 		}
-		const broken = gang.members.find(
+		const failed = gang.members.find(
 			({state}) => state === MemberState.failed || state === MemberState.clear
 		)
-		if (broken !== undefined) {
+		if (failed !== undefined) {
 			const reason =
-				broken.state === MemberState.failed ? ReasonCode.taskFailed : ReasonCode.workerLost
-			this.#abort(board, gang, reason, now, broken.error ?? "")
+				failed.state === MemberState.failed ? ReasonCode.taskFailed : ReasonCode.workerLost
+			this.#abort(board, gang, reason, now, failed.error ?? "")
 			return
 		}
-		const silent = gang.members.find(
+		const unreachable = gang.members.find(
 			member => member.state !== MemberState.completed && isWorkerSilent(board, member, now)
 		)
-		if (silent !== undefined)
+		if (unreachable !== undefined)
 			this.#abort(
 				board,
 				gang,
 				ReasonCode.workerLost,
 				now,
-				`worker ${silent.workerId} does not answer`
+				`worker ${unreachable.workerId} does not answer`
 			)
 	}
 
--- a/src/controllers/ledger.ts
+++ b/src/controllers/ledger.ts
@@ -56,10 +56,10 @@
 		SectionName.notices
 	]
 	readonly #works = new Map<string, LedgerWork>()
-	readonly #busyJobs = new Map<string, string>()
+	readonly #inFlightJobs = new Map<string, string>()
 	readonly #window = new WriteWindow()
 	/** Version of each active row as last scanned; another version means that the job's row changed. */
-	readonly #activeValues = new Map<string, number>()
+	readonly #activeVersions = new Map<string, number>()
 	#scanInFlight = false
 	#scanAt = 0
 	#epoch = 0
@@ -68,15 +68,15 @@
 	step(board: Board, now: number): number | undefined {
 		this.#now = now
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
-		for (const id of [...board.transitions.keys()]) this.#takeUp(board, id)
-		this.#loadNoticed(board, now)
+		for (const id of [...board.transitions.keys()]) this.#registerTransition(board, id)
+		this.#loadChanged(board, now)
 		const nextWork = this.#advanceWorks(board, now)
-		const nextScan = this.#followZone(board, now)
+		const nextScan = this.#scanZone(board, now)
 		if (nextWork === undefined) return nextScan
 		return nextScan === undefined ? nextWork : Math.min(nextWork, nextScan)
 	}
 
-	#takeUp(board: Board, id: string): void {
+	#registerTransition(board: Board, id: string): void {
 		const transition = board.transitions.take(id)
 		if (transition === undefined) return
 		this.#works.set(id, createWork(transition, board.jobs.get(transition.jobId)))
@@ -91,7 +91,7 @@
 				this.#giveUp(board, work)
 				continue
 			}
-			const owner = this.#busyJobs.get(jobId)
+			const owner = this.#inFlightJobs.get(jobId)
 			if (owner !== undefined && owner !== id) continue
 			if (work.retryAt > now || !this.#window.isOpenFor(work.transition)) {
 				const retryAt = work.retryAt > now ? work.retryAt : Infinity
@@ -99,7 +99,7 @@
 				if (wakeAt < (earliest ?? Infinity)) earliest = wakeAt
 				continue
 			}
-			this.#busyJobs.set(jobId, id)
+			this.#inFlightJobs.set(jobId, id)
 			this.#send(board, work, now)
 		}
 		return earliest
@@ -184,7 +184,7 @@
 		const work = this.#works.get(completion.command.subject)
 		if (work === undefined) return
 		work.busy = false
-		this.#busyJobs.delete(work.transition.jobId)
+		this.#inFlightJobs.delete(work.transition.jobId)
 		if (completion.result.isErr()) {
 			const {error} = completion.result
 			if (completion.command.kind === CommandKind.tableCommit && !("sent" in error && !error.sent))
@@ -256,7 +256,7 @@
 	): void {
 		const {transition} = work
 		this.#works.delete(transition.id)
-		this.#busyJobs.delete(transition.jobId)
+		this.#inFlightJobs.delete(transition.jobId)
 		if (result.isOk()) {
 			this.#storeRecord(board, result.value.record, result.value.version)
 			this.#announceChange(board, transition, result.value.record)
@@ -272,7 +272,7 @@
 	}
 
 	/** Reads the rows of this zone's jobs that other hosts report as changed. */
-	#loadNoticed(board: Board, now: number): void {
+	#loadChanged(board: Board, now: number): void {
 		const {zone} = board.settings
 		const jobIds: string[] = []
 		for (const [id, notice] of [...board.notices.entries()]) {
@@ -291,7 +291,7 @@
 	#storeRecord(board: Board, record: JobRecord, version: number): void {
 		if (record.state === JobState.ended) {
 			board.jobs.delete(record.id)
-			this.#activeValues.delete(record.id)
+			this.#activeVersions.delete(record.id)
 			board.ended.set(record.id, record)
 			if (board.ended.size > ENDED_JOBS_KEPT) {
 				const [oldest] = board.ended.keys()
@@ -302,7 +302,7 @@
 		const authority = board.authority.get(board.settings.zone)
 		if (authority?.isHeldHere !== true || record.zone !== authority.zone) {
 			board.jobs.delete(record.id)
-			this.#activeValues.delete(record.id)
+			this.#activeVersions.delete(record.id)
 			return
 		}
 		const known = board.jobs.get(record.id)
@@ -311,14 +311,14 @@
 	}
 
 	/** Scans the active rows to keep `jobs` up to date while this host holds the zone. */
-	#followZone(board: Board, now: number): number | undefined {
+	#scanZone(board: Board, now: number): number | undefined {
 		const authority = board.authority.get(board.settings.zone)
 		if (authority?.isHeldHere !== true) {
-			if (this.#epoch !== 0) this.#forgetZone(board)
+			if (this.#epoch !== 0) this.#clearZone(board)
 			return undefined
 		}
 		if (this.#epoch !== authority.epoch) {
-			this.#forgetZone(board)
+			this.#clearZone(board)
 			this.#epoch = authority.epoch
 		}
 		if (this.#scanInFlight) return undefined
@@ -329,10 +329,10 @@
 		return this.#scanAt
 	}
 
-	#forgetZone(board: Board): void {
+	#clearZone(board: Board): void {
 		this.#epoch = 0
 		this.#scanAt = 0
-		this.#activeValues.clear()
+		this.#activeVersions.clear()
 		for (const id of [...board.jobs.keys()]) board.jobs.delete(id)
 	}
 
@@ -343,8 +343,8 @@
 		const prefix = formatActivePrefix(board.settings.zone)
 		for (const row of completion.result.value) {
 			const id = row.key.slice(prefix.length)
-			if (this.#activeValues.get(id) === row.version) continue
-			this.#activeValues.set(id, row.version)
+			if (this.#activeVersions.get(id) === row.version) continue
+			this.#activeVersions.set(id, row.version)
 			changed.push(id)
 		}
 		if (changed.length > 0) this.#load(board, changed, now)
@@ -354,7 +354,7 @@
 		if (completion.result.isErr()) {
 			// The rows are read again after the next scan.
 			for (const key of completion.command.request.keys)
-				this.#activeValues.delete(key.slice("job/".length))
+				this.#activeVersions.delete(key.slice("job/".length))
 			return
 		}
 		for (const row of completion.result.value) {
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -26,7 +26,7 @@
 	QueueContextBuilder
 } from "../internal.js"
 
-interface Seen {
+interface RoundInputs {
 	readonly fleetVersion: number
 	readonly content: BundleContent
 	/** When the next delayed job becomes ready. */
@@ -51,12 +51,12 @@
 	readonly #fleet = new FleetTracker()
 	readonly #queue = new PlacementQueue()
 	/** Inputs of the last round; a round with the same inputs is skipped. */
-	#seen: Seen | undefined
+	#lastInputs: RoundInputs | undefined
 	readonly #keeper = new GuaranteeKeeper()
 	#content: BundleContent | undefined
 	#units: readonly GuaranteeUnit[] = []
-	#published: GuaranteeHomes | undefined
-	#publishedVersion = -1
+	#publishedGuarantees: GuaranteeHomes | undefined
+	#publishedFleetVersion = -1
 
 	constructor(policies: Policies) {
 		this.#policies = policies
@@ -70,19 +70,19 @@
 		if (board.lifecycle.get("state") !== Lifecycle.serving) return undefined
 		this.#queue.sync(board)
 		this.#fleet.sync(board, now)
-		if (this.#queue.size > 0 && this.#isNewRound(board, content, now))
+		if (this.#queue.size > 0 && this.#isRoundNeeded(board, content, now))
 			this.#placeAll(board, content, now)
 		this.#publish(board)
 		return this.#queue.findNextReadyAt(now)
 	}
 
-	#isNewRound(board: Board, content: BundleContent, now: number): boolean {
+	#isRoundNeeded(board: Board, content: BundleContent, now: number): boolean {
 		const changed = this.#queue.takeChanged()
-		if (changed || this.#seen === undefined) return true
-		const {fleetVersion, dueAt, quotaGangs} = this.#seen
+		if (changed || this.#lastInputs === undefined) return true
+		const {fleetVersion, dueAt, quotaGangs} = this.#lastInputs
 		if (quotaGangs !== undefined && quotaGangs !== board.gangs.size) return true
 		const due = dueAt !== undefined && dueAt <= now
-		return due || fleetVersion !== this.#fleet.index.version || this.#seen.content !== content
+		return due || fleetVersion !== this.#fleet.index.version || this.#lastInputs.content !== content
 	}
 
 	#placeAll(board: Board, content: BundleContent, now: number): void {
@@ -90,7 +90,7 @@
 		const {index} = this.#fleet
 		this.#keeper.sync(this.#findUnits(board, content), index, now)
 		/** Keys of the jobs that could not be placed in this round; other jobs with the same key are skipped. */
-		const refused = new Map<string, ReasonCode>()
+		const unplaceable = new Map<string, ReasonCode>()
 		const queue = this.#policies.queue.find(content.policies.queue)
 		const context = this.#context.build(board, now)
 		const backfill = queue.backfill.begin(context)
@@ -98,27 +98,27 @@
 		let quotaGangs: number | undefined
 		for (const job of queue.order(ready, context)) {
 			if (!quotas.isAllowed(job.record)) {
-				noteWaiting(board, job.record.id, ReasonCode.overQuota, now)
+				recordWaiting(board, job.record.id, ReasonCode.overQuota, now)
 				quotaGangs = board.gangs.size
 				continue
 			}
-			const key = formatRefusedKey(job)
+			const key = formatPlacementKey(job)
 			const hold = board.holds.get(job.record.id)
-			const known = hold === undefined ? refused.get(key) : undefined
+			const known = hold === undefined ? unplaceable.get(key) : undefined
 			const placed =
 				known === undefined ? this.#place(content, job, hold, backfill, now) : err(known)
 			if (placed.isOk()) {
 				quotas.take(job.record)
-				this.#commit(board, job, placed.value, now)
+				this.#recordPlacement(board, job, placed.value, now)
 			} else {
-				if (hold === undefined) refused.set(key, placed.error)
+				if (hold === undefined) unplaceable.set(key, placed.error)
 				if (placed.error === ReasonCode.noRoom) backfill.withhold(job, index)
-				noteWaiting(board, job.record.id, placed.error, now)
+				recordWaiting(board, job.record.id, placed.error, now)
 			}
 		}
 		this.#keeper.refresh(this.#queue.listWorkspaces(), index, now)
 		const dueAt = this.#queue.findNextReadyAt(now)
-		this.#seen = {fleetVersion: index.version, content, dueAt, quotaGangs}
+		this.#lastInputs = {fleetVersion: index.version, content, dueAt, quotaGangs}
 	}
 
 	#place(
@@ -129,7 +129,7 @@
 		now: number
 	): Result<readonly MemberChoice[], ReasonCode> {
 		const {index} = this.#fleet
-		if (hold !== undefined) return takeHeld(hold, index)
+		if (hold !== undefined) return resolveHold(hold, index)
 		const {id, workspace, spec} = job.record
 		const policy = this.#policies.placement.find(content.policies.placement)
 		const restrict = backfill.restrict(job)
@@ -143,7 +143,12 @@
 		return this.#units
 	}
 
-	#commit(board: Board, job: JobEntry, members: readonly MemberChoice[], now: number): void {
+	#recordPlacement(
+		board: Board,
+		job: JobEntry,
+		members: readonly MemberChoice[],
+		now: number
+	): void {
 		const {id} = job.record
 		const placement = {jobId: id, members, decidedAt: now}
 		this.#fleet.reserve(board, placement, now)
@@ -155,35 +160,36 @@
 	/** Writes the fleet and the guarantee placements to the board for the controllers that read them. */
 	#publish(board: Board): void {
 		const {homes} = this.#keeper
-		if (homes !== this.#published) {
+		if (homes !== this.#publishedGuarantees) {
 			const ids = new Set(homes.list.map(({unit}) => unit.id))
 			for (const id of [...board.guaranteePlacements.keys()])
 				if (!ids.has(id)) board.guaranteePlacements.delete(id)
-			for (const home of homes.list) board.guaranteePlacements.set(home.unit.id, home)
-			if (homes.count !== this.#published?.count) noteHomes(board, homes)
-			this.#published = homes
+			for (const placement of homes.list)
+				board.guaranteePlacements.set(placement.unit.id, placement)
+			if (homes.count !== this.#publishedGuarantees?.count) recordGuaranteePlacements(board, homes)
+			this.#publishedGuarantees = homes
 		}
 		const {version} = this.#fleet.index
-		if (version === this.#publishedVersion) return
-		this.#publishedVersion = version
+		if (version === this.#publishedFleetVersion) return
+		this.#publishedFleetVersion = version
 		board.fleet.set("current", this.#fleet.index)
 	}
 }
 
 /** Returns the held members once every borrower on them has stopped. */
-function takeHeld(
+function resolveHold(
 	{members}: HoldEntry,
 	fleet: FleetIndex
 ): Result<readonly MemberChoice[], ReasonCode> {
 	const choices: MemberChoice[] = []
 	for (const {workerId, accelerators} of members) {
 		const worker = fleet.get(workerId)
-		const holders = worker?.tasks.filter(task =>
+		const occupants = worker?.tasks.filter(task =>
 			task.accelerators.some(at => accelerators.includes(at))
 		)
 		const isFree =
 			worker?.usable === true &&
-			(holders?.length ?? 0) <= 1 &&
+			(occupants?.length ?? 0) <= 1 &&
 			worker.freeCpus >= 0 &&
 			worker.freeMemoryMb >= 0
 		if (!isFree) return err(ReasonCode.awaitingReclaim)
@@ -193,7 +199,7 @@
 }
 
 /** Formats what placement depends on: if one job can't be placed, no other job with the same key can. */
-function formatRefusedKey({record, failedOn: avoid}: JobEntry): string {
+function formatPlacementKey({record, failedOn: avoid}: JobEntry): string {
 	const {workspace, spec} = record
 	const {members, accelerators, adjacency, cpus, memoryMb} = spec.shape
 	const stoppable = spec.repeatable || spec.checkpoint
@@ -211,15 +217,15 @@
 	])
 }
 
-function noteWaiting(board: Board, jobId: string, reason: ReasonCode, now: number): void {
+function recordWaiting(board: Board, jobId: string, reason: ReasonCode, now: number): void {
 	if (board.waiting.get(jobId)?.reason === reason) return
 	board.waiting.set(jobId, {jobId, reason, since: now})
 	board.record(EventLevel.debug, "job-waiting", {job: jobId}, reason)
 }
 
-function noteHomes(board: Board, homes: GuaranteeHomes): void {
-	const without = homes.list.length - homes.count
-	const fields = {homes: homes.count, without}
+function recordGuaranteePlacements(board: Board, guaranteePlacements: GuaranteeHomes): void {
+	const without = guaranteePlacements.list.length - guaranteePlacements.count
+	const fields = {homes: guaranteePlacements.count, without}
 	const reason = without > 0 ? ReasonCode.guaranteesDoNotFit : undefined
 	board.record(without > 0 ? EventLevel.warn : EventLevel.info, "guarantees-homed", fields, reason)
 }
--- a/src/controllers/reclaim.ts
+++ b/src/controllers/reclaim.ts
@@ -27,7 +27,7 @@
 	removeTasks
 } from "../internal.js"
 
-const RANK: readonly PriorityClass[] = [
+const PRIORITY_ORDER: readonly PriorityClass[] = [
 	PriorityClass.urgent,
 	PriorityClass.normal,
 	PriorityClass.batch
@@ -46,8 +46,8 @@
 	]
 	/** Jobs that this controller asked to stop and that have not stopped yet. */
 	readonly #stopping = new Set<string>()
-	#triedVersion = -1
-	#triedWaiting = -1
+	#lastFleetVersion = -1
+	#lastWaitingCount = -1
 
 	step(board: Board, now: number): number | undefined {
 		const fleet = board.fleet.get("current")
@@ -55,14 +55,14 @@
 			for (const id of [...board.holds.keys()]) board.holds.delete(id)
 			return undefined
 		}
-		this.#forgetStopped(board)
+		this.#removeEndedStops(board)
 		for (const hold of [...board.holds.values()]) this.#checkHold(board, hold, fleet, now)
 		this.#reclaimOne(board, fleet, now)
 		return board.holds.size > 0 ? now + RECLAIM_CHECK_INTERVAL_MS : undefined
 	}
 
 	/** Removes stop requests whose gang has ended, so that they don't stop the job's next attempt. */
-	#forgetStopped(board: Board): void {
+	#removeEndedStops(board: Board): void {
 		for (const id of this.#stopping) {
 			if (board.gangs.has(id)) continue
 			this.#stopping.delete(id)
@@ -79,53 +79,55 @@
 			return
 		}
 		const lost = hold.members.find(({workerId}) => fleet.get(workerId)?.usable !== true)
-		if (lost !== undefined) this.#giveUp(board, hold, ReasonCode.workerLost)
+		if (lost !== undefined) this.#dropHold(board, hold, ReasonCode.workerLost)
 		else if (now - hold.since > RECLAIM_TIMEOUT_MS)
-			this.#giveUp(board, hold, ReasonCode.reclaimTimedOut)
+			this.#dropHold(board, hold, ReasonCode.reclaimTimedOut)
 	}
 
-	#giveUp(board: Board, hold: HoldEntry, reason: ReasonCode): void {
+	#dropHold(board: Board, hold: HoldEntry, reason: ReasonCode): void {
 		board.holds.delete(hold.jobId)
-		this.#triedVersion = -1
+		this.#lastFleetVersion = -1
 		board.record(EventLevel.warn, "reclaim-given-up", {job: hold.jobId}, reason)
 	}
 
 	/** Adds at most one hold, since the fleet index must include it before the next one is decided. */
 	#reclaimOne(board: Board, fleet: FleetIndex, now: number): void {
-		if (this.#triedVersion === fleet.version && this.#triedWaiting === board.waiting.size) return
-		const homes = new GuaranteeHomes([...board.guaranteePlacements.values()])
+		if (this.#lastFleetVersion === fleet.version && this.#lastWaitingCount === board.waiting.size)
+			return
+		const guaranteePlacements = new GuaranteeHomes([...board.guaranteePlacements.values()])
 		const tried = new Set<string>()
-		for (const job of listClaimants(board)) {
-			const key = formatClaimKey(job)
+		for (const job of listCandidates(board)) {
+			const key = formatCandidateKey(job)
 			if (tried.has(key)) continue
 			tried.add(key)
-			if (this.#reclaimFor(board, job, fleet, homes, now)) return
+			if (this.#reclaimFor(board, job, fleet, guaranteePlacements, now)) return
 		}
-		this.#triedVersion = fleet.version
-		this.#triedWaiting = board.waiting.size
+		this.#lastFleetVersion = fleet.version
+		this.#lastWaitingCount = board.waiting.size
 	}
 
 	#reclaimFor(
 		board: Board,
 		job: JobEntry,
 		fleet: FleetIndex,
-		homes: GuaranteeHomes,
+		guaranteePlacements: GuaranteeHomes,
 		now: number
 	): boolean {
 		const {record} = job
-		const rules: ReclaimRule[] = [new GuaranteeReclaimRule(record.workspace, homes)]
-		if (record.spec.priority === PriorityClass.urgent) rules.push(new PreemptionRule(record, homes))
+		const rules: ReclaimRule[] = [new GuaranteeReclaimRule(record.workspace, guaranteePlacements)]
+		if (record.spec.priority === PriorityClass.urgent)
+			rules.push(new PreemptionRule(record, guaranteePlacements))
 		for (const rule of rules) {
 			const choice = findReclaim(record.spec.shape, fleet.values(), rule, now)
 			if (choice === undefined) continue
-			if (!isKept(job, choice, fleet, homes, now)) continue
-			this.#hold(board, job, choice, rule.reason, now)
+			if (!isEveryGuaranteeKept(job, choice, fleet, guaranteePlacements, now)) continue
+			this.#addHold(board, job, choice, rule.reason, now)
 			return true
 		}
 		return false
 	}
 
-	#hold(
+	#addHold(
 		board: Board,
 		{record}: JobEntry,
 		{members, victims}: ReclaimChoice,
@@ -146,21 +148,22 @@
 }
 
 /** Lists the jobs that wait for capacity and have no hold, the most urgent first, then the oldest. */
-function listClaimants(board: Board): JobEntry[] {
-	const claimants: JobEntry[] = []
+function listCandidates(board: Board): JobEntry[] {
+	const candidates: JobEntry[] = []
 	for (const {jobId, reason} of board.waiting.values()) {
 		if (reason === ReasonCode.awaitingReclaim || board.holds.has(jobId)) continue
 		const job = board.jobs.get(jobId)
-		if (job !== undefined) claimants.push(job)
+		if (job !== undefined) candidates.push(job)
 	}
-	return claimants.sort(
+	return candidates.sort(
 		(a, b) =>
-			RANK.indexOf(a.record.spec.priority) - RANK.indexOf(b.record.spec.priority) ||
+			PRIORITY_ORDER.indexOf(a.record.spec.priority) -
+				PRIORITY_ORDER.indexOf(b.record.spec.priority) ||
 			a.record.acceptedAtWallMs - b.record.acceptedAtWallMs
 	)
 }
 
-function formatClaimKey({record}: JobEntry): string {
+function formatCandidateKey({record}: JobEntry): string {
 	const {shape, priority, repeatable, checkpoint} = record.spec
 	const {members, accelerators, adjacency, cpus, memoryMb} = shape
 	const {workspace} = record
@@ -177,11 +180,11 @@
 }
 
 /** Returns whether every guarantee placement is kept once the job has replaced the victims. */
-function isKept(
+function isEveryGuaranteeKept(
 	{record}: JobEntry,
 	{members, victims}: ReclaimChoice,
 	fleet: FleetIndex,
-	homes: GuaranteeHomes,
+	guaranteePlacements: GuaranteeHomes,
 	now: number
 ): boolean {
 	const stopped = new Set(victims)
@@ -189,6 +192,9 @@
 		const worker = fleet.get(workerId)
 		if (worker === undefined) return false
 		const freed: FleetWorker = removeTasks(worker, ({jobId}) => stopped.has(jobId))
-		return homes.isKeptOn(addTask(freed, buildJobTask(record, "", accelerators, now)), now)
+		return guaranteePlacements.isKeptOn(
+			addTask(freed, buildJobTask(record, "", accelerators, now)),
+			now
+		)
 	})
 }
--- a/src/controllers/rehome.ts
+++ b/src/controllers/rehome.ts
@@ -39,7 +39,7 @@
 	}
 
 	step(board: Board, now: number): number | undefined {
-		this.#settleVerdicts(board)
+		this.#settleTransitions(board)
 		if (board.authority.get(board.settings.zone)?.isHeldHere !== true) return undefined
 		const content = board.bundle.get("current")?.bundle.content
 		const zone = content?.zones.find(({name}) => name === board.settings.zone)
@@ -52,7 +52,7 @@
 		return undefined
 	}
 
-	#settleVerdicts(board: Board): void {
+	#settleTransitions(board: Board): void {
 		for (const {transition, result} of board.takeTransitionResults(this.name)) {
 			this.#moving.delete(transition.jobId)
 			if (transition.kind !== TransitionKind.rehome || result.isErr()) continue
--- a/src/controllers/worker.ts
+++ b/src/controllers/worker.ts
@@ -40,10 +40,10 @@
 			this.#settle(board, completion as Completion<"worker-renew">, now)
 		const authority = board.authority.get(board.settings.zone)
 		if (authority?.isHeldHere !== true) {
-			this.#forgetAll(board)
+			this.#removeAll(board)
 			return undefined
 		}
-		this.#renewAtOnceOnNewGeneration(board)
+		this.#renewAllOnNewGeneration(board)
 		let earliest: number | undefined
 		const listed = new Set<string>()
 		for (const host of board.hosts.values()) {
@@ -52,12 +52,12 @@
 			const dueAt = this.#renewIfDue(board, host, authority, now)
 			if (earliest === undefined || dueAt < earliest) earliest = dueAt
 		}
-		this.#forgetUnlisted(board, listed, now)
+		this.#removeUnlisted(board, listed, now)
 		return earliest
 	}
 
 	/** A new generation may take the zone out of service, so the workers get it without waiting for the interval. */
-	#renewAtOnceOnNewGeneration(board: Board): void {
+	#renewAllOnNewGeneration(board: Board): void {
 		const generation = board.bundle.get("current")?.bundle.generation ?? 0
 		if (generation === this.#generation) return
 		this.#generation = generation
@@ -99,7 +99,7 @@
 			const state = buildState(known, result.value)
 			if (state === undefined) return
 			const entry = buildEntry(host, result.value, state, command.issuedAt, now)
-			if (known !== undefined && isSameButAge(known, entry, now))
+			if (known !== undefined && isUnchanged(known, entry, now))
 				board.workers.setSilently(host.id, entry)
 			else board.workers.set(host.id, entry)
 			return
@@ -115,13 +115,13 @@
 		}
 	}
 
-	#forgetAll(board: Board): void {
+	#removeAll(board: Board): void {
 		for (const id of [...board.workers.keys()]) board.workers.delete(id)
 		this.#nextAt.clear()
 	}
 
 	/** Removes unlisted workers, but only after their lease has expired, so that their tasks can be settled. */
-	#forgetUnlisted(board: Board, listed: ReadonlySet<string>, now: number): void {
+	#removeUnlisted(board: Board, listed: ReadonlySet<string>, now: number): void {
 		for (const [id, entry] of [...board.workers.entries()]) {
 			if (listed.has(id) || now - entry.confirmedAt < 2 * WORKER_LEASE_MS) continue
 			board.workers.delete(id)
@@ -131,7 +131,7 @@
 }
 
 /** Returns whether the renewal of a reachable worker changed nothing but its timestamps. */
-function isSameButAge(known: WorkerEntry, entry: WorkerEntry, now: number): boolean {
+function isUnchanged(known: WorkerEntry, entry: WorkerEntry, now: number): boolean {
 	return (
 		known.tasks === entry.tasks &&
 		known.host === entry.host &&
