--- a/__tests__/adoption.test.ts
+++ b/__tests__/adoption.test.ts
@@ -14,13 +14,16 @@
 const PERMIT_MS = START_PERMIT_MS + LEASE_MARGIN_MS
 
 /** Builds a view of one zone: hosts that answered, with their generations, and hosts that are only listed. */
-function createView(heard: Readonly<Record<string, number>>, listed: string[] = []): ClusterView {
+function createView(
+	generations: Readonly<Record<string, number>>,
+	listed: string[] = []
+): ClusterView {
 	return {
 		generation: 0,
 		workers: [],
 		endpoints: [],
 		zones: [],
-		adopted: Object.entries(heard).map(([hostId, generation]) => ({
+		adopted: Object.entries(generations).map(([hostId, generation]) => ({
 			hostId,
 			zone: ZONE,
 			generation,
--- a/__tests__/run-placement.test.ts
+++ b/__tests__/run-placement.test.ts
@@ -35,7 +35,7 @@
 	return occurrence.steps[0]!.tasks.map((_, index) => createTaskRef(entry, occurrence, 0, index)!)
 }
 
-function createRoom(id: string, rack: string, overrides: Partial<NodeRoom> = {}): NodeRoom {
+function createNode(id: string, rack: string, overrides: Partial<NodeRoom> = {}): NodeRoom {
 	return {
 		id,
 		incarnation: "1",
@@ -49,7 +49,7 @@
 }
 
 /** Creates a worker whose accelerators are all used by one run. */
-function createFullRoom(id: string, rack: string, run: Partial<RoomRun>): NodeRoom {
+function createFullNode(id: string, rack: string, run: Partial<RoomRun>): NodeRoom {
 	const [ref] = createRefs(`batch-${id}`, {count: 1, gpu: 8})
 	const full: RoomRun = {
 		ref: ref!,
@@ -62,7 +62,7 @@
 		...run
 	}
 	const free = {cpuMillis: 32000, memoryMb: 131072, accelerators: 0}
-	return createRoom(id, rack, {free, listRuns: () => [full]})
+	return createNode(id, rack, {free, listRuns: () => [full]})
 }
 
 function createUnit(refs: TaskRef[], overrides: Partial<PlacementUnit> = {}): PlacementUnit {
@@ -78,68 +78,68 @@
 	}
 }
 
-function listRooms(unit: PlacementUnit, rooms: NodeRoom[]): string[] | undefined {
-	return new PackedRunPlacement().choose(unit, rooms)?.map(({room}) => room.id)
+function chooseNodes(unit: PlacementUnit, nodes: NodeRoom[]): string[] | undefined {
+	return new PackedRunPlacement().choose(unit, nodes)?.map(({room: node}) => node.id)
 }
 
 describe("placement of tasks that start together", () => {
 	const gang = {count: 2, gpu: 8, gang: true, tightly_coupled: true}
 
 	it("takes one rack for a tightly coupled gang", () => {
-		const rooms = [createRoom("a1", "a"), createRoom("b1", "b"), createRoom("b2", "b")]
-		expect(listRooms(createUnit(createRefs("one", gang)), rooms)).to.deep.equal(["b1", "b2"])
+		const rooms = [createNode("a1", "a"), createNode("b1", "b"), createNode("b2", "b")]
+		expect(chooseNodes(createUnit(createRefs("one", gang)), rooms)).to.deep.equal(["b1", "b2"])
 	})
 
 	it("spreads a gang where one rack would cost more work than the gang is worth", () => {
 		const rooms = [
-			createFullRoom("a1", "a", {loss: LOSS_MAX}),
-			createFullRoom("a2", "a", {loss: LOSS_MAX}),
-			createRoom("b1", "b", {isDoubted: true}),
-			createRoom("c1", "c", {isDoubted: true})
+			createFullNode("a1", "a", {loss: LOSS_MAX}),
+			createFullNode("a2", "a", {loss: LOSS_MAX}),
+			createNode("b1", "b", {isDoubted: true}),
+			createNode("c1", "c", {isDoubted: true})
 		]
-		expect(listRooms(createUnit(createRefs("one", gang)), rooms)).to.deep.equal(["b1", "c1"])
+		expect(chooseNodes(createUnit(createRefs("one", gang)), rooms)).to.deep.equal(["b1", "c1"])
 	})
 
 	it("stops the run whose loss is least", () => {
 		const rooms = [
-			createFullRoom("a1", "a", {loss: 500}),
-			createFullRoom("a2", "a", {loss: 100}),
-			createFullRoom("a3", "a", {loss: 300})
+			createFullNode("a1", "a", {loss: 500}),
+			createFullNode("a2", "a", {loss: 100}),
+			createFullNode("a3", "a", {loss: 300})
 		]
 		const unit = createUnit(createRefs("one", {count: 1, gpu: 8}))
-		expect(listRooms(unit, rooms)).to.deep.equal(["a2"])
+		expect(chooseNodes(unit, rooms)).to.deep.equal(["a2"])
 	})
 
 	it("treats capacity as not free until the run on it has ended", () => {
 		const unit = createUnit(createRefs("one", {count: 2, gpu: 2, gang: true}))
-		const slots = new PackedRunPlacement().choose(unit, [createFullRoom("a1", "a", {})])
+		const slots = new PackedRunPlacement().choose(unit, [createFullNode("a1", "a", {})])
 		expect(slots?.map(({isFree}) => isFree)).to.deep.equal([false, false])
 	})
 
 	it("stops no run of the same or a higher rank, and no protected run", () => {
 		const rooms = [
-			createFullRoom("a1", "a", {rank: 1}),
-			createFullRoom("a2", "a", {isProtected: true})
+			createFullNode("a1", "a", {rank: 1}),
+			createFullNode("a2", "a", {isProtected: true})
 		]
 		const unit = createUnit(createRefs("one", {count: 1, gpu: 8}))
-		expect(listRooms(unit, rooms)).to.equal(undefined)
+		expect(chooseNodes(unit, rooms)).to.equal(undefined)
 	})
 
 	it("places a small task on the worker with the least capacity left over", () => {
-		const small = createRoom("a2", "a", {
+		const small = createNode("a2", "a", {
 			free: {cpuMillis: 32000, memoryMb: 131072, accelerators: 2}
 		})
 		const unit = createUnit(createRefs("one", {count: 1, gpu: 1}))
-		expect(listRooms(unit, [createRoom("a1", "a"), small])).to.deep.equal(["a2"])
+		expect(chooseNodes(unit, [createNode("a1", "a"), small])).to.deep.equal(["a2"])
 	})
 
 	it("forecasts where a task fits soonest", () => {
 		const rooms = [
-			createFullRoom("a1", "a", {remainingMs: 9000}),
-			createFullRoom("a2", "a", {remainingMs: 2000})
+			createFullNode("a1", "a", {remainingMs: 9000}),
+			createFullNode("a2", "a", {remainingMs: 2000})
 		]
 		const unit = createUnit(createRefs("one", {count: 1, gpu: 8}), {lossMax: -1})
 		const slots = new PackedRunPlacement().forecast(unit, rooms)
-		expect(slots?.map(({room}) => room.id)).to.deep.equal(["a2"])
+		expect(slots?.map(({room: node}) => node.id)).to.deep.equal(["a2"])
 	})
 })
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -49,11 +49,11 @@
 	#inFlight: string | undefined
 	#nextAt = 0
 	/** Monotonic time at which the latest take-over was sent; other hosts may count the lease time from then on. */
-	#takenAt = 0
+	#takeOverSentAt = 0
 	/** After a failed take-over, no other one is sent before this monotonic time. */
 	#notBefore = 0
 	/** True while the holder row names this host from before its restart. */
-	#restarted = false
+	#isRestarted = false
 	/** Monotonic time of the first read that showed no holder; undefined while reads fail or show a holder. */
 	#seenFreeAt: number | undefined
 
@@ -65,11 +65,11 @@
 		if (board.lifecycle.get("state") === Lifecycle.drained)
 			return this.#yieldZone(board, entry, now)
 		if (stopping && entry?.isHeldHere !== true) return undefined
-		const dueAt = Math.min(this.#nextAt, this.#computeLapse(board, entry))
+		const dueAt = Math.min(this.#nextAt, this.#computeTakeOverAt(board, entry))
 		if (now < dueAt) return dueAt
 		this.#nextAt = now + computeInterval(board.settings, entry?.isHeldHere === true)
 		if (entry?.isHeldHere === true) this.#renew(board, entry, now)
-		else if (entry !== undefined && now >= this.#computeLapse(board, entry))
+		else if (entry !== undefined && now >= this.#computeTakeOverAt(board, entry))
 			this.#claim(board, entry, now)
 		else this.#readRows(board, now)
 		return this.#nextAt
@@ -79,7 +79,7 @@
 	 * Time from which this host may take over: the holder gave the zone up, its lease expired as observed by this host,
 	 * or the holder was this host before its restart.
 	 */
-	#computeLapse(board: Board, entry: AuthorityEntry | undefined): number {
+	#computeTakeOverAt(board: Board, entry: AuthorityEntry | undefined): number {
 		if (entry === undefined || entry.isHeldHere) return Infinity
 		if (this.#wasThisHost(board, entry)) return this.#notBefore
 		const deferralMs = computeDeferral(board.settings)
@@ -91,13 +91,13 @@
 	}
 
 	#wasThisHost(board: Board, {holder}: AuthorityEntry): boolean {
-		return this.#restarted && holder === board.settings.hostId
+		return this.#isRestarted && holder === board.settings.hostId
 	}
 
 	/** A small host that held the domain before its restart gives it up, so that a larger host can take it. */
 	#claim(board: Board, entry: AuthorityEntry, now: number): void {
 		if (this.#wasThisHost(board, entry) && computeDeferral(board.settings) > 0)
-			this.#vacate(board, entry, now)
+			this.#clearHolder(board, entry, now)
 		else this.#takeOver(board, entry, now)
 	}
 
@@ -121,7 +121,7 @@
 	}
 
 	#takeOver(board: Board, entry: AuthorityEntry, now: number): void {
-		this.#takenAt = now
+		this.#takeOverSentAt = now
 		const row: HolderRow = {
 			holder: board.settings.hostId,
 			address: formatPeerUrl(board),
@@ -140,11 +140,11 @@
 	#yieldZone(board: Board, entry: AuthorityEntry | undefined, now: number): number | undefined {
 		if (entry?.isHeldHere !== true) return undefined
 		if (now < this.#notBefore) return this.#notBefore
-		this.#vacate(board, entry, now)
+		this.#clearHolder(board, entry, now)
 		return undefined
 	}
 
-	#vacate(board: Board, entry: AuthorityEntry, now: number): void {
+	#clearHolder(board: Board, entry: AuthorityEntry, now: number): void {
 		const row: HolderRow = {holder: "", address: "", epoch: entry.epoch}
 		this.#commit(board, now, YIELD, [
 			{key: formatHolderKey(entry.zone), ifVersion: entry.holderVersion, value: JSON.stringify(row)}
@@ -158,12 +158,12 @@
 	 */
 	#findObservedAt(
 		known: AuthorityEntry | undefined,
-		mine: boolean,
-		unchanged: boolean,
+		isMine: boolean,
+		isUnchanged: boolean,
 		now: number
 	): number {
-		if (mine) return known?.isHeldHere === true ? known.observedAt : this.#takenAt
-		return unchanged && known !== undefined ? known.observedAt : now
+		if (isMine) return known?.isHeldHere === true ? known.observedAt : this.#takeOverSentAt
+		return isUnchanged && known !== undefined ? known.observedAt : now
 	}
 
 	#commit(board: Board, now: number, subject: string, writes: readonly RowWrite[]): void {
@@ -217,7 +217,7 @@
 		if (entry === undefined) return
 		const [holderVersion = 0, leaseVersion = 0] = versions
 		const epoch = subject === TAKE ? entry.epoch + 1 : entry.epoch
-		this.#restarted = false
+		this.#isRestarted = false
 		board.authority.set(zone, {
 			zone,
 			holder: hostId,
@@ -243,12 +243,13 @@
 		const known = board.authority.get(zone)
 		const value = decodeHolderRow(holderRow?.value)
 		const leaseVersion = leaseRow?.version ?? 0
-		if (known === undefined) this.#restarted = value.holder === hostId
+		if (known === undefined) this.#isRestarted = value.holder === hostId
 		const holderVersion = holderRow?.version ?? 0
-		const unchanged = known?.leaseVersion === leaseVersion && known.holderVersion === holderVersion
-		const mine =
+		const isUnchanged =
+			known?.leaseVersion === leaseVersion && known.holderVersion === holderVersion
+		const isMine =
 			value.holder === hostId && (known?.isHeldHere === true || known?.epoch === value.epoch - 1)
-		if (known?.isHeldHere === true && !mine)
+		if (known?.isHeldHere === true && !isMine)
 			board.record(EventLevel.warn, "zone-lost", {zone, epoch: known.epoch})
 		const entry = {
 			zone,
@@ -257,14 +258,14 @@
 			epoch: value.epoch,
 			holderVersion,
 			leaseVersion,
-			observedAt: this.#findObservedAt(known, mine, unchanged, now),
-			isHeldHere: mine
+			observedAt: this.#findObservedAt(known, isMine, isUnchanged, now),
+			isHeldHere: isMine
 		}
 		board.authority.set(zone, entry)
-		const isFree = !mine && now >= computeFreeAt(board.settings, entry)
+		const isFree = !isMine && now >= computeFreeAt(board.settings, entry)
 		this.#seenFreeAt = isFree ? (this.#seenFreeAt ?? now) : undefined
 		// A renewal whose answer was lost has changed the lease row; renew at once with the new version.
-		if (mine && !unchanged) this.#nextAt = now
+		if (isMine && !isUnchanged) this.#nextAt = now
 	}
 }
 
--- a/src/controllers/bundle-history.ts
+++ b/src/controllers/bundle-history.ts
@@ -21,14 +21,14 @@
 export class BundleHistoryController implements Controller {
 	readonly name = "bundle-history"
 	readonly reads = [SectionName.requests, SectionName.completions]
-	readonly #asking = new Map<string, BundleHistoryRequest>()
+	readonly #requests = new Map<string, BundleHistoryRequest>()
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
 		for (const request of [...board.requests.values()]) {
 			if (request.kind !== RequestKind.bundleHistory) continue
 			board.requests.take(request.id)
-			this.#asking.set(request.id, request)
+			this.#requests.set(request.id, request)
 			const {newest} = request
 			if (newest === undefined) this.#read(board, request, [BUNDLE_KEY], now)
 			else this.#readFrom(board, request, newest, now)
@@ -47,10 +47,10 @@
 	}
 
 	#settle(board: Board, completion: Completion, now: number): void {
-		const request = this.#asking.get(completion.command.subject)
+		const request = this.#requests.get(completion.command.subject)
 		if (request === undefined) return
 		if (completion.result.isErr()) {
-			this.#asking.delete(request.id)
+			this.#requests.delete(request.id)
 			const detail = "the platform's table did not answer"
 			const refusal = buildRefusal(ReasonCode.platformUnavailable, RanState.no, detail)
 			board.replies.set(request.id, {kind: ReplyKind.refused, refusal})
@@ -63,7 +63,7 @@
 			this.#readFrom(board, request, current.generation, now)
 			return
 		}
-		this.#asking.delete(request.id)
+		this.#requests.delete(request.id)
 		board.replies.set(request.id, {kind: ReplyKind.bundleHistory, bundles})
 	}
 }
--- a/src/controllers/bundle.ts
+++ b/src/controllers/bundle.ts
@@ -56,7 +56,7 @@
 		const known = board.bundle.get("current")
 		const generation = row === undefined ? undefined : Number(row.value)
 		if (known !== undefined && generation === known.bundle.generation)
-			this.#noteEvidence(board, known, sentAt)
+			this.#updateEvidence(board, known, sentAt)
 		else if (generation === undefined || generation > (known?.bundle.generation ?? 0))
 			this.#read(board, BUNDLE_KEY, now)
 	}
@@ -75,11 +75,11 @@
 
 	/** Evidence is valid only for the generation that it was given for; a bundle may arrive without evidence. */
 	#adoptFromPeers(board: Board): void {
-		for (const {status: news, evidenceAt} of board.peers.values()) {
+		for (const {status: peerStatus, evidenceAt} of board.peers.values()) {
 			const known = board.bundle.get("current")
-			const {generation, bundle: text} = news
+			const {generation, bundle: text} = peerStatus
 			if (generation === known?.bundle.generation)
-				this.#noteEvidence(board, known, evidenceAt ?? -Infinity)
+				this.#updateEvidence(board, known, evidenceAt ?? -Infinity)
 			else if (text !== undefined && generation > (known?.bundle.generation ?? 0)) {
 				decodeSignedBundle(text).map(bundle => {
 					this.#adopt(board, bundle, evidenceAt ?? -Infinity)
@@ -88,7 +88,7 @@
 		}
 	}
 
-	#noteEvidence(board: Board, known: BundleEntry, evidenceAt: number): void {
+	#updateEvidence(board: Board, known: BundleEntry, evidenceAt: number): void {
 		if (evidenceAt > known.evidenceAt) board.bundle.set("current", {...known, evidenceAt})
 	}
 
@@ -100,7 +100,7 @@
 		const known = board.bundle.get("current")
 		if (known !== undefined && known.bundle.generation >= bundle.generation) {
 			if (known.bundle.generation === bundle.generation)
-				this.#noteEvidence(board, known, evidenceAt)
+				this.#updateEvidence(board, known, evidenceAt)
 			return
 		}
 		if (!verifyBundle(bundle, board.settings.bundleKeys)) {
--- a/src/controllers/catalog.ts
+++ b/src/controllers/catalog.ts
@@ -30,11 +30,11 @@
 			this.#settle(board, completion as Completion<"catalog-follow">, now)
 		if (this.#inFlight) return undefined
 		if (now < this.#nextAt) return this.#nextAt
-		this.#follow(board, now)
+		this.#poll(board, now)
 		return undefined
 	}
 
-	#follow(board: Board, now: number): void {
+	#poll(board: Board, now: number): void {
 		const waitMs = this.#afterVersion === undefined ? 0 : FOLLOW_WAIT_MS
 		this.#inFlight = true
 		board.issue<"catalog-follow">({
@@ -61,8 +61,8 @@
 	}
 
 	#adopt(board: Board, answer: CatalogAnswer, evidenceAt: number): void {
-		for (const why of answer.malformed)
-			board.record(EventLevel.warn, "catalog-malformed", {detail: why}, "malformed")
+		for (const problem of answer.malformed)
+			board.record(EventLevel.warn, "catalog-malformed", {detail: problem}, "malformed")
 		const known = board.catalog.get("current")
 		const isNewer =
 			answer.catalog !== undefined &&
--- a/src/controllers/cluster-view.ts
+++ b/src/controllers/cluster-view.ts
@@ -55,12 +55,12 @@
 			address: `http://${callerAddress.host}:${callerAddress.port}`,
 			leaving: board.lifecycle.get("state") !== Lifecycle.serving
 		}
-		const peers = [...board.peers.values()].map(({status: news}) => ({
-			id: news.hostId,
+		const peers = [...board.peers.values()].map(({status: peerStatus}) => ({
+			id: peerStatus.hostId,
 			role: HostRole.daemon,
-			zone: news.zone,
+			zone: peerStatus.zone,
 			address: "",
-			leaving: news.stopping
+			leaving: peerStatus.stopping
 		}))
 		return [...listed, ...[own, ...peers].filter(({id}) => !known.has(id))]
 	}
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -34,34 +34,34 @@
 	readonly name = "node"
 	readonly reads = [SectionName.completions, SectionName.authority, SectionName.acknowledgements]
 	#epoch = 0
-	#takenAt = 0
+	#termStartedAt = 0
 	#listInFlight = false
 	#listAt = 0
 	readonly #listOutage = new Outage("worker-list")
 	readonly #renewAt = new Map<string, number>()
 	readonly #inFlight = new Set<string>()
 	/** Position of the last acknowledged end in the latest renewal, by worker. */
-	readonly #acknowledged = new Map<string, number>()
+	readonly #acknowledgedPositions = new Map<string, number>()
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
 		const term = findTerm(board)
 		if (term === undefined) {
-			if (this.#epoch !== 0) this.#forgetAll(board)
+			if (this.#epoch !== 0) this.#removeAll(board)
 			return undefined
 		}
 		if (term.epoch !== this.#epoch) {
-			this.#forgetAll(board)
+			this.#removeAll(board)
 			this.#epoch = term.epoch
-			this.#takenAt = now
+			this.#termStartedAt = now
 		}
 		return Math.min(this.#listWorkers(board, now), this.#renewAll(board, now))
 	}
 
-	#forgetAll(board: Board): void {
+	#removeAll(board: Board): void {
 		this.#epoch = 0
 		this.#renewAt.clear()
-		this.#acknowledged.clear()
+		this.#acknowledgedPositions.clear()
 		this.#listAt = 0
 		for (const id of [...board.nodes.keys()]) board.nodes.delete(id)
 		for (const id of [...board.nodeReports.keys()]) board.nodeReports.take(id)
@@ -100,7 +100,7 @@
 	#computeRenewAt(board: Board, node: NodeEntry): number {
 		const {id} = node.registration
 		const acknowledged = this.#findAcknowledged(board, node)
-		if (acknowledged > (this.#acknowledged.get(id) ?? 0)) return 0
+		if (acknowledged > (this.#acknowledgedPositions.get(id) ?? 0)) return 0
 		return this.#renewAt.get(id) ?? 0
 	}
 
@@ -119,7 +119,7 @@
 		// answer shows whether the worker may get runs again.
 		const isAnswerUrgent = node.incarnation === undefined || node.failures > 0
 		const waitMs = isAnswerUrgent ? 0 : NODE_RENEW_WAIT_MS
-		this.#acknowledged.set(id, acknowledged)
+		this.#acknowledgedPositions.set(id, acknowledged)
 		this.#inFlight.add(id)
 		board.issue<"node-renew">({
 			kind: CommandKind.nodeRenew,
@@ -157,8 +157,8 @@
 			return
 		}
 		this.#listOutage.noteSuccess(board)
-		for (const why of result.value.malformed)
-			board.record(EventLevel.debug, "worker-malformed", {detail: why})
+		for (const problem of result.value.malformed)
+			board.record(EventLevel.debug, "worker-malformed", {detail: problem})
 		const listed = new Set<string>()
 		for (const registration of result.value.workers) {
 			listed.add(registration.id)
@@ -170,7 +170,7 @@
 				board.nodes.delete(id)
 				board.nodeReports.take(id)
 				this.#renewAt.delete(id)
-				this.#acknowledged.delete(id)
+				this.#acknowledgedPositions.delete(id)
 			} else if (node.listed) {
 				board.nodes.set(id, {...node, listed: false})
 				board.record(EventLevel.info, "worker-unlisted", {worker: id})
@@ -188,7 +188,7 @@
 				clockMs: 0,
 				clockReadAt: 0,
 				answeredAt: 0,
-				leaseExpiresAt: computeLapse(this.#takenAt + DOMAIN_LEASE_USABLE_MS),
+				leaseExpiresAt: computeLapse(this.#termStartedAt + DOMAIN_LEASE_USABLE_MS),
 				failures: 0,
 				leavesAt: computeLeavesAt(registration, undefined, now)
 			})
@@ -252,7 +252,7 @@
 		const {id} = node.registration
 		if (node.failures > 0)
 			board.record(EventLevel.info, "worker-reached", {worker: id, failures: node.failures})
-		if (node.incarnation !== incarnation) this.#acknowledged.set(id, 0)
+		if (node.incarnation !== incarnation) this.#acknowledgedPositions.set(id, 0)
 		const entry = {
 			...node,
 			incarnation,
@@ -274,6 +274,6 @@
 	now: number
 ): number | undefined {
 	if (!isDraining || remainingMs === undefined) return undefined
-	const isSameLife = known?.registration.incarnation === incarnation
-	return Math.min(now + remainingMs, (isSameLife ? known.leavesAt : undefined) ?? Infinity)
+	const isSameIncarnation = known?.registration.incarnation === incarnation
+	return Math.min(now + remainingMs, (isSameIncarnation ? known.leavesAt : undefined) ?? Infinity)
 }
--- a/src/controllers/notice.ts
+++ b/src/controllers/notice.ts
@@ -31,7 +31,7 @@
 		for (const [id, notice] of [...board.notices.entries()]) {
 			if (notice.kind !== NoticeKind.watched) continue
 			board.notices.take(id)
-			this.#watch(board, notice, now)
+			this.#addWatch(board, notice, now)
 		}
 		const outgoing = new Map<HostRecord, JobNotice[]>()
 		for (const notice of this.#takeAnnouncements(board))
@@ -39,7 +39,7 @@
 				if (peer.zone === notice.zone) append(outgoing, peer, notice)
 		for (const {jobId, untilByHost: until} of [...board.watches.values()]) {
 			const record = board.ended.get(jobId)
-			if (record !== undefined) this.#tellWatchers(board, outgoing, record, until)
+			if (record !== undefined) this.#notifyWatchers(board, outgoing, record, until)
 			if (record !== undefined || [...until.values()].every(at => at < now))
 				board.watches.take(jobId)
 		}
@@ -47,7 +47,7 @@
 		return board.watches.size === 0 ? undefined : now + MAX_WAIT_MS
 	}
 
-	#watch(board: Board, {jobId, hostId}: JobNotice, now: number): void {
+	#addWatch(board: Board, {jobId, hostId}: JobNotice, now: number): void {
 		const until = new Map(board.watches.get(jobId)?.untilByHost)
 		until.set(hostId, now + MAX_WAIT_MS)
 		board.watches.set(jobId, {jobId, untilByHost: until})
@@ -59,7 +59,7 @@
 		return taken
 	}
 
-	#tellWatchers(
+	#notifyWatchers(
 		board: Board,
 		outgoing: Map<HostRecord, JobNotice[]>,
 		{id, zone}: JobRecord,
--- a/src/controllers/peer.ts
+++ b/src/controllers/peer.ts
@@ -34,10 +34,10 @@
 	readonly #inFlight = new Set<string>()
 	#fetching = false
 	#fetchAt = 0
-	#fetches = 0
+	#fetchCount = 0
 	#nextAt = 0
 	#round = 0
-	#toldGeneration = 0
+	#sentGeneration = 0
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name))
@@ -45,29 +45,29 @@
 		for (const id of [...board.peerRequests.keys()]) this.#reply(board, id, now)
 		const fetchAt = this.#fetchIfBehind(board, now)
 		const generation = board.bundle.get("current")?.bundle.generation ?? 0
-		if (now < this.#nextAt && generation === this.#toldGeneration)
+		if (now < this.#nextAt && generation === this.#sentGeneration)
 			return Math.min(this.#nextAt, fetchAt)
-		this.#toldGeneration = generation
+		this.#sentGeneration = generation
 		this.#nextAt = now + PEER_EXCHANGE_INTERVAL_MS
-		this.#forgetUnlisted(board)
-		const news = buildPeerNews(board, false, now)
-		for (const peer of pickPeers(board, this.#round++)) this.#ask(board, peer, news, now)
+		this.#removeUnlisted(board)
+		const ownStatus = buildPeerNews(board, false, now)
+		for (const peer of pickPeers(board, this.#round++)) this.#query(board, peer, ownStatus, now)
 		return this.#nextAt
 	}
 
-	#ask(board: Board, peer: HostRecord, news: PeerStatus, now: number): void {
+	#query(board: Board, peer: HostRecord, status: PeerStatus, now: number): void {
 		if (this.#inFlight.has(peer.id)) return
 		this.#inFlight.add(peer.id)
-		this.#issue(board, peer, ROUND, news, now)
+		this.#issue(board, peer, ROUND, status, now)
 	}
 
-	#issue(board: Board, peer: HostRecord, purpose: string, news: PeerStatus, now: number): void {
+	#issue(board: Board, peer: HostRecord, purpose: string, status: PeerStatus, now: number): void {
 		board.issue<"peer-exchange">({
 			kind: CommandKind.peerExchange,
 			owner: this.name,
 			subject: `${purpose} ${peer.id}`,
 			target: peer.peerAddress,
-			request: {...news, wantsBundle: purpose === FETCH},
+			request: {...status, wantsBundle: purpose === FETCH},
 			timeoutMs: PEER_TIMEOUT_MS,
 			issuedAt: now
 		})
@@ -81,30 +81,32 @@
 			this.#fetchAt = result.isOk() ? now : now + RETRY_BASE_MS
 		}
 		if (result.isErr() || result.value.hostId !== peerId) return
-		const news = result.value
+		const peerStatus = result.value
 		const known = board.peers.get(peerId)
-		if (known !== undefined && known.status.generation > news.generation) return
+		if (known !== undefined && known.status.generation > peerStatus.generation) return
 		const evidenceAt =
-			news.evidenceAgeMs === undefined ? undefined : command.issuedAt - news.evidenceAgeMs
-		board.peers.set(peerId, {status: news, observedAt: command.issuedAt, evidenceAt})
+			peerStatus.evidenceAgeMs === undefined
+				? undefined
+				: command.issuedAt - peerStatus.evidenceAgeMs
+		board.peers.set(peerId, {status: peerStatus, observedAt: command.issuedAt, evidenceAt})
 	}
 
 	#reply(board: Board, id: string, now: number): void {
 		const request = board.peerRequests.take(id)
 		if (request === undefined) return
-		const {query: question} = request
-		board.peerReplies.set(id, buildPeerNews(board, question.wantsBundle, now))
-		this.#noteQuestion(board, question, now)
+		const {query: peerQuery} = request
+		board.peerReplies.set(id, buildPeerNews(board, peerQuery.wantsBundle, now))
+		this.#recordQuery(board, peerQuery, now)
 	}
 
 	/** A peer's query carries its status too, but no evidence: it may have been delayed for any time. */
-	#noteQuestion(board: Board, news: PeerStatus, now: number): void {
-		const known = board.peers.get(news.hostId)
-		if (known !== undefined && known.status.generation > news.generation) return
-		const same = known?.status.generation === news.generation
+	#recordQuery(board: Board, status: PeerStatus, now: number): void {
+		const known = board.peers.get(status.hostId)
+		if (known !== undefined && known.status.generation > status.generation) return
+		const same = known?.status.generation === status.generation
 		const evidenceAt = same ? known.evidenceAt : undefined
-		board.peers.set(news.hostId, {
-			status: {...news, bundle: undefined, evidenceAgeMs: undefined},
+		board.peers.set(status.hostId, {
+			status: {...status, bundle: undefined, evidenceAgeMs: undefined},
 			observedAt: now,
 			evidenceAt
 		})
@@ -116,11 +118,13 @@
 	 */
 	#fetchIfBehind(board: Board, now: number): number {
 		const generation = board.bundle.get("current")?.bundle.generation ?? 0
-		const ahead = [...board.peers.values()].filter(({status: news}) => news.generation > generation)
+		const ahead = [...board.peers.values()].filter(
+			({status: peerStatus}) => peerStatus.generation > generation
+		)
 		if (this.#fetching || ahead.length === 0) return Infinity
-		if (ahead.some(({status: news}) => news.bundle !== undefined)) return Infinity
+		if (ahead.some(({status: peerStatus}) => peerStatus.bundle !== undefined)) return Infinity
 		if (now < this.#fetchAt) return this.#fetchAt
-		const chosen = ahead[this.#fetches++ % ahead.length]
+		const chosen = ahead[this.#fetchCount++ % ahead.length]
 		const peer = board.hosts.get(chosen?.status.hostId ?? "")
 		if (peer === undefined) return now + RETRY_BASE_MS
 		this.#fetching = true
@@ -128,7 +132,7 @@
 		return Infinity
 	}
 
-	#forgetUnlisted(board: Board): void {
+	#removeUnlisted(board: Board): void {
 		const listed = new Set(listPeers(board).map(({id}) => id))
 		for (const id of [...board.peers.keys()]) if (!listed.has(id)) board.peers.take(id)
 	}
--- a/src/controllers/rollout.ts
+++ b/src/controllers/rollout.ts
@@ -41,7 +41,7 @@
 	readonly giveUpAt: number
 	attempts: number
 	retryAt: number
-	busy: boolean
+	inFlight: boolean
 	mayHaveTakenEffect: boolean
 }
 
@@ -57,10 +57,10 @@
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
-		for (const request of [...board.requests.values()]) this.#takeUp(board, request, now)
+		for (const request of [...board.requests.values()]) this.#handleRequest(board, request, now)
 		let earliest: number | undefined
 		for (const rollout of [...this.#rollouts.values()]) {
-			if (rollout.busy) continue
+			if (rollout.inFlight) continue
 			if (now >= rollout.giveUpAt) this.#giveUp(board, rollout)
 			else if (now >= rollout.retryAt) this.#read(board, rollout, now)
 			else if (earliest === undefined || rollout.retryAt < earliest) earliest = rollout.retryAt
@@ -68,7 +68,7 @@
 		return earliest
 	}
 
-	#takeUp(board: Board, request: HostRequest, now: number): void {
+	#handleRequest(board: Board, request: HostRequest, now: number): void {
 		if (request.kind === RequestKind.bundleStatus) {
 			board.requests.take(request.id)
 			board.replies.set(request.id, {kind: ReplyKind.bundle, view: buildBundleView(board, now)})
@@ -81,7 +81,7 @@
 			giveUpAt: now + ACCEPT_TIMEOUT_MS,
 			attempts: 0,
 			retryAt: 0,
-			busy: false,
+			inFlight: false,
 			mayHaveTakenEffect: false
 		}
 		if (!verifyBundle(request.bundle, board.settings.bundleKeys))
@@ -110,14 +110,14 @@
 	}
 
 	#read(board: Board, rollout: Rollout, now: number): void {
-		rollout.busy = true
+		rollout.inFlight = true
 		issueTableRead(board, this.name, rollout.request.id, [BUNDLE_KEY], now)
 	}
 
 	#settle(board: Board, completion: Completion, now: number): void {
 		const rollout = this.#rollouts.get(completion.command.subject)
 		if (rollout === undefined) return
-		rollout.busy = false
+		rollout.inFlight = false
 		if (completion.result.isErr()) {
 			const {error} = completion.result
 			const unsent = "sent" in error && !error.sent
@@ -149,7 +149,7 @@
 			this.#refuse(board, rollout, ReasonCode.generationConflict, detail)
 			return
 		}
-		rollout.busy = true
+		rollout.inFlight = true
 		const value = JSON.stringify(bundle)
 		issueTableCommit(
 			board,
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -55,10 +55,10 @@
 	readonly #changedRuns: Set<string>
 	readonly #changedWorkflows: Set<string>
 	/** Tasks whose run is not confirmed as running. */
-	readonly #unsettled = new Set<string>()
+	readonly #unconfirmed = new Set<string>()
 	/** Stop orders in flight, as "task run". */
 	readonly #stopping = new Set<string>()
-	readonly #foreignAt = new Map<string, number>()
+	readonly #foreignStopsSentAt = new Map<string, number>()
 
 	constructor(board: Board) {
 		this.#changedRuns = board.runs.watch()
@@ -68,21 +68,21 @@
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
 		if (!board.terms.has("loaded")) {
-			this.#unsettled.clear()
+			this.#unconfirmed.clear()
 			return undefined
 		}
-		this.#stopUnwanted(board, now)
-		for (const id of this.#changedRuns) this.#unsettled.add(id)
+		this.#stopEndedWorkflows(board, now)
+		for (const id of this.#changedRuns) this.#unconfirmed.add(id)
 		this.#changedRuns.clear()
 		if (isTermProven(board, now)) {
-			for (const id of [...this.#unsettled]) this.#advance(board, id, now)
+			for (const id of [...this.#unconfirmed]) this.#advance(board, id, now)
 			this.#stopForeign(board, now)
 		}
-		return this.#unsettled.size > 0 ? now + CHECK_INTERVAL_MS : undefined
+		return this.#unconfirmed.size > 0 ? now + CHECK_INTERVAL_MS : undefined
 	}
 
 	/** Stops the runs of workflows that were cancelled or have failed. */
-	#stopUnwanted(board: Board, now: number): void {
+	#stopEndedWorkflows(board: Board, now: number): void {
 		for (const id of [...this.#changedWorkflows]) {
 			const workflow = board.workflows.get(id)
 			if (workflow === undefined || isSchedulable(workflow)) continue
@@ -94,7 +94,7 @@
 	#advance(board: Board, taskId: string, now: number): void {
 		const ref = board.runs.get(taskId)
 		if (ref === undefined || ref.task.phase === TaskPhase.running) {
-			this.#unsettled.delete(taskId)
+			this.#unconfirmed.delete(taskId)
 			return
 		}
 		if (ref.task.phase === TaskPhase.planned) this.#startSaved(board, ref, now)
@@ -106,9 +106,9 @@
 		const refs = spec.gang ? listTaskRefs(workflow, occurrence, stepIndex) : [ref]
 		const plannedRevision = Math.max(...refs.map(member => member.task.plannedRevision))
 		if (!isSaved(workflow, occurrence, plannedRevision)) return
-		const barred = refs.find(member => !this.#canStart(board, member, now))
-		if (barred !== undefined) {
-			releaseRun(board, barred, ReasonCode.workerRefused, now)
+		const blocked = refs.find(member => !this.#canStart(board, member, now))
+		if (blocked !== undefined) {
+			releaseRun(board, blocked, ReasonCode.workerRefused, now)
 			return
 		}
 		for (const member of refs) this.#sendStart(board, member, now)
@@ -147,7 +147,7 @@
 			timeoutMs: RUN_ORDER_TIMEOUT_MS,
 			issuedAt: now
 		})
-		this.#noteGrant(board, node, now)
+		this.#extendExpiry(board, node, now)
 		const fields = {
 			task: taskId,
 			run: task.run,
@@ -161,9 +161,9 @@
 	}
 
 	/** A start renews the worker's lease, so the time by which runs on that worker have expired moves as well. */
-	#noteGrant(board: Board, node: NodeEntry, now: number): void {
-		const lapsesAt = Math.max(node.leaseExpiresAt, computeLapse(now))
-		board.nodes.setSilently(node.registration.id, {...node, leaseExpiresAt: lapsesAt})
+	#extendExpiry(board: Board, node: NodeEntry, now: number): void {
+		const expiresAt = Math.max(node.leaseExpiresAt, computeLapse(now))
+		board.nodes.setSilently(node.registration.id, {...node, leaseExpiresAt: expiresAt})
 	}
 
 	#sendStop(board: Board, {task, taskId}: TaskRef, now: number): void {
@@ -177,7 +177,7 @@
 
 	#issueStop(
 		board: Board,
-		what: string,
+		purpose: string,
 		workerId: string,
 		taskId: string,
 		run: number,
@@ -192,7 +192,7 @@
 		board.issue<"stop-run">({
 			kind: CommandKind.runStop,
 			owner: this.name,
-			subject: `${what} ${taskId} ${run}`,
+			subject: `${purpose} ${taskId} ${run}`,
 			target: node.registration.address,
 			request: {taskId, run, epoch: term.epoch, workerId},
 			timeoutMs: RUN_ORDER_TIMEOUT_MS,
@@ -204,22 +204,23 @@
 	#stopForeign(board: Board, now: number): void {
 		for (const [workerId, {foreignRuns}] of board.health.entries()) {
 			if (foreignRuns.length === 0) {
-				this.#foreignAt.delete(workerId)
+				this.#foreignStopsSentAt.delete(workerId)
 				continue
 			}
-			if (now - (this.#foreignAt.get(workerId) ?? -Infinity) < RUN_STOP_INTERVAL_MS) continue
-			this.#foreignAt.set(workerId, now)
+			if (now - (this.#foreignStopsSentAt.get(workerId) ?? -Infinity) < RUN_STOP_INTERVAL_MS)
+				continue
+			this.#foreignStopsSentAt.set(workerId, now)
 			for (const {taskId, run} of foreignRuns)
 				this.#issueStop(board, FOREIGN, workerId, taskId, run, now)
 		}
 	}
 
 	#settle(board: Board, completion: Completion, now: number): void {
-		const [what, taskId = "", run = ""] = completion.command.subject.split(" ")
-		if (what === STOP) this.#stopping.delete(`${taskId} ${run}`)
+		const [purpose, taskId = "", run = ""] = completion.command.subject.split(" ")
+		if (purpose === STOP) this.#stopping.delete(`${taskId} ${run}`)
 		const ref = board.runs.get(taskId)
-		if (what === FOREIGN || ref?.task.run !== Number(run)) return
-		if (what === START) this.#settleStart(board, ref, completion, now)
+		if (purpose === FOREIGN || ref?.task.run !== Number(run)) return
+		if (purpose === START) this.#settleStart(board, ref, completion, now)
 		else this.#settleStop(board, ref, completion, now)
 	}
 
@@ -230,10 +231,10 @@
 			noteRunning(board, ref, now)
 			return
 		}
-		this.#settleRefusedStart(board, ref, result.error, now)
+		this.#settleFailedStart(board, ref, result.error, now)
 	}
 
-	#settleRefusedStart(board: Board, ref: TaskRef, error: CallError, now: number): void {
+	#settleFailedStart(board: Board, ref: TaskRef, error: CallError, now: number): void {
 		const {task, taskId} = ref
 		const reason = error instanceof RefusedError ? error.code : "no-answer"
 		const fields = {task: taskId, run: task.run, worker: task.workerId, detail: error.message}
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -53,10 +53,10 @@
 const WAITING_INTERVAL_MS = 250
 
 /** Groups of tasks for which capacity is withheld in one round; more would leave too much capacity idle. */
-const WITHHELD_MAX = 4
+const WITHHELD_GROUPS_MAX = 4
 
 /** Interval of log entries for a task that still waits. */
-const WAITING_NOTE_INTERVAL_MS = 2000
+const WAITING_LOG_INTERVAL_MS = 2000
 
 /** How long a step that is not urgent waits for the rack of its data, or a tightly coupled gang for a single rack. */
 const RACK_WAIT_MS = 2000
@@ -75,7 +75,7 @@
 /** Time beyond the limit of a stop for which capacity is held for tasks before they are placed again. */
 const HOLD_MARGIN_MS = 400
 
-interface RoomHold {
+interface CapacityHold {
 	readonly unit: PlacementUnit
 	readonly workerIds: readonly string[]
 	readonly since: number
@@ -95,20 +95,20 @@
 	readonly #policy: RunPlacementPolicy
 	readonly #queue: RunQueuePolicy
 	/** Capacity held for tasks until the preempted runs have ended, by the first task's id, in order of decision. */
-	readonly #holds = new Map<string, RoomHold>()
+	readonly #holds = new Map<string, CapacityHold>()
 	/** Groups whose held capacity was not freed in time, by the first task's id. They may not wait for a run to end. */
 	readonly #overdue = new Set<string>()
 	readonly #clock: Clock
 	#roundAt = 0
 	/** Groups of tasks for which capacity was withheld in this round. */
-	#withheld = 0
+	#withheldGroups = 0
 	/** Monotonic time at which each waiting step became ready, by occurrence and step. */
 	readonly #readyAt = new Map<string, number>()
 	#nextDueWallMs = Infinity
 	/** Earliest monotonic time at which a step that was delayed after a refused start may run. */
 	#delayedUntil = Infinity
 	/** Monotonic time of the last log entry about a waiting group, by the first task's id. */
-	readonly #notedAt = new Map<string, number>()
+	readonly #waitingLoggedAt = new Map<string, number>()
 
 	constructor(
 		clock: Clock,
@@ -126,7 +126,7 @@
 			this.#readyAt.clear()
 			this.#holds.clear()
 			this.#overdue.clear()
-			this.#notedAt.clear()
+			this.#waitingLoggedAt.clear()
 			return undefined
 		}
 		if (board.lifecycle.get("state") !== Lifecycle.serving) return undefined
@@ -146,24 +146,25 @@
 	#placeAll(board: Board, catalog: CatalogEntry, now: number): number {
 		const active = [...board.workflows.values()].filter(isSchedulable)
 		const guaranteed = findGuaranteed(catalog.catalog, active)
-		this.#openDue(board, active)
+		this.#createDueOccurrences(board, active)
 		const steps = listReadySteps(catalog, active, guaranteed, now, this.#clock.readWallClock())
 		const ready = this.#queue.order(steps.filter(({step}) => step.notBefore <= now))
 		this.#delayedUntil = Math.min(
 			...steps.map(({step}) => (step.notBefore > now ? step.notBefore : Infinity))
 		)
-		this.#noteReady(ready, now)
+		this.#recordReadySteps(ready, now)
 		if (ready.length === 0) return 0
-		const rooms = listRooms(board, catalog, guaranteed, now)
-		this.#honourHolds(board, rooms, now)
-		this.#withheld = 0
+		const capacityByService = listRooms(board, catalog, guaranteed, now)
+		this.#applyHolds(board, capacityByService, now)
+		this.#withheldGroups = 0
 		let waiting = 0
-		for (const step of ready) if (!this.#placeStep(board, step, catalog, rooms, now)) waiting++
+		for (const step of ready)
+			if (!this.#placeStep(board, step, catalog, capacityByService, now)) waiting++
 		return waiting
 	}
 
 	/** Creates occurrences that have become due. */
-	#openDue(board: Board, active: readonly WorkflowEntry[]): void {
+	#createDueOccurrences(board: Board, active: readonly WorkflowEntry[]): void {
 		const wallNow = this.#clock.readWallClock()
 		this.#nextDueWallMs = Infinity
 		for (const workflow of active) {
@@ -182,7 +183,7 @@
 		}
 	}
 
-	#noteReady(ready: readonly ReadyStep[], now: number): void {
+	#recordReadySteps(ready: readonly ReadyStep[], now: number): void {
 		const keys = new Set<string>()
 		for (const {occurrence, stepIndex} of ready) {
 			const key = `${occurrence.key}.${stepIndex}`
@@ -193,11 +194,11 @@
 	}
 
 	/** Plans tasks whose held capacity is all free, and excludes the capacity held for others from this round. */
-	#honourHolds(board: Board, roomsOfServices: RoomsOfServices, now: number): void {
+	#applyHolds(board: Board, capacityByService: RoomsOfServices, now: number): void {
 		const stopMs = board.settings.domain?.stopMs ?? 0
-		const rooms = new Map([...roomsOfServices.values()].flat().map(room => [room.id, room]))
+		const nodes = new Map([...capacityByService.values()].flat().map(node => [node.id, node]))
 		for (const [key, {unit, workerIds, since}] of [...this.#holds]) {
-			const held = workerIds.flatMap(id => rooms.get(id) ?? [])
+			const held = workerIds.flatMap(id => nodes.get(id) ?? [])
 			const isWanted = unit.refs.every(
 				({task, workflow}) => task.phase === TaskPhase.waiting && isSchedulable(workflow)
 			)
@@ -208,9 +209,9 @@
 				continue
 			}
 			let isFree = true
-			for (const room of held) {
-				isFree &&= isFitting(room.free, unit.spec)
-				addDemand(room.free, unit.spec, -1)
+			for (const node of held) {
+				isFree &&= isFitting(node.free, unit.spec)
+				addDemand(node.free, unit.spec, -1)
 			}
 			if (!isFree) continue
 			this.#holds.delete(key)
@@ -224,12 +225,12 @@
 		board: Board,
 		ready: ReadyStep,
 		catalog: CatalogEntry,
-		roomsOfServices: RoomsOfServices,
+		capacityByService: RoomsOfServices,
 		now: number
 	): boolean {
 		const {workflow, occurrence, stepIndex, spec, rank} = ready
 		const service = findService(catalog, workflow)
-		const rooms = roomsOfServices.get(service) ?? []
+		const nodes = capacityByService.get(service) ?? []
 		const refs = listTaskRefs(workflow, occurrence, stepIndex)
 		const waiting = refs.filter(({task}) => task.phase === TaskPhase.waiting)
 		const groups = (spec.gang ? [waiting] : waiting.map(ref => [ref])).filter(
@@ -247,10 +248,10 @@
 				remoteCost: computeRemoteCost(board, ready, now - readyAt),
 				avoid: new Set(group.flatMap(({task}) => task.failedOn))
 			}
-			const slots = this.#policy.choose(unit, rooms)
+			const slots = this.#policy.choose(unit, nodes)
 			if (slots === undefined) {
-				this.#noteWaiting(board, unit, rooms, now - readyAt, now)
-				this.#withhold(unit, rooms)
+				this.#recordWaiting(board, unit, nodes, now - readyAt, now)
+				this.#withhold(unit, nodes)
 				return false
 			}
 			this.#commitSlots(board, unit, slots, now)
@@ -259,33 +260,34 @@
 	}
 
 	/** Withholds the capacity where a waiting group is forecast to fit soonest from all later steps. */
-	#withhold(unit: PlacementUnit, rooms: readonly NodeRoom[]): void {
-		if (this.#withheld >= WITHHELD_MAX) return
-		const slots = this.#policy.forecast(unit, rooms)
+	#withhold(unit: PlacementUnit, nodes: readonly NodeRoom[]): void {
+		if (this.#withheldGroups >= WITHHELD_GROUPS_MAX) return
+		const slots = this.#policy.forecast(unit, nodes)
 		if (slots === undefined) return
-		this.#withheld++
-		for (const {room} of slots) addDemand(room.free, unit.spec, -1)
+		this.#withheldGroups++
+		for (const {room: node} of slots) addDemand(node.free, unit.spec, -1)
 	}
 
-	#noteWaiting(
+	#recordWaiting(
 		board: Board,
 		{refs, rank, lossMax}: PlacementUnit,
-		rooms: readonly NodeRoom[],
+		nodes: readonly NodeRoom[],
 		waitedMs: number,
 		now: number
 	): void {
 		const [first] = refs
 		if (first === undefined) return
-		if (now - (this.#notedAt.get(first.taskId) ?? -Infinity) < WAITING_NOTE_INTERVAL_MS) return
-		this.#notedAt.set(first.taskId, now)
+		if (now - (this.#waitingLoggedAt.get(first.taskId) ?? -Infinity) < WAITING_LOG_INTERVAL_MS)
+			return
+		this.#waitingLoggedAt.set(first.taskId, now)
 		const fields = {
 			task: first.taskId,
 			tasks: refs.length,
 			rank,
 			lossMax,
 			waitedMs: Math.round(waitedMs),
-			workers: rooms.length,
-			freeAccelerators: rooms.reduce((sum, {free}) => sum + Math.max(0, free.accelerators), 0)
+			workers: nodes.length,
+			freeAccelerators: nodes.reduce((sum, {free}) => sum + Math.max(0, free.accelerators), 0)
 		}
 		board.record(EventLevel.info, "run-waiting", fields, ReasonCode.noRoom)
 	}
@@ -293,21 +295,21 @@
 	/** Plans the runs, or stops the victims first and holds their capacity. */
 	#commitSlots(board: Board, unit: PlacementUnit, slots: readonly Slot[], now: number): void {
 		const {refs, spec, rank} = unit
-		for (const [index, {room}] of slots.entries()) {
+		for (const [index, {room: node}] of slots.entries()) {
 			const ref = refs[index]
 			if (ref === undefined) continue
-			addDemand(room.free, spec, -1)
-			room.listRuns().push(buildPlannedRun(ref, rank))
+			addDemand(node.free, spec, -1)
+			node.listRuns().push(buildPlannedRun(ref, rank))
 		}
-		const rooms = slots.map(({room}) => room)
+		const nodes = slots.map(({room: node}) => node)
 		if (slots.every(slot => slot.isFree)) {
-			planUnit(board, unit, rooms, now)
+			planUnit(board, unit, nodes, now)
 			return
 		}
 		const victims = slots.flatMap(slot => slot.victims)
 		const [first] = refs
 		if (first === undefined) return
-		const workerIds = rooms.map(({id}) => id)
+		const workerIds = nodes.map(({id}) => id)
 		this.#holds.set(first.taskId, {unit, workerIds, since: now})
 		const fields = {
 			task: first.taskId,
@@ -344,22 +346,22 @@
 function planUnit(
 	board: Board,
 	{refs, rank}: PlacementUnit,
-	rooms: readonly NodeRoom[],
+	nodes: readonly NodeRoom[],
 	now: number
 ): void {
 	const first = refs[0]
 	if (first === undefined) return
 	const run = computeNextRun(first)
 	for (const [index, ref] of refs.entries()) {
-		const room = rooms[index]
-		if (room !== undefined) planRun(board, ref, room.id, room.incarnation, run, now)
+		const node = nodes[index]
+		if (node !== undefined) planRun(board, ref, node.id, node.incarnation, run, now)
 	}
 	const fields = {
 		task: first.taskId,
 		run,
 		tasks: refs.length,
 		rank,
-		workers: rooms.map(({id}) => id).join(" "),
+		workers: nodes.map(({id}) => id).join(" "),
 		waitedMs: Math.round(now - first.workflow.acceptedAt)
 	}
 	board.record(EventLevel.info, "run-placed", fields)
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -31,21 +31,21 @@
 } from "../internal.js"
 
 /** Ends that one incarnation of a worker reported, and those whose consequences are not durable yet. */
-interface EndsOfWorker {
+interface WorkerEnds {
 	readonly incarnation: string
-	takenIn: number
+	lastPosition: number
 	readonly unsaved: {readonly position: number; readonly ref: TaskRef; readonly revision: number}[]
 }
 
 /** Time after the load of a term by which leases of workers that were never listed in it have expired. */
-const UNLISTED_LAPSE_MS = 15000
+const UNLISTED_EXPIRY_MS = 15000
 
 /** Interval of the check for runs on workers whose lease has expired. */
-const LAPSE_CHECK_INTERVAL_MS = 200
+const EXPIRY_CHECK_INTERVAL_MS = 200
 
 const PERCENT_DONE = 100
 
-const NO_HEALTH: NodeHealth = {
+const INITIAL_HEALTH: NodeHealth = {
 	failedWorkflows: [],
 	quarantinedUntil: 0,
 	suspectUntil: 0,
@@ -56,8 +56,8 @@
 	readonly name = "run-report"
 	readonly reads = [SectionName.nodeReports, SectionName.workflows, SectionName.terms]
 	readonly #changedReports: Set<string>
-	readonly #ends = new Map<string, EndsOfWorker>()
-	#lapseCheckAt = 0
+	readonly #ends = new Map<string, WorkerEnds>()
+	#expiryCheckAt = 0
 
 	constructor(board: Board) {
 		this.#changedReports = board.nodeReports.watch()
@@ -75,23 +75,23 @@
 		for (const id of this.#changedReports) {
 			const node = board.nodes.get(id)
 			const report = board.nodeReports.get(id)
-			if (node !== undefined && report !== undefined) this.#takeIn(board, node, report, now)
+			if (node !== undefined && report !== undefined) this.#handleReport(board, node, report, now)
 		}
 		this.#changedReports.clear()
 		this.#acknowledge(board)
-		if (now >= this.#lapseCheckAt) {
-			this.#lapseCheckAt = now + LAPSE_CHECK_INTERVAL_MS
-			this.#releaseLapsed(board, term.loadedAt, now)
+		if (now >= this.#expiryCheckAt) {
+			this.#expiryCheckAt = now + EXPIRY_CHECK_INTERVAL_MS
+			this.#releaseExpired(board, term.loadedAt, now)
 		}
-		return board.runs.size > 0 ? this.#lapseCheckAt : undefined
+		return board.runs.size > 0 ? this.#expiryCheckAt : undefined
 	}
 
-	#takeIn(board: Board, node: NodeEntry, report: NodeReport, now: number): void {
+	#handleReport(board: Board, node: NodeEntry, report: NodeReport, now: number): void {
 		const {id} = node.registration
 		if (node.incarnation === undefined) return
 		let ends = this.#ends.get(id)
 		if (ends?.incarnation !== node.incarnation) {
-			ends = {incarnation: node.incarnation, takenIn: 0, unsaved: []}
+			ends = {incarnation: node.incarnation, lastPosition: 0, unsaved: []}
 			this.#ends.set(id, ends)
 		}
 		const present = new Set<string>()
@@ -104,29 +104,29 @@
 			}
 			present.add(running.taskId)
 			noteRunning(board, ref, now)
-			noteCheckpoint(ref, running.checkpoint)
+			updateCheckpoint(ref, running.checkpoint)
 			if (running.percent !== ref.task.percent) {
 				ref.task.percent = running.percent
 				ref.task.progressAt = now
 			}
 		}
-		this.#noteForeign(board, id, foreignRuns)
+		this.#recordForeignRuns(board, id, foreignRuns)
 		for (const end of report.ends) {
-			if (end.position <= ends.takenIn) continue
-			ends.takenIn = end.position
-			this.#takeEnd(board, node, end, ends, now)
+			if (end.position <= ends.lastPosition) continue
+			ends.lastPosition = end.position
+			this.#handleEnd(board, node, end, ends, now)
 		}
 		this.#releaseAbsent(board, node, report, present, now)
 		this.#stopStalled(board, node, report, now)
 	}
 
-	#noteForeign(board: Board, id: string, foreignRuns: NodeHealth["foreignRuns"]): void {
-		const health = board.health.get(id) ?? NO_HEALTH
+	#recordForeignRuns(board: Board, id: string, foreignRuns: NodeHealth["foreignRuns"]): void {
+		const health = board.health.get(id) ?? INITIAL_HEALTH
 		if (foreignRuns.length === 0 && health.foreignRuns.length === 0) return
 		board.health.set(id, {...health, foreignRuns})
 	}
 
-	#takeEnd(board: Board, node: NodeEntry, end: EndReport, ends: EndsOfWorker, now: number): void {
+	#handleEnd(board: Board, node: NodeEntry, end: EndReport, ends: WorkerEnds, now: number): void {
 		const ref = board.runs.get(end.taskId)
 		const isCurrent = ref !== undefined && isRunOn(ref, node, end.run)
 		board.record(EventLevel.info, "run-ended", {
@@ -138,22 +138,22 @@
 			isCurrent
 		})
 		if (!isCurrent) return
-		noteCheckpoint(ref, end.checkpoint)
+		updateCheckpoint(ref, end.checkpoint)
 		if (end.end === RunEnd.done && !ref.spec.longRunning) {
 			completeTask(board, ref, now)
-			this.#noteSuccess(board, node.registration.id)
-		} else if (end.end === RunEnd.failed) this.#noteFailure(board, node, ref, now)
+			this.#clearFailures(board, node.registration.id)
+		} else if (end.end === RunEnd.failed) this.#handleFailure(board, node, ref, now)
 		else releaseRun(board, ref, end.end, now)
 		ends.unsaved.push({position: end.position, ref, revision: ref.occurrence.revision})
 	}
 
-	#noteSuccess(board: Board, id: string): void {
+	#clearFailures(board: Board, id: string): void {
 		const health = board.health.get(id)
 		if (health !== undefined && health.failedWorkflows.length > 0)
 			board.health.set(id, {...health, failedWorkflows: [], suspectUntil: 0, quarantinedUntil: 0})
 	}
 
-	#noteFailure(board: Board, node: NodeEntry, ref: TaskRef, now: number): void {
+	#handleFailure(board: Board, node: NodeEntry, ref: TaskRef, now: number): void {
 		const {task, step, spec, workflow} = ref
 		const {id} = node.registration
 		if (spec.gang) {
@@ -161,7 +161,7 @@
 			step.gangFailedRun = task.run
 		} else task.failures++
 		task.failedOn.push(id)
-		this.#doubt(board, id, workflow.record.id, now)
+		this.#markSuspect(board, id, workflow.record.id, now)
 		const failures = spec.gang ? step.gangFailures : task.failures
 		releaseRun(board, ref, RunEnd.failed, now)
 		if (failures >= workflow.record.maxAttempts && !spec.longRunning)
@@ -169,18 +169,18 @@
 	}
 
 	/** After one failure a worker is used last; after failures of several workflows it is quarantined. */
-	#doubt(board: Board, id: string, workflowId: string, now: number): void {
-		const health = board.health.get(id) ?? NO_HEALTH
+	#markSuspect(board: Board, id: string, workflowId: string, now: number): void {
+		const health = board.health.get(id) ?? INITIAL_HEALTH
 		const failedWorkflows = [...new Set([...health.failedWorkflows, workflowId])]
-		const isClosed = failedWorkflows.length >= NODE_FAILURES_MAX
-		const closedUntil = isClosed ? now + NODE_QUARANTINE_MS : health.quarantinedUntil
+		const isQuarantined = failedWorkflows.length >= NODE_FAILURES_MAX
+		const quarantineEndsAt = isQuarantined ? now + NODE_QUARANTINE_MS : health.quarantinedUntil
 		board.health.set(id, {
 			...health,
 			failedWorkflows,
 			suspectUntil: now + NODE_QUARANTINE_MS,
-			quarantinedUntil: closedUntil
+			quarantinedUntil: quarantineEndsAt
 		})
-		if (isClosed)
+		if (isQuarantined)
 			board.record(EventLevel.info, "worker-closed", {worker: id, failed: failedWorkflows.length})
 	}
 
@@ -215,13 +215,13 @@
 			const stallMs = Math.max(RUN_STALL_MS, spec.estimateMs * RUN_STALL_SHARE)
 			if (receivedAt - task.progressAt < stallMs) continue
 			task.failedOn.push(node.registration.id)
-			this.#doubt(board, node.registration.id, workflow.record.id, now)
+			this.#markSuspect(board, node.registration.id, workflow.record.id, now)
 			stopRun(board, ref, ReasonCode.taskFailed, now)
 		}
 	}
 
 	#acknowledge(board: Board): void {
-		for (const [id, {incarnation, unsaved, takenIn}] of this.#ends) {
+		for (const [id, {incarnation, unsaved, lastPosition: takenIn}] of this.#ends) {
 			while (
 				unsaved[0] !== undefined &&
 				isSaved(unsaved[0].ref.workflow, unsaved[0].ref.occurrence, unsaved[0].revision)
@@ -235,10 +235,10 @@
 	}
 
 	/** A worker whose lease has expired runs nothing, even if it can't be reached. */
-	#releaseLapsed(board: Board, loadedAt: number, now: number): void {
+	#releaseExpired(board: Board, loadedAt: number, now: number): void {
 		for (const workerId of [...board.runs.listWorkers()]) {
-			const lapsesAt = board.nodes.get(workerId)?.leaseExpiresAt ?? loadedAt + UNLISTED_LAPSE_MS
-			if (now <= lapsesAt) continue
+			const expiresAt = board.nodes.get(workerId)?.leaseExpiresAt ?? loadedAt + UNLISTED_EXPIRY_MS
+			if (now <= expiresAt) continue
 			for (const ref of [...board.runs.listOn(workerId).values()])
 				if (ref.task.phase !== TaskPhase.planned) releaseRun(board, ref, RunEnd.lapsed, now)
 		}
@@ -246,7 +246,7 @@
 }
 
 /** A member's checkpoint is valid for its whole gang, and all members must resume from the same one. */
-function noteCheckpoint(
+function updateCheckpoint(
 	{spec, task, workflow, occurrence, stepIndex}: TaskRef,
 	value: string
 ): void {
--- a/src/controllers/workflow-intake.ts
+++ b/src/controllers/workflow-intake.ts
@@ -47,7 +47,7 @@
 const ID_PATTERN = /^[0-9a-f]{16}$/
 
 /** A caller's request while calls to the platform's table are made for it. */
-interface Work {
+interface IntakeOperation {
 	readonly request: WorkflowRequest
 	readonly action: WorkflowAction
 	readonly queue: QueueConfig
@@ -57,8 +57,8 @@
 	readonly catalogVersion: number
 	readonly evidenceAgeMs: number
 	/** True once a commit was sent that may still take effect. */
-	isOpen: boolean
-	refused: number
+	mayHaveTakenEffect: boolean
+	refusals: number
 	retries: number
 	commandId: string | undefined
 	retryAt: number | undefined
@@ -68,7 +68,7 @@
 	readonly name = "workflow-intake"
 	readonly reads = [SectionName.requests, SectionName.completions]
 	readonly #readWallClock: () => number
-	readonly #works = new Map<string, Work>()
+	readonly #operations = new Map<string, IntakeOperation>()
 
 	constructor(readWallClock: () => number) {
 		this.#readWallClock = readWallClock
@@ -79,19 +79,20 @@
 		for (const [id, request] of [...board.requests.entries()]) {
 			if (request.kind !== RequestKind.workflow) continue
 			board.requests.take(id)
-			this.#takeUp(board, request, now)
+			this.#handleRequest(board, request, now)
 		}
 		let earliest = Infinity
-		for (const work of [...this.#works.values()]) {
-			const giveUpAt = computeGiveUpAt(work)
-			if (now >= giveUpAt) this.#giveUp(board, work, now)
-			else if (work.retryAt !== undefined && now >= work.retryAt) this.#send(board, work, now)
-			earliest = Math.min(earliest, work.retryAt ?? Infinity, giveUpAt)
+		for (const operation of [...this.#operations.values()]) {
+			const giveUpAt = computeGiveUpAt(operation)
+			if (now >= giveUpAt) this.#giveUp(board, operation, now)
+			else if (operation.retryAt !== undefined && now >= operation.retryAt)
+				this.#send(board, operation, now)
+			earliest = Math.min(earliest, operation.retryAt ?? Infinity, giveUpAt)
 		}
-		return this.#works.size > 0 ? Math.max(earliest, now + 1) : undefined
+		return this.#operations.size > 0 ? Math.max(earliest, now + 1) : undefined
 	}
 
-	#takeUp(board: Board, request: WorkflowRequest, now: number): void {
+	#handleRequest(board: Board, request: WorkflowRequest, now: number): void {
 		const entry = board.catalog.get("current")
 		if (entry === undefined) {
 			this.#refuse(board, request, ReasonCode.noBundle, "no configuration has been read yet", now)
@@ -149,7 +150,7 @@
 			this.#refuseStale(board, request, entry, now)
 			return
 		}
-		const work: Work = {
+		const operation: IntakeOperation = {
 			request,
 			action,
 			queue,
@@ -157,32 +158,32 @@
 			workflowId: rest,
 			catalogVersion: catalog.version,
 			evidenceAgeMs: Math.round(now - evidenceAt),
-			isOpen: false,
-			refused: 0,
+			mayHaveTakenEffect: false,
+			refusals: 0,
 			retries: 0,
 			commandId: undefined,
 			retryAt: undefined
 		}
-		this.#works.set(request.id, work)
-		this.#send(board, work, now)
+		this.#operations.set(request.id, operation)
+		this.#send(board, operation, now)
 	}
 
-	#send(board: Board, work: Work, now: number): void {
-		work.retryAt = undefined
-		const left = computeGiveUpAt(work) - now
+	#send(board: Board, operation: IntakeOperation, now: number): void {
+		operation.retryAt = undefined
+		const left = computeGiveUpAt(operation) - now
 		const timeoutMs = Math.max(1, Math.min(INTAKE_CALL_TIMEOUT_MS, left))
-		const {id} = work.request
-		if (work.action === WorkflowAction.submit) {
-			const writes = this.#buildAcceptance(work)
+		const {id} = operation.request
+		if (operation.action === WorkflowAction.submit) {
+			const writes = this.#buildRows(operation)
 			if (writes === undefined) return
-			work.commandId = issueTableCommit(board, this.name, id, writes, now, timeoutMs)
+			operation.commandId = issueTableCommit(board, this.name, id, writes, now, timeoutMs)
 		} else {
-			const prefix = formatWorkflowKey(work.workflowId)
-			work.commandId = issueTableScan(board, this.name, id, prefix, now, timeoutMs)
+			const prefix = formatWorkflowKey(operation.workflowId)
+			operation.commandId = issueTableScan(board, this.name, id, prefix, now, timeoutMs)
 		}
 	}
 
-	#buildAcceptance({request, queue, workspace, workflowId}: Work): RowWrite[] | undefined {
+	#buildRows({request, queue, workspace, workflowId}: IntakeOperation): RowWrite[] | undefined {
 		if (request.spec?.isOk() !== true) return undefined
 		const record: WorkflowRecord = {
 			id: workflowId,
@@ -202,72 +203,75 @@
 
 	#settle(board: Board, completion: Completion, now: number): void {
 		const {command, result} = completion
-		const work = this.#works.get(command.subject)
-		if (work?.commandId !== command.id) return
-		work.commandId = undefined
+		const operation = this.#operations.get(command.subject)
+		if (operation?.commandId !== command.id) return
+		operation.commandId = undefined
 		if (result.isErr()) {
-			this.#retry(board, work, result.error, now)
+			this.#retry(board, operation, result.error, now)
 			return
 		}
 		if (command.kind === CommandKind.tableScan)
-			this.#settleRead(board, work, (completion as Completion<"table-scan">).result, now)
-		else this.#settleCommit(board, work, (completion as Completion<"table-commit">).result, now)
+			this.#settleRead(board, operation, (completion as Completion<"table-scan">).result, now)
+		else
+			this.#settleCommit(board, operation, (completion as Completion<"table-commit">).result, now)
 	}
 
 	/** A refusal by the platform means that nothing was done; after any other error a commit may still take effect. */
-	#retry(board: Board, work: Work, error: Error, now: number): void {
+	#retry(board: Board, operation: IntakeOperation, error: Error, now: number): void {
 		const isRefused = error instanceof RefusedError
-		const isWrite = work.action === WorkflowAction.submit || work.action === WorkflowAction.cancel
-		if (!isRefused && isWrite) work.isOpen = true
-		if (isRefused) work.refused++
-		const fields = {workflow: work.workflowId, action: work.action, detail: error.message}
+		const isWrite =
+			operation.action === WorkflowAction.submit || operation.action === WorkflowAction.cancel
+		if (!isRefused && isWrite) operation.mayHaveTakenEffect = true
+		if (isRefused) operation.refusals++
+		const fields = {workflow: operation.workflowId, action: operation.action, detail: error.message}
 		board.record(
 			EventLevel.info,
 			"intake-retry",
 			fields,
 			isRefused ? ReasonCode.platformUnavailable : ReasonCode.answerLost
 		)
-		if (work.refused > INTAKE_REFUSED_RETRIES && !work.isOpen) this.#giveUp(board, work, now)
-		else work.retryAt = now + INTAKE_RETRY_DELAY_MS * 2 ** work.retries++
+		if (operation.refusals > INTAKE_REFUSED_RETRIES && !operation.mayHaveTakenEffect)
+			this.#giveUp(board, operation, now)
+		else operation.retryAt = now + INTAKE_RETRY_DELAY_MS * 2 ** operation.retries++
 	}
 
 	#settleCommit(
 		board: Board,
-		work: Work,
+		operation: IntakeOperation,
 		result: Completion<"table-commit">["result"],
 		now: number
 	): void {
 		if (result.isErr()) return
 		if (result.value.committed) {
-			this.#replyState(board, work, WorkflowState.queued, now)
+			this.#replyState(board, operation, WorkflowState.queued, now)
 			return
 		}
-		if (work.action === WorkflowAction.cancel) {
-			this.#replyState(board, work, WorkflowState.cancelled, now)
+		if (operation.action === WorkflowAction.cancel) {
+			this.#replyState(board, operation, WorkflowState.cancelled, now)
 			return
 		}
-		const key = formatWorkflowKey(work.workflowId)
+		const key = formatWorkflowKey(operation.workflowId)
 		const existing = result.value.conflicts.find(row => row.key === key && row.version > 0)
-		if (existing === undefined || isOwn(work, existing))
-			this.#replyState(board, work, WorkflowState.queued, now)
+		if (existing === undefined || isOwnRow(operation, existing))
+			this.#replyState(board, operation, WorkflowState.queued, now)
 		else {
-			const detail = `workflow id ${work.workflowId} is already used by another workspace`
-			this.#finish(board, work, ReasonCode.keyConflict, RanState.no, detail, now)
+			const detail = `workflow id ${operation.workflowId} is already used by another workspace`
+			this.#finish(board, operation, ReasonCode.keyConflict, RanState.no, detail, now)
 		}
 	}
 
 	#settleRead(
 		board: Board,
-		work: Work,
+		operation: IntakeOperation,
 		result: Completion<"table-scan">["result"],
 		now: number
 	): void {
 		if (result.isErr()) return
 		const rows = new Map(result.value.map(row => [parseWorkflowKey(row.key).kind, row]))
 		const record = rows.get(WorkflowRowKind.record)
-		if (record === undefined || !isOwn(work, record)) {
-			const detail = `workflow ${work.workflowId} does not exist`
-			this.#finish(board, work, ReasonCode.unknownWorkflow, RanState.unknown, detail, now)
+		if (record === undefined || !isOwnRow(operation, record)) {
+			const detail = `workflow ${operation.workflowId} does not exist`
+			this.#finish(board, operation, ReasonCode.unknownWorkflow, RanState.unknown, detail, now)
 			return
 		}
 		const stateRow = rows.get(WorkflowRowKind.state)
@@ -276,52 +280,52 @@
 				? WorkflowState.queued
 				: (JSON.parse(stateRow.value) as {state: WorkflowState}).state
 		const isCancelled = rows.has(WorkflowRowKind.cancel)
-		if (work.action === WorkflowAction.get || isFinal(state) || isCancelled) {
-			this.#replyState(board, work, state, now)
+		if (operation.action === WorkflowAction.get || isFinal(state) || isCancelled) {
+			this.#replyState(board, operation, state, now)
 			return
 		}
-		const write = {key: formatCancelKey(work.workflowId), ifVersion: 0, value: ""}
-		work.commandId = issueTableCommit(
+		const write = {key: formatCancelKey(operation.workflowId), ifVersion: 0, value: ""}
+		operation.commandId = issueTableCommit(
 			board,
 			this.name,
-			work.request.id,
+			operation.request.id,
 			[write],
 			now,
 			INTAKE_CALL_TIMEOUT_MS
 		)
 	}
 
-	#replyState(board: Board, work: Work, state: WorkflowState, now: number): void {
-		this.#works.delete(work.request.id)
-		board.replies.set(work.request.id, {kind: ReplyKind.workflow, state})
-		noteWork(board, work, state, now)
+	#replyState(board: Board, operation: IntakeOperation, state: WorkflowState, now: number): void {
+		this.#operations.delete(operation.request.id)
+		board.replies.set(operation.request.id, {kind: ReplyKind.workflow, state})
+		recordAnswer(board, operation, state, now)
 	}
 
-	#giveUp(board: Board, work: Work, now: number): void {
+	#giveUp(board: Board, operation: IntakeOperation, now: number): void {
 		// A commit in flight may take effect after the caller has its reply.
-		const isWriting = work.commandId !== undefined && work.action !== WorkflowAction.get
-		if (work.isOpen || isWriting) {
+		const isWriting = operation.commandId !== undefined && operation.action !== WorkflowAction.get
+		if (operation.mayHaveTakenEffect || isWriting) {
 			const detail = "the platform's table did not answer"
-			this.#finish(board, work, ReasonCode.answerLost, RanState.unknown, detail, now)
+			this.#finish(board, operation, ReasonCode.answerLost, RanState.unknown, detail, now)
 			return
 		}
 		const detail = "the platform's table is not available"
-		this.#finish(board, work, ReasonCode.platformUnavailable, RanState.no, detail, now)
+		this.#finish(board, operation, ReasonCode.platformUnavailable, RanState.no, detail, now)
 	}
 
 	#finish(
 		board: Board,
-		work: Work,
+		operation: IntakeOperation,
 		reason: ReasonCode,
 		ran: RanState,
 		detail: string,
 		now: number
 	): void {
-		this.#works.delete(work.request.id)
-		noteWork(board, work, reason, now)
+		this.#operations.delete(operation.request.id)
+		recordAnswer(board, operation, reason, now)
 		const retryAfterMs = PLATFORM_RETRY_AFTER_MS
-		const refusal = {...buildRefusal(reason, ran, detail, work.workflowId), retryAfterMs}
-		board.replies.set(work.request.id, {kind: ReplyKind.refused, refusal})
+		const refusal = {...buildRefusal(reason, ran, detail, operation.workflowId), retryAfterMs}
+		board.replies.set(operation.request.id, {kind: ReplyKind.refused, refusal})
 	}
 
 	#refuseStale(
@@ -358,17 +362,22 @@
 	}
 }
 
-function computeGiveUpAt({request}: Work): number {
+function computeGiveUpAt({request}: IntakeOperation): number {
 	return request.arrivedAt + Math.max(INTAKE_MARGIN_MS, request.replyTimeoutMs - INTAKE_MARGIN_MS)
 }
 
-function isOwn({workspace, queue}: Work, row: TableRow): boolean {
+function isOwnRow({workspace, queue}: IntakeOperation, row: TableRow): boolean {
 	if (queue.isPublic) return true
 	return (JSON.parse(row.value) as WorkflowRecord).workspace === workspace
 }
 
-function noteWork(board: Board, work: Work, outcome: string, now: number): void {
-	const {request, workflowId, action, queue, workspace, catalogVersion, evidenceAgeMs} = work
+function recordAnswer(
+	board: Board,
+	operation: IntakeOperation,
+	outcome: string,
+	now: number
+): void {
+	const {request, workflowId, action, queue, workspace, catalogVersion, evidenceAgeMs} = operation
 	// Callers poll states all the time, so these answers are logged only at debug level.
 	const level = action === WorkflowAction.get ? EventLevel.debug : EventLevel.info
 	board.record(level, "request-answered", {
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -61,12 +61,12 @@
 	/** Version after which changes are requested; undefined until all rows have been read. */
 	#afterVersion: number | undefined
 	#rows: readonly TableRow[] = []
-	#followInFlight = false
-	#followAt = 0
-	readonly #followOutage = new Outage("workflow-follow")
+	#pollInFlight = false
+	#nextPollAt = 0
+	readonly #pollOutage = new Outage("workflow-follow")
 	readonly #commitOutage = new Outage("workflow-commit")
 	#batch: CommitBatch | undefined
-	#commitAt = 0
+	#nextCommitAt = 0
 	/** Workflows with unsaved changes, in the order in which they changed. */
 	readonly #dirty = new Set<string>()
 	/** Ended workflows, oldest first, until their rows are deleted. */
@@ -81,25 +81,25 @@
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
 		const term = findTerm(board)
 		if (term === undefined) {
-			if (this.#epoch !== 0) this.#forgetAll(board)
+			if (this.#epoch !== 0) this.#removeAll(board)
 			return undefined
 		}
 		if (term.epoch !== this.#epoch) {
-			this.#forgetAll(board)
+			this.#removeAll(board)
 			this.#epoch = term.epoch
 		}
-		const followAt = this.#follow(board, now)
+		const pollAt = this.#poll(board, now)
 		for (const id of this.#changed) this.#dirty.add(id)
 		this.#changed.clear()
 		const commitAt = this.#commit(board, term, now)
-		return Math.min(followAt, commitAt)
+		return Math.min(pollAt, commitAt)
 	}
 
-	#forgetAll(board: Board): void {
+	#removeAll(board: Board): void {
 		this.#epoch = 0
 		this.#afterVersion = undefined
 		this.#rows = []
-		this.#followAt = 0
+		this.#nextPollAt = 0
 		this.#batch = undefined
 		this.#dirty.clear()
 		this.#ended.clear()
@@ -108,13 +108,13 @@
 		board.terms.delete("loaded")
 	}
 
-	#follow(board: Board, now: number): number {
-		if (this.#followInFlight) return Infinity
-		if (now < this.#followAt) return this.#followAt
+	#poll(board: Board, now: number): number {
+		if (this.#pollInFlight) return Infinity
+		if (now < this.#nextPollAt) return this.#nextPollAt
 		const waitMs = this.#afterVersion === undefined ? 0 : FOLLOW_WAIT_MS
 		const timeoutMs =
 			this.#afterVersion === undefined ? PLATFORM_TIMEOUT_MS : waitMs + FOLLOW_ANSWER_TIMEOUT_MS
-		this.#followInFlight = true
+		this.#pollInFlight = true
 		board.issue<"table-follow">({
 			kind: CommandKind.tableFollow,
 			owner: this.name,
@@ -128,24 +128,24 @@
 	}
 
 	#settle(board: Board, completion: Completion, now: number): void {
-		const [what, epoch] = completion.command.subject.split(" ")
+		const [purpose, epoch] = completion.command.subject.split(" ")
 		const isCurrent = this.#epoch !== 0 && epoch === `${this.#epoch}`
-		if (what !== COMMIT) this.#followInFlight = false
+		if (purpose !== COMMIT) this.#pollInFlight = false
 		if (!isCurrent) return
-		if (what === FOLLOW) this.#settleFollow(board, completion as Completion<"table-follow">, now)
-		else if (what === PROGRESS)
+		if (purpose === FOLLOW) this.#settlePoll(board, completion as Completion<"table-follow">, now)
+		else if (purpose === PROGRESS)
 			this.#settleProgress(board, completion as Completion<"table-scan">, now)
 		else this.#settleCommit(board, completion as Completion<"table-commit">, now)
 	}
 
-	#settleFollow(board: Board, {result}: Completion<"table-follow">, now: number): void {
+	#settlePoll(board: Board, {result}: Completion<"table-follow">, now: number): void {
 		if (result.isErr()) {
-			this.#followAt = now + this.#followOutage.noteFailure(board, result.error)
+			this.#nextPollAt = now + this.#pollOutage.noteFailure(board, result.error)
 			// Changes may have been missed, so all rows are read again.
 			this.#afterVersion = undefined
 			return
 		}
-		this.#followOutage.noteSuccess(board)
+		this.#pollOutage.noteSuccess(board)
 		const changes = result.value
 		if (board.terms.has("loaded")) {
 			this.#adoptRows(board, changes.rows, now)
@@ -159,14 +159,14 @@
 	#loadProgress(board: Board, {rows, version}: TableChanges, now: number): void {
 		this.#rows = rows
 		this.#afterVersion = version
-		this.#followInFlight = true
+		this.#pollInFlight = true
 		issueTableScan(board, this.name, `${PROGRESS} ${this.#epoch}`, PROGRESS_PREFIX, now)
 	}
 
 	#settleProgress(board: Board, {result}: Completion<"table-scan">, now: number): void {
 		if (result.isErr()) {
 			this.#afterVersion = undefined
-			this.#followAt = now + this.#followOutage.noteFailure(board, result.error)
+			this.#nextPollAt = now + this.#pollOutage.noteFailure(board, result.error)
 			return
 		}
 		this.#adoptRows(board, this.#rows, now)
@@ -242,7 +242,7 @@
 
 	#commit(board: Board, term: AuthorityEntry, now: number): number {
 		if (this.#batch !== undefined || !board.terms.has("loaded")) return Infinity
-		if (now < this.#commitAt) return this.#commitAt
+		if (now < this.#nextCommitAt) return this.#nextCommitAt
 		const batch = this.#collectBatch(board, now)
 		if (batch.writes.length === 0) return this.#findNextRemoval(board)
 		const holderCheck = {
@@ -299,14 +299,14 @@
 		this.#batch = undefined
 		if (batch === undefined) return
 		if (result.isErr()) {
-			this.#putBack(batch)
-			this.#commitAt = now + this.#commitOutage.noteFailure(board, result.error)
+			this.#restoreBatch(batch)
+			this.#nextCommitAt = now + this.#commitOutage.noteFailure(board, result.error)
 			return
 		}
 		this.#commitOutage.noteSuccess(board)
 		if (!result.value.committed) {
 			this.#adoptConflicts(board, batch, result.value.conflicts, now)
-			this.#putBack(batch)
+			this.#restoreBatch(batch)
 			return
 		}
 		const versions = new Map<string, number>()
@@ -316,7 +316,7 @@
 		for (const {entry, state} of batch.states) if (isFinal(state)) this.#ended.add(entry.record.id)
 	}
 
-	#putBack(batch: CommitBatch): void {
+	#restoreBatch(batch: CommitBatch): void {
 		for (const {entry} of batch.states) this.#dirty.add(entry.record.id)
 		for (const {occurrence} of batch.occurrences)
 			this.#dirty.add(occurrence.key.split(".")[0] ?? "")
@@ -338,7 +338,7 @@
 		adoptVersions(batch, versions)
 		const keys = [...versions.keys()].slice(0, COMMIT_ROWS_MAX).join(" ")
 		board.record(EventLevel.info, "workflow-commit-conflict", {keys})
-		this.#commitAt = now + OUTAGE_RETRY_MIN_MS
+		this.#nextCommitAt = now + OUTAGE_RETRY_MIN_MS
 	}
 }
 
