--- a/__tests__/backfill.test.ts
+++ b/__tests__/backfill.test.ts
@@ -49,7 +49,7 @@
 			findRecord: id => (id === running.id ? running : undefined)
 		})
 		const pass = new ReservingBackfillPolicy().begin(context)
-		pass.withhold(gang, fleet)
+		pass.reserve(gang, fleet)
 		const inTimeMs = 10000 / BACKFILL_MARGIN
 		expect(listUsable(pass, createJob("short", 1, 1, inTimeMs), fleet)).to.equal("worker-2")
 		expect(listUsable(pass, createJob("long", 1, 1, inTimeMs + 1), fleet)).to.equal("")
@@ -58,14 +58,14 @@
 	it("reserves nothing for a gang that never fits", () => {
 		const {fleet} = createTwoWorkers(10000)
 		const pass = new ReservingBackfillPolicy().begin(createQueueContext())
-		pass.withhold(createJob("huge", 3, 2, 1000), fleet)
+		pass.reserve(createJob("huge", 3, 2, 1000), fleet)
 		expect(listUsable(pass, createJob("long", 1, 1, 11000), fleet)).to.equal("worker-1 worker-2")
 	})
 
 	it("lets any job overtake in the baseline", () => {
 		const {fleet} = createTwoWorkers(10000)
 		const pass: BackfillPass = new GreedyBackfillPolicy().begin()
-		pass.withhold(gang, fleet)
+		pass.reserve(gang, fleet)
 		expect(listUsable(pass, createJob("long", 1, 1, 11000), fleet)).to.equal("worker-1 worker-2")
 	})
 })
--- a/__tests__/defragment.test.ts
+++ b/__tests__/defragment.test.ts
@@ -1,5 +1,5 @@
 import {expect} from "chai"
-import {computeFit} from "../src/internal.js"
+import {computeFitShare} from "../src/internal.js"
 import {createFleet, occupy} from "./fixtures/fleet.js"
 import {type TestZone, createGuaranteedZone} from "./fixtures/zone.js"
 
@@ -38,10 +38,10 @@
 describe("defragmentation", () => {
 	it("computes the share of free accelerators that the largest gang could use", () => {
 		const fleet = createFleet(1)
-		expect(computeFit(fleet)).to.equal(1)
+		expect(computeFitShare(fleet)).to.equal(1)
 		for (const at of [0, 1, 2, 3, 4, 5, 6])
 			occupy(fleet, [{workerId: `r0w${at}`, accelerators: HALF}])
-		expect(computeFit(fleet)).to.be.closeTo(32 / 36, 0.001)
+		expect(computeFitShare(fleet)).to.be.closeTo(32 / 36, 0.001)
 	})
 
 	it("frees whole workers by moving work that can be checkpointed and repeated", () => {
--- a/__tests__/guarantee.test.ts
+++ b/__tests__/guarantee.test.ts
@@ -8,7 +8,7 @@
 	Adjacency,
 	BestFitPlacementPolicy,
 	FleetIndex,
-	GuaranteeHomes,
+	GuaranteePlacements,
 	GuaranteeKeeper,
 	GuaranteeReclaimRule,
 	ReasonCode,
@@ -166,7 +166,7 @@
 	function place(step: ModelStep, jobId: string): void {
 		const {members, accelerators, cpus, adjacency, workspace} = step
 		const shape = createShape({members, accelerators, cpus, adjacency})
-		const request = {jobId, workspace, shape, avoid: []}
+		const request = {jobId, workspace, shape, failedOn: []}
 		const task = describeTask(step, jobId)
 		const placed = keeper.place(new BestFitPlacementPolicy(), request, task, fleet, now)
 		if (placed.isOk()) start(placed.value, task)
@@ -176,7 +176,7 @@
 		const {members, accelerators, cpus, adjacency, workspace} = step
 		const shape = createShape({members, accelerators, cpus, adjacency})
 		keeper.refresh([workspace], fleet, now)
-		const rule = new GuaranteeReclaimRule(workspace, keeper.homes)
+		const rule = new GuaranteeReclaimRule(workspace, keeper.placements)
 		const choice = findReclaim(shape, fleet.values(), rule, now)
 		if (choice === undefined) return
 		end(choice.victims)
@@ -203,7 +203,7 @@
 }
 
 /** Checks the guarantee placements without using the packing code that chose them. */
-function expectHomesGood(homes: GuaranteeHomes, fleet: FleetIndex, units: number): void {
+function expectHomesGood(homes: GuaranteePlacements, fleet: FleetIndex, units: number): void {
 	const taken = new Set<string>()
 	expect(homes.list).to.have.length(units)
 	for (const {unit, members} of homes.list) {
@@ -235,7 +235,7 @@
 			const model = createModel()
 			for (const [nth, step] of steps.entries()) {
 				model.run(step, nth)
-				expectHomesGood(model.keeper.homes, model.fleet, model.units.length)
+				expectHomesGood(model.keeper.placements, model.fleet, model.units.length)
 			}
 		})
 		fc.assert(property, RUNS)
--- a/__tests__/placement.test.ts
+++ b/__tests__/placement.test.ts
@@ -23,7 +23,7 @@
 		jobId: "job",
 		workspace: "posta",
 		shape: createShape(shape),
-		avoid: [],
+		failedOn: [],
 		...overrides
 	}
 }
@@ -96,7 +96,7 @@
 			createFleetWorker({id: "failed"}, [0]),
 			createFleetWorker({id: "other"})
 		])
-		const request = createRequest({}, {avoid: ["failed"]})
+		const request = createRequest({}, {failedOn: ["failed"]})
 		expect(listWorkers(policy.place(request, fleet))).to.deep.equal(["other"])
 		fleet.delete("other")
 		expect(listWorkers(policy.place(request, fleet))).to.deep.equal(["failed"])
@@ -108,7 +108,7 @@
 				createFleetWorker({id: "failed"}),
 				createFleetWorker({id: "full"}, [0, 1, 2, 3, 4, 5, 6, 7])
 			])
-			const request = createRequest({}, {avoid: ["failed"]})
+			const request = createRequest({}, {failedOn: ["failed"]})
 			expect(named.place(request, fleet)).to.equal(undefined)
 			fleet.delete("full")
 			expect(listWorkers(named.place(request, fleet))).to.deep.equal(["failed"])
--- a/__tests__/run-placement.test.ts
+++ b/__tests__/run-placement.test.ts
@@ -1,9 +1,9 @@
 /** Tests the placement policy alone: where tasks that start together are placed. */
 import {expect} from "chai"
 import {
-	type NodeRoom,
+	type NodeCapacity,
 	type PlacementUnit,
-	type RoomRun,
+	type NodeRun,
 	type TaskRef,
 	PackedRunPlacement,
 	createOccurrence,
@@ -35,13 +35,13 @@
 	return occurrence.steps[0]!.tasks.map((_, index) => createTaskRef(entry, occurrence, 0, index)!)
 }
 
-function createNode(id: string, rack: string, overrides: Partial<NodeRoom> = {}): NodeRoom {
+function createNode(id: string, rack: string, overrides: Partial<NodeCapacity> = {}): NodeCapacity {
 	return {
 		id,
 		incarnation: "1",
 		rack,
 		labels: [rack],
-		isDoubted: false,
+		isSuspect: false,
 		free: {cpuMillis: 32000, memoryMb: 131072, accelerators: 8},
 		listRuns: () => [],
 		...overrides
@@ -49,9 +49,9 @@
 }
 
 /** Creates a worker whose accelerators are all used by one run. */
-function createFullNode(id: string, rack: string, run: Partial<RoomRun>): NodeRoom {
+function createFullNode(id: string, rack: string, run: Partial<NodeRun>): NodeCapacity {
 	const [ref] = createRefs(`batch-${id}`, {count: 1, gpu: 8})
-	const full: RoomRun = {
+	const full: NodeRun = {
 		ref: ref!,
 		rank: 3,
 		loss: 0,
@@ -73,13 +73,13 @@
 		lossMax: LOSS_MAX,
 		mayWait: true,
 		remoteCost: LOSS_MAX,
-		avoid: new Set(),
+		failedOn: new Set(),
 		...overrides
 	}
 }
 
-function chooseNodes(unit: PlacementUnit, nodes: NodeRoom[]): string[] | undefined {
-	return new PackedRunPlacement().choose(unit, nodes)?.map(({room: node}) => node.id)
+function chooseNodes(unit: PlacementUnit, nodes: NodeCapacity[]): string[] | undefined {
+	return new PackedRunPlacement().choose(unit, nodes)?.map(({capacity: node}) => node.id)
 }
 
 describe("placement of tasks that start together", () => {
@@ -94,8 +94,8 @@
 		const rooms = [
 			createFullNode("a1", "a", {loss: LOSS_MAX}),
 			createFullNode("a2", "a", {loss: LOSS_MAX}),
-			createNode("b1", "b", {isDoubted: true}),
-			createNode("c1", "c", {isDoubted: true})
+			createNode("b1", "b", {isSuspect: true}),
+			createNode("c1", "c", {isSuspect: true})
 		]
 		expect(chooseNodes(createUnit(createRefs("one", gang)), rooms)).to.deep.equal(["b1", "c1"])
 	})
@@ -140,6 +140,6 @@
 		]
 		const unit = createUnit(createRefs("one", {count: 1, gpu: 8}), {lossMax: -1})
 		const slots = new PackedRunPlacement().forecast(unit, rooms)
-		expect(slots?.map(({room: node}) => node.id)).to.deep.equal(["a2"])
+		expect(slots?.map(({capacity: node}) => node.id)).to.deep.equal(["a2"])
 	})
 })
--- a/__tests__/write-window.test.ts
+++ b/__tests__/write-window.test.ts
@@ -25,7 +25,7 @@
 
 function fillWindow(window: WriteWindow, transition: Transition): number {
 	const before = window.inFlight
-	while (window.isOpenFor(transition)) window.noteSent()
+	while (window.isOpenFor(transition)) window.recordSent()
 	return window.inFlight - before
 }
 
@@ -64,16 +64,16 @@
 	it("halves once for commits lost together and widens with answers", () => {
 		const window = new WriteWindow()
 		fillWindow(window, rehome)
-		while (window.inFlight > 0) window.noteLoss(0, 2000)
+		while (window.inFlight > 0) window.recordLoss(0, 2000)
 		expect(window.size).to.equal(WRITE_WINDOW_MAX / 2)
 		for (let at = 0; at < 20; at++) {
-			window.noteSent()
-			window.noteLoss(3000 + at, 3000 + at)
+			window.recordSent()
+			window.recordLoss(3000 + at, 3000 + at)
 		}
 		expect(window.size).to.equal(WRITE_WINDOW_MIN)
 		for (let at = 0; at < 10000; at++) {
-			window.noteSent()
-			window.noteAnswer()
+			window.recordSent()
+			window.recordAnswer()
 		}
 		expect(window.size).to.equal(WRITE_WINDOW_MAX)
 	})
--- a/bench/placement-day.ts
+++ b/bench/placement-day.ts
@@ -13,7 +13,7 @@
 	type JobRecord,
 	type JobSpec,
 	Adjacency,
-	computeFit,
+	computeFitShare,
 	InvariantError
 } from "../src/internal.js"
 import {createShape, endJob, queueJob, requeueJob, runJob} from "./zone-board.js"
@@ -217,7 +217,7 @@
 		const free = fleet.freeAccelerators
 		this.#useArea += elapsedMs * (1 - free / this.#accelerators)
 		if (free === 0) return
-		this.#fitArea += elapsedMs * computeFit(fleet)
+		this.#fitArea += elapsedMs * computeFitShare(fleet)
 		this.#fitTime += elapsedMs
 	}
 
--- a/bench/placement-scale.ts
+++ b/bench/placement-scale.ts
@@ -205,7 +205,7 @@
 		const shape = createShape({accelerators})
 		const spec = {shape, repeatable: accelerators > 0}
 		const record = queueJob(board, `run-${at}`, "posta", spec)
-		const request = {jobId: record.id, workspace: "posta", shape, avoid: []}
+		const request = {jobId: record.id, workspace: "posta", shape, failedOn: []}
 		const members = policy.place(request, tracker.index)
 		if (members === undefined) {
 			board.jobs.delete(record.id)
--- a/src/controllers/catalog.ts
+++ b/src/controllers/catalog.ts
@@ -51,11 +51,11 @@
 	#settle(board: Board, {command, result}: Completion<"catalog-follow">, now: number): void {
 		this.#inFlight = false
 		if (result.isErr()) {
-			this.#nextAt = now + this.#outage.noteFailure(board, result.error)
+			this.#nextAt = now + this.#outage.recordFailure(board, result.error)
 			this.#afterVersion = undefined
 			return
 		}
-		this.#outage.noteSuccess(board)
+		this.#outage.recordSuccess(board)
 		this.#adopt(board, result.value, command.issuedAt)
 		this.#afterVersion = result.value.version
 	}
--- a/src/controllers/defragment.ts
+++ b/src/controllers/defragment.ts
@@ -15,7 +15,7 @@
 	Lifecycle,
 	ReasonCode,
 	SectionName,
-	computeFit,
+	computeFitShare,
 	findDefragmentMove,
 	isStartPermitted
 } from "../internal.js"
@@ -66,7 +66,7 @@
 		const fleet = board.fleet.get("current")
 		if (
 			fleet === undefined ||
-			(board.waiting.size === 0 && computeFit(fleet) >= SUFFICIENT_FIT_SHARE)
+			(board.waiting.size === 0 && computeFitShare(fleet) >= SUFFICIENT_FIT_SHARE)
 		)
 			return
 		const policy = this.#policies.placement.find(policyName)
--- a/src/controllers/gang.ts
+++ b/src/controllers/gang.ts
@@ -27,16 +27,16 @@
 	SectionName,
 	TransitionKind,
 	applyReport,
-	computeEnd,
+	computeOutcome,
 	computeRan,
-	computeReportOf,
+	findReportedChange,
 	createGang,
 	createRecoveredGang,
 	findEpoch,
 	isChange,
 	isClaimOf,
 	isEveryMember,
-	isMemberLapsed,
+	isMemberLeaseExpired,
 	isSettled,
 	isStartPermitted,
 	isWithdrawn,
@@ -351,10 +351,10 @@
 		if (gang === undefined) return
 		for (const [index, member] of gang.members.entries()) {
 			if (isSettled(member)) continue
-			const change = computeReportOf(board, gang, member, now)
+			const change = findReportedChange(board, gang, member, now)
 			if (change !== undefined) {
 				if (isChange(member, change)) gang = updateMember(gang, index, change)
-			} else if (isMemberLapsed(board, gang, member, now))
+			} else if (isMemberLeaseExpired(board, gang, member, now))
 				gang = updateMember(gang, index, {state: MemberState.clear})
 		}
 		if (gang !== board.gangs.get(jobId)) board.gangs.set(jobId, gang)
@@ -368,7 +368,7 @@
 			board.gangs.delete(gang.jobId)
 			return
 		}
-		const end = computeEnd(job.record, gang)
+		const end = computeOutcome(job.record, gang)
 		if (end === undefined && !gang.claimed) {
 			// No claim was committed, so the job's row still says queued.
 			issueReleases(board, this.name, gang, now)
--- a/src/controllers/ledger.ts
+++ b/src/controllers/ledger.ts
@@ -38,7 +38,7 @@
 	formatAnswerKey,
 	formatJobKey,
 	isHolderTransition,
-	moveAnswer,
+	replaceAnswer,
 	issueTableCommit,
 	issueTableRead,
 	issueTableScan
@@ -165,15 +165,15 @@
 		work.busy = true
 		work.written = record
 		const writes = buildWrites(work.transition, record, version, authority)
-		this.#window.noteSent()
+		this.#window.recordSent()
 		issueTableCommit(board, this.name, work.transition.id, writes, now)
 	}
 
 	#settle(board: Board, completion: Completion, now: number): void {
 		const {kind, subject, issuedAt} = completion.command
 		if (kind === CommandKind.tableCommit) {
-			if (completion.result.isOk()) this.#window.noteAnswer()
-			else this.#window.noteLoss(issuedAt, now)
+			if (completion.result.isOk()) this.#window.recordAnswer()
+			else this.#window.recordLoss(issuedAt, now)
 		}
 		if (subject === SCAN) this.#settleScan(board, completion as Completion<"table-scan">, now)
 		else if (subject === LOAD) this.#settleLoad(board, completion as Completion<"table-read">)
@@ -195,7 +195,7 @@
 			return
 		}
 		if (completion.command.kind === CommandKind.objectPut) {
-			work.transition = moveAnswer(work.transition, completion.command.request.key)
+			work.transition = replaceAnswer(work.transition, completion.command.request.key)
 		} else if (completion.command.kind === CommandKind.tableRead) {
 			const [row] = completion.result.value as readonly TableRow[]
 			this.#rebase(board, work, row)
--- a/src/controllers/node-drain.ts
+++ b/src/controllers/node-drain.ts
@@ -15,7 +15,7 @@
 	SectionName,
 	TaskPhase,
 	estimateRemaining,
-	isTermProven,
+	isTermConfirmed,
 	stopRun
 } from "../internal.js"
 
@@ -27,7 +27,7 @@
 		if (!board.terms.has("loaded")) return undefined
 		const leaving = [...board.nodes.values()].filter(({leavesAt}) => leavesAt !== undefined)
 		if (leaving.length === 0) return undefined
-		if (isTermProven(board, now)) for (const node of leaving) this.#moveRuns(board, node, now)
+		if (isTermConfirmed(board, now)) for (const node of leaving) this.#moveRuns(board, node, now)
 		return now + NODE_DRAIN_CHECK_INTERVAL_MS
 	}
 
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -22,10 +22,10 @@
 	RefusedError,
 	SectionName,
 	WORKER_LIST_INTERVAL_MS,
-	computeLapse,
+	computeLeaseExpiry,
 	computeLeaseEnd,
 	findTerm,
-	isTermProven
+	isTermConfirmed
 } from "../internal.js"
 
 const LIST = "list"
@@ -113,7 +113,7 @@
 		const {id, address} = node.registration
 		// The lease of a worker that does not answer is not renewed, so its runs expire eventually.
 		const isRenewed =
-			isTermProven(board, now) && node.incarnation !== undefined && node.failures === 0
+			isTermConfirmed(board, now) && node.incarnation !== undefined && node.failures === 0
 		const acknowledged = this.#findAcknowledged(board, node)
 		// Leases are computed from the worker's clock, which comes with its first answer, and after a failure the next
 		// answer shows whether the worker may get runs again.
@@ -139,7 +139,7 @@
 		if (isRenewed)
 			board.nodes.setSilently(id, {
 				...node,
-				leaseExpiresAt: Math.max(node.leaseExpiresAt, computeLapse(now))
+				leaseExpiresAt: Math.max(node.leaseExpiresAt, computeLeaseExpiry(now))
 			})
 	}
 
@@ -153,10 +153,10 @@
 		this.#listInFlight = false
 		if (this.#epoch === 0) return
 		if (result.isErr()) {
-			this.#listAt = now + this.#listOutage.noteFailure(board, result.error)
+			this.#listAt = now + this.#listOutage.recordFailure(board, result.error)
 			return
 		}
-		this.#listOutage.noteSuccess(board)
+		this.#listOutage.recordSuccess(board)
 		for (const problem of result.value.malformed)
 			board.record(EventLevel.debug, "worker-malformed", {detail: problem})
 		const listed = new Set<string>()
@@ -188,7 +188,7 @@
 				clockMs: 0,
 				clockReadAt: 0,
 				answeredAt: 0,
-				leaseExpiresAt: computeLapse(this.#termStartedAt + DOMAIN_LEASE_USABLE_MS),
+				leaseExpiresAt: computeLeaseExpiry(this.#termStartedAt + DOMAIN_LEASE_USABLE_MS),
 				failures: 0,
 				leavesAt: computeLeavesAt(registration, undefined, now)
 			})
--- a/src/controllers/peer.ts
+++ b/src/controllers/peer.ts
@@ -14,7 +14,7 @@
 	PEER_TIMEOUT_MS,
 	RETRY_BASE_MS,
 	SectionName,
-	buildPeerNews,
+	buildPeerStatus,
 	listPeers,
 	pickPeers
 } from "../internal.js"
@@ -50,7 +50,7 @@
 		this.#sentGeneration = generation
 		this.#nextAt = now + PEER_EXCHANGE_INTERVAL_MS
 		this.#removeUnlisted(board)
-		const ownStatus = buildPeerNews(board, false, now)
+		const ownStatus = buildPeerStatus(board, false, now)
 		for (const peer of pickPeers(board, this.#round++)) this.#query(board, peer, ownStatus, now)
 		return this.#nextAt
 	}
@@ -95,7 +95,7 @@
 		const request = board.peerRequests.take(id)
 		if (request === undefined) return
 		const {query: peerQuery} = request
-		board.peerReplies.set(id, buildPeerNews(board, peerQuery.wantsBundle, now))
+		board.peerReplies.set(id, buildPeerStatus(board, peerQuery.wantsBundle, now))
 		this.#recordQuery(board, peerQuery, now)
 	}
 
@@ -128,7 +128,7 @@
 		const peer = board.hosts.get(chosen?.status.hostId ?? "")
 		if (peer === undefined) return now + RETRY_BASE_MS
 		this.#fetching = true
-		this.#issue(board, peer, FETCH, buildPeerNews(board, false, now), now)
+		this.#issue(board, peer, FETCH, buildPeerStatus(board, false, now), now)
 		return Infinity
 	}
 
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -6,7 +6,7 @@
 	type BundleContent,
 	type Controller,
 	type FleetIndex,
-	type GuaranteeHomes,
+	type GuaranteePlacements,
 	type GuaranteeUnit,
 	type HoldEntry,
 	type JobEntry,
@@ -55,7 +55,7 @@
 	readonly #keeper = new GuaranteeKeeper()
 	#content: BundleContent | undefined
 	#units: readonly GuaranteeUnit[] = []
-	#publishedGuarantees: GuaranteeHomes | undefined
+	#publishedGuarantees: GuaranteePlacements | undefined
 	#publishedFleetVersion = -1
 
 	constructor(policies: Policies) {
@@ -112,7 +112,7 @@
 				this.#recordPlacement(board, job, placed.value, now)
 			} else {
 				if (hold === undefined) unplaceable.set(key, placed.error)
-				if (placed.error === ReasonCode.noRoom) backfill.withhold(job, index)
+				if (placed.error === ReasonCode.noRoom) backfill.reserve(job, index)
 				recordWaiting(board, job.record.id, placed.error, now)
 			}
 		}
@@ -133,7 +133,7 @@
 		const {id, workspace, spec} = job.record
 		const policy = this.#policies.placement.find(content.policies.placement)
 		const restrict = backfill.restrict(job)
-		const request = {jobId: id, workspace, shape: spec.shape, avoid: job.failedOn, restrict}
+		const request = {jobId: id, workspace, shape: spec.shape, failedOn: job.failedOn, restrict}
 		return this.#keeper.place(policy, request, buildJobTask(job.record, "", [], now), index, now)
 	}
 
@@ -154,12 +154,12 @@
 		this.#fleet.reserve(board, placement, now)
 		board.placements.set(id, placement)
 		board.waiting.delete(id)
-		this.#queue.notePlaced(id, now)
+		this.#queue.recordPlaced(id, now)
 	}
 
 	/** Writes the fleet and the guarantee placements to the board for the controllers that read them. */
 	#publish(board: Board): void {
-		const {homes} = this.#keeper
+		const {placements: homes} = this.#keeper
 		if (homes !== this.#publishedGuarantees) {
 			const ids = new Set(homes.list.map(({unit}) => unit.id))
 			for (const id of [...board.guaranteePlacements.keys()])
@@ -223,7 +223,7 @@
 	board.record(EventLevel.debug, "job-waiting", {job: jobId}, reason)
 }
 
-function recordGuaranteePlacements(board: Board, guaranteePlacements: GuaranteeHomes): void {
+function recordGuaranteePlacements(board: Board, guaranteePlacements: GuaranteePlacements): void {
 	const without = guaranteePlacements.list.length - guaranteePlacements.count
 	const fields = {homes: guaranteePlacements.count, without}
 	const reason = without > 0 ? ReasonCode.guaranteesDoNotFit : undefined
--- a/src/controllers/reclaim.ts
+++ b/src/controllers/reclaim.ts
@@ -13,7 +13,7 @@
 	type ReclaimChoice,
 	type ReclaimRule,
 	EventLevel,
-	GuaranteeHomes,
+	GuaranteePlacements,
 	GuaranteeReclaimRule,
 	PreemptionRule,
 	PriorityClass,
@@ -94,7 +94,7 @@
 	#reclaimOne(board: Board, fleet: FleetIndex, now: number): void {
 		if (this.#lastFleetVersion === fleet.version && this.#lastWaitingCount === board.waiting.size)
 			return
-		const guaranteePlacements = new GuaranteeHomes([...board.guaranteePlacements.values()])
+		const guaranteePlacements = new GuaranteePlacements([...board.guaranteePlacements.values()])
 		const tried = new Set<string>()
 		for (const job of listCandidates(board)) {
 			const key = formatCandidateKey(job)
@@ -110,7 +110,7 @@
 		board: Board,
 		job: JobEntry,
 		fleet: FleetIndex,
-		guaranteePlacements: GuaranteeHomes,
+		guaranteePlacements: GuaranteePlacements,
 		now: number
 	): boolean {
 		const {record} = job
@@ -184,7 +184,7 @@
 	{record}: JobEntry,
 	{members, victims}: ReclaimChoice,
 	fleet: FleetIndex,
-	guaranteePlacements: GuaranteeHomes,
+	guaranteePlacements: GuaranteePlacements,
 	now: number
 ): boolean {
 	const stopped = new Set(victims)
@@ -192,7 +192,7 @@
 		const worker = fleet.get(workerId)
 		if (worker === undefined) return false
 		const freed: FleetWorker = removeTasks(worker, ({jobId}) => stopped.has(jobId))
-		return guaranteePlacements.isKeptOn(
+		return guaranteePlacements.isValidOn(
 			addTask(freed, buildJobTask(record, "", accelerators, now)),
 			now
 		)
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -21,16 +21,16 @@
 	SectionName,
 	TaskPhase,
 	TransportError,
-	computeLapse,
+	computeLeaseExpiry,
 	computeLeaseEnd,
 	findTerm,
-	isNodeOpen,
+	isNodeSchedulable,
 	isSaved,
 	isSchedulable,
-	isTermProven,
+	isTermConfirmed,
 	listRuns,
 	listTaskRefs,
-	noteRunning,
+	recordRunning,
 	releaseRun,
 	stopRun
 } from "../internal.js"
@@ -74,7 +74,7 @@
 		this.#stopEndedWorkflows(board, now)
 		for (const id of this.#changedRuns) this.#unconfirmed.add(id)
 		this.#changedRuns.clear()
-		if (isTermProven(board, now)) {
+		if (isTermConfirmed(board, now)) {
 			for (const id of [...this.#unconfirmed]) this.#advance(board, id, now)
 			this.#stopForeign(board, now)
 		}
@@ -119,7 +119,7 @@
 		const catalog = board.catalog.get("current")
 		if (node === undefined || catalog === undefined) return false
 		if (now - catalog.evidenceAt > CATALOG_FRESH_MS) return false
-		return node.incarnation === task.incarnation && isNodeOpen(node, catalog)
+		return node.incarnation === task.incarnation && isNodeSchedulable(node, catalog)
 	}
 
 	#sendStart(board: Board, ref: TaskRef, now: number): void {
@@ -162,7 +162,7 @@
 
 	/** A start renews the worker's lease, so the time by which runs on that worker have expired moves as well. */
 	#extendExpiry(board: Board, node: NodeEntry, now: number): void {
-		const expiresAt = Math.max(node.leaseExpiresAt, computeLapse(now))
+		const expiresAt = Math.max(node.leaseExpiresAt, computeLeaseExpiry(now))
 		board.nodes.setSilently(node.registration.id, {...node, leaseExpiresAt: expiresAt})
 	}
 
@@ -228,7 +228,7 @@
 		if (ref.task.phase !== TaskPhase.starting) return
 		if (result.isOk()) {
 			ref.task.acknowledgedAt = now
-			noteRunning(board, ref, now)
+			recordRunning(board, ref, now)
 			return
 		}
 		this.#settleFailedStart(board, ref, result.error, now)
@@ -245,7 +245,7 @@
 		if ((isRefused || isUnsent) && !mayHaveRun) {
 			task.failedOn.push(task.workerId)
 			releaseRun(board, ref, reason, now)
-		} else if (!isRefused && task.starts < RUN_STARTS_MAX && isTermProven(board, now))
+		} else if (!isRefused && task.starts < RUN_STARTS_MAX && isTermConfirmed(board, now))
 			this.#sendStart(board, ref, now)
 		else stopRun(board, ref, ReasonCode.workerRefused, now)
 	}
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -8,10 +8,10 @@
 	type CatalogEntry,
 	type Clock,
 	type Controller,
-	type NodeRoom,
+	type NodeCapacity,
 	type PlacementUnit,
 	type ReadyStep,
-	type RoomsOfServices,
+	type CapacityByService,
 	type RunPlacementPolicy,
 	type RunQueuePolicy,
 	type Slot,
@@ -35,9 +35,9 @@
 	findGuaranteed,
 	isFitting,
 	isSchedulable,
-	isTermProven,
+	isTermConfirmed,
 	listReadySteps,
-	listRooms,
+	listNodeCapacities,
 	listTaskRefs,
 	planRun,
 	stopRun
@@ -131,7 +131,7 @@
 		}
 		if (board.lifecycle.get("state") !== Lifecycle.serving) return undefined
 		if (now < this.#roundAt) return this.#roundAt
-		if (!isTermProven(board, now) || now - catalog.evidenceAt > CATALOG_FRESH_MS)
+		if (!isTermConfirmed(board, now) || now - catalog.evidenceAt > CATALOG_FRESH_MS)
 			return now + WAITING_INTERVAL_MS
 		const waiting = this.#placeAll(board, catalog, now)
 		const tookMs = this.#clock.now() - now
@@ -154,7 +154,7 @@
 		)
 		this.#recordReadySteps(ready, now)
 		if (ready.length === 0) return 0
-		const capacityByService = listRooms(board, catalog, guaranteed, now)
+		const capacityByService = listNodeCapacities(board, catalog, guaranteed, now)
 		this.#applyHolds(board, capacityByService, now)
 		this.#withheldGroups = 0
 		let waiting = 0
@@ -194,7 +194,7 @@
 	}
 
 	/** Plans tasks whose held capacity is all free, and excludes the capacity held for others from this round. */
-	#applyHolds(board: Board, capacityByService: RoomsOfServices, now: number): void {
+	#applyHolds(board: Board, capacityByService: CapacityByService, now: number): void {
 		const stopMs = board.settings.domain?.stopMs ?? 0
 		const nodes = new Map([...capacityByService.values()].flat().map(node => [node.id, node]))
 		for (const [key, {unit, workerIds, since}] of [...this.#holds]) {
@@ -225,7 +225,7 @@
 		board: Board,
 		ready: ReadyStep,
 		catalog: CatalogEntry,
-		capacityByService: RoomsOfServices,
+		capacityByService: CapacityByService,
 		now: number
 	): boolean {
 		const {workflow, occurrence, stepIndex, spec, rank} = ready
@@ -246,7 +246,7 @@
 				lossMax: computeLossMax(ready),
 				mayWait,
 				remoteCost: computeRemoteCost(board, ready, now - readyAt),
-				avoid: new Set(group.flatMap(({task}) => task.failedOn))
+				failedOn: new Set(group.flatMap(({task}) => task.failedOn))
 			}
 			const slots = this.#policy.choose(unit, nodes)
 			if (slots === undefined) {
@@ -260,18 +260,18 @@
 	}
 
 	/** Withholds the capacity where a waiting group is forecast to fit soonest from all later steps. */
-	#withhold(unit: PlacementUnit, nodes: readonly NodeRoom[]): void {
+	#withhold(unit: PlacementUnit, nodes: readonly NodeCapacity[]): void {
 		if (this.#withheldGroups >= WITHHELD_GROUPS_MAX) return
 		const slots = this.#policy.forecast(unit, nodes)
 		if (slots === undefined) return
 		this.#withheldGroups++
-		for (const {room: node} of slots) addDemand(node.free, unit.spec, -1)
+		for (const {capacity: node} of slots) addDemand(node.free, unit.spec, -1)
 	}
 
 	#recordWaiting(
 		board: Board,
 		{refs, rank, lossMax}: PlacementUnit,
-		nodes: readonly NodeRoom[],
+		nodes: readonly NodeCapacity[],
 		waitedMs: number,
 		now: number
 	): void {
@@ -295,13 +295,13 @@
 	/** Plans the runs, or stops the victims first and holds their capacity. */
 	#commitSlots(board: Board, unit: PlacementUnit, slots: readonly Slot[], now: number): void {
 		const {refs, spec, rank} = unit
-		for (const [index, {room: node}] of slots.entries()) {
+		for (const [index, {capacity: node}] of slots.entries()) {
 			const ref = refs[index]
 			if (ref === undefined) continue
 			addDemand(node.free, spec, -1)
 			node.listRuns().push(buildPlannedRun(ref, rank))
 		}
-		const nodes = slots.map(({room: node}) => node)
+		const nodes = slots.map(({capacity: node}) => node)
 		if (slots.every(slot => slot.isFree)) {
 			planUnit(board, unit, nodes, now)
 			return
@@ -346,7 +346,7 @@
 function planUnit(
 	board: Board,
 	{refs, rank}: PlacementUnit,
-	nodes: readonly NodeRoom[],
+	nodes: readonly NodeCapacity[],
 	now: number
 ): void {
 	const first = refs[0]
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -22,10 +22,10 @@
 	WorkflowState,
 	completeTask,
 	endWorkflow,
-	isRunOn,
+	isCurrentRun,
 	isSaved,
 	listTaskRefs,
-	noteRunning,
+	recordRunning,
 	releaseRun,
 	stopRun
 } from "../internal.js"
@@ -98,12 +98,12 @@
 		const foreignRuns: {taskId: string; run: number}[] = []
 		for (const running of report.running) {
 			const ref = board.runs.get(running.taskId)
-			if (ref === undefined || !isRunOn(ref, node, running.run)) {
+			if (ref === undefined || !isCurrentRun(ref, node, running.run)) {
 				foreignRuns.push({taskId: running.taskId, run: running.run})
 				continue
 			}
 			present.add(running.taskId)
-			noteRunning(board, ref, now)
+			recordRunning(board, ref, now)
 			updateCheckpoint(ref, running.checkpoint)
 			if (running.percent !== ref.task.percent) {
 				ref.task.percent = running.percent
@@ -128,7 +128,7 @@
 
 	#handleEnd(board: Board, node: NodeEntry, end: EndReport, ends: WorkerEnds, now: number): void {
 		const ref = board.runs.get(end.taskId)
-		const isCurrent = ref !== undefined && isRunOn(ref, node, end.run)
+		const isCurrent = ref !== undefined && isCurrentRun(ref, node, end.run)
 		board.record(EventLevel.info, "run-ended", {
 			task: end.taskId,
 			run: end.run,
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -40,7 +40,7 @@
 	formatHolderKey,
 	isFinal,
 	isOccurrenceDone,
-	noteSaved,
+	recordSaved,
 	issueTableCommit,
 	issueTableScan,
 	parseWorkflowKey,
@@ -140,12 +140,12 @@
 
 	#settlePoll(board: Board, {result}: Completion<"table-follow">, now: number): void {
 		if (result.isErr()) {
-			this.#nextPollAt = now + this.#pollOutage.noteFailure(board, result.error)
+			this.#nextPollAt = now + this.#pollOutage.recordFailure(board, result.error)
 			// Changes may have been missed, so all rows are read again.
 			this.#afterVersion = undefined
 			return
 		}
-		this.#pollOutage.noteSuccess(board)
+		this.#pollOutage.recordSuccess(board)
 		const changes = result.value
 		if (board.terms.has("loaded")) {
 			this.#adoptRows(board, changes.rows, now)
@@ -166,7 +166,7 @@
 	#settleProgress(board: Board, {result}: Completion<"table-scan">, now: number): void {
 		if (result.isErr()) {
 			this.#afterVersion = undefined
-			this.#nextPollAt = now + this.#pollOutage.noteFailure(board, result.error)
+			this.#nextPollAt = now + this.#pollOutage.recordFailure(board, result.error)
 			return
 		}
 		this.#adoptRows(board, this.#rows, now)
@@ -300,10 +300,10 @@
 		if (batch === undefined) return
 		if (result.isErr()) {
 			this.#restoreBatch(batch)
-			this.#nextCommitAt = now + this.#commitOutage.noteFailure(board, result.error)
+			this.#nextCommitAt = now + this.#commitOutage.recordFailure(board, result.error)
 			return
 		}
-		this.#commitOutage.noteSuccess(board)
+		this.#commitOutage.recordSuccess(board)
 		if (!result.value.committed) {
 			this.#adoptConflicts(board, batch, result.value.conflicts, now)
 			this.#restoreBatch(batch)
@@ -312,7 +312,7 @@
 		const versions = new Map<string, number>()
 		for (const [index, {key}] of command.request.writes.entries())
 			versions.set(key, result.value.versions[index] ?? 0)
-		noteSaved(board, batch, versions)
+		recordSaved(board, batch, versions)
 		for (const {entry, state} of batch.states) if (isFinal(state)) this.#ended.add(entry.record.id)
 	}
 
@@ -320,7 +320,7 @@
 		for (const {entry} of batch.states) this.#dirty.add(entry.record.id)
 		for (const {occurrence} of batch.occurrences)
 			this.#dirty.add(occurrence.key.split(".")[0] ?? "")
-		for (const {record} of batch.forgotten) this.#ended.add(record.id)
+		for (const {record} of batch.removed) this.#ended.add(record.id)
 	}
 
 	/**
--- a/src/policies/defragment.ts
+++ b/src/policies/defragment.ts
@@ -23,7 +23,7 @@
 }
 
 /** Share of the free accelerators that the largest fitting gang could use, with one member of one size per worker. */
-export function computeFit(fleet: FleetIndex): number {
+export function computeFitShare(fleet: FleetIndex): number {
 	const free = fleet.freeAccelerators
 	if (free === 0) return 1
 	let largest = 0
@@ -84,7 +84,7 @@
 	const touched = new Map(held.map(worker => [worker.id, worker]))
 	for (const worker of held) scratch.set(removeTasks(worker, ({jobId}) => jobId === record.id))
 	const {id: jobId, workspace, spec} = record
-	const members = policy.place({jobId, workspace, shape: spec.shape, avoid: []}, scratch) ?? []
+	const members = policy.place({jobId, workspace, shape: spec.shape, failedOn: []}, scratch) ?? []
 	const task = held[0]?.tasks.find(candidate => candidate.jobId === jobId)
 	for (const {workerId, accelerators} of members) {
 		const worker = scratch.get(workerId)
--- a/src/policies/guarantee-check.ts
+++ b/src/policies/guarantee-check.ts
@@ -15,15 +15,15 @@
 export function checkGuarantees(content: BundleContent): Result<void, RefusalError> {
 	const zones = new Set(content.zones.map(({name}) => name))
 	for (const {name, guarantees} of content.workspaces) {
-		const lost = guarantees.find(({zone}) => !zones.has(zone))
-		if (lost !== undefined)
+		const unlisted = guarantees.find(({zone}) => !zones.has(zone))
+		if (unlisted !== undefined)
 			return refuse(
-				`workspace ${name} has a guarantee in zone ${lost.zone}, which the bundle does not list`
+				`workspace ${name} has a guarantee in zone ${unlisted.zone}, which the bundle does not list`
 			)
 	}
 	for (const zone of content.zones) {
-		const unhomed = findUnhomed(content, zone)
-		if (unhomed.length > 0) return refuse(describeUnhomed(zone, unhomed))
+		const unplaced = findUnplacedUnits(content, zone)
+		if (unplaced.length > 0) return refuse(describeUnplacedUnits(zone, unplaced))
 	}
 	return ok()
 }
@@ -32,14 +32,14 @@
 	return err(new RefusalError(ReasonCode.guaranteesDoNotFit, detail))
 }
 
-function findUnhomed(content: BundleContent, zone: ZoneConfig): readonly GuaranteeUnit[] {
+function findUnplacedUnits(content: BundleContent, zone: ZoneConfig): readonly GuaranteeUnit[] {
 	if (zone.capacity === undefined) return []
-	const homes = new GreedyGuaranteePacker().pack(
+	const placements = new GreedyGuaranteePacker().pack(
 		listUnits(content, zone.name),
 		buildDeclaredWorkers(zone),
 		0
 	)
-	return homes.filter(({members}) => members.length === 0).map(({unit}) => unit)
+	return placements.filter(({members}) => members.length === 0).map(({unit}) => unit)
 }
 
 /** The zone's declared workers, all empty. */
@@ -61,7 +61,7 @@
 	)
 }
 
-function describeUnhomed(zone: ZoneConfig, units: readonly GuaranteeUnit[]): string {
+function describeUnplacedUnits(zone: ZoneConfig, units: readonly GuaranteeUnit[]): string {
 	const shapes = units.map(({workspace, shape}) => {
 		const {members, accelerators, adjacency} = shape
 		return `${workspace}: ${members} x ${accelerators} accelerators, adjacency ${adjacency}`
--- a/src/policies/guarantee-home-worker.ts
+++ b/src/policies/guarantee-home-worker.ts
@@ -20,15 +20,15 @@
 const LOSS_SCALE = 1e9
 
 /** A block that fits one member of a guaranteed shape. */
-export interface HomeFit {
-	readonly worker: HomeWorker
+export interface BlockFit {
+	readonly worker: PackingWorker
 	readonly accelerators: readonly number[]
 	readonly cost: number
 	/** Number of the block's accelerators that the workspace itself holds. */
 	readonly own: number
 }
 
-interface AssignedHome {
+interface AssignedBlock {
 	readonly workspace: string
 	readonly shape: GangShape
 	readonly accelerators: readonly number[]
@@ -36,33 +36,33 @@
 
 type Resource = "cpus" | "memoryMb"
 
-export class HomeWorker {
+export class PackingWorker {
 	readonly worker: FleetWorker
 	readonly #now: number
 	readonly #tasksAt: (FleetTask[] | undefined)[]
-	readonly #taken: boolean[]
-	readonly #homes: AssignedHome[] = []
-	readonly #hardTasks: readonly FleetTask[]
-	readonly #hard: Readonly<Record<Resource, number>>
+	readonly #assigned: boolean[]
+	readonly #assignedBlocks: AssignedBlock[] = []
+	readonly #unstoppableTasks: readonly FleetTask[]
+	readonly #unstoppableDemand: Readonly<Record<Resource, number>>
 
 	constructor(worker: FleetWorker, now: number) {
 		this.worker = worker
 		this.#now = now
 		this.#tasksAt = Array.from({length: worker.accelerators}, () => undefined)
-		this.#taken = Array.from({length: worker.accelerators}, () => false)
+		this.#assigned = Array.from({length: worker.accelerators}, () => false)
 		for (const task of worker.tasks)
 			for (const at of task.accelerators) (this.#tasksAt[at] ??= []).push(task)
-		this.#hardTasks = worker.tasks.filter(({stoppable}) => !stoppable)
-		this.#hard = {
-			cpus: this.#hardTasks.reduce((sum, {cpus}) => sum + cpus, 0),
-			memoryMb: this.#hardTasks.reduce((sum, {memoryMb}) => sum + memoryMb, 0)
+		this.#unstoppableTasks = worker.tasks.filter(({stoppable}) => !stoppable)
+		this.#unstoppableDemand = {
+			cpus: this.#unstoppableTasks.reduce((sum, {cpus}) => sum + cpus, 0),
+			memoryMb: this.#unstoppableTasks.reduce((sum, {memoryMb}) => sum + memoryMb, 0)
 		}
 	}
 
 	/** The cheapest block for one member of the unit, or undefined if none fits. */
-	findFit(unit: GuaranteeUnit): HomeFit | undefined {
+	findFit(unit: GuaranteeUnit): BlockFit | undefined {
 		const {accelerators: count} = unit.shape
-		let best: HomeFit | undefined
+		let best: BlockFit | undefined
 		for (const start of listBlockStarts(this.worker.accelerators, count)) {
 			const accelerators = listBlock(start, count)
 			const cost = this.#computeCost(unit.workspace, accelerators)
@@ -80,18 +80,18 @@
 	}
 
 	assign({workspace, shape}: GuaranteeUnit, accelerators: readonly number[]): void {
-		this.#homes.push({workspace, shape, accelerators})
-		for (const at of accelerators) this.#taken[at] = true
+		this.#assignedBlocks.push({workspace, shape, accelerators})
+		for (const at of accelerators) this.#assigned[at] = true
 	}
 
 	#computeCost(workspace: string, accelerators: readonly number[]): number {
 		let cost = 0
-		for (const at of accelerators) cost += this.#computeCellCost(workspace, at)
+		for (const at of accelerators) cost += this.#computeAcceleratorCost(workspace, at)
 		return cost
 	}
 
-	#computeCellCost(workspace: string, at: number): number {
-		if (this.#taken[at] !== false) return Infinity
+	#computeAcceleratorCost(workspace: string, at: number): number {
+		if (this.#assigned[at] !== false) return Infinity
 		const tasks = this.#tasksAt[at]
 		if (tasks === undefined) return FREE_COST
 		const others = tasks.filter(task => task.workspace !== workspace)
@@ -108,31 +108,31 @@
 	}
 
 	#isAffordable({workspace, shape}: GuaranteeUnit, accelerators: readonly number[]): boolean {
-		const homes = [...this.#homes, {workspace, shape, accelerators}]
-		return this.#isWithin("cpus", homes) && this.#isWithin("memoryMb", homes)
+		const blocks = [...this.#assignedBlocks, {workspace, shape, accelerators}]
+		return this.#isWithin("cpus", blocks) && this.#isWithin("memoryMb", blocks)
 	}
 
 	/** Unstoppable work inside its workspace's blocks uses their demand first; only the excess counts in addition. */
-	#isWithin(resource: Resource, homes: readonly AssignedHome[]): boolean {
+	#isWithin(resource: Resource, blocks: readonly AssignedBlock[]): boolean {
 		const capacity = this.worker[resource]
-		const asked = homes.reduce((sum, {shape}) => sum + shape[resource], 0)
-		if (asked + this.#hard[resource] <= capacity) return true
-		const workspaces = new Set(homes.map(({workspace}) => workspace))
+		const demand = blocks.reduce((sum, {shape}) => sum + shape[resource], 0)
+		if (demand + this.#unstoppableDemand[resource] <= capacity) return true
+		const workspaces = new Set(blocks.map(({workspace}) => workspace))
 		let covered = 0
 		for (const workspace of workspaces) {
-			const own = homes.filter(home => home.workspace === workspace)
-			const inside = this.#sumInside(resource, workspace, own)
+			const own = blocks.filter(block => block.workspace === workspace)
+			const inside = this.#sumTasksInside(resource, workspace, own)
 			covered += Math.min(
 				inside,
 				own.reduce((sum, {shape}) => sum + shape[resource], 0)
 			)
 		}
-		return asked + this.#hard[resource] - covered <= capacity
+		return demand + this.#unstoppableDemand[resource] - covered <= capacity
 	}
 
-	#sumInside(resource: Resource, workspace: string, own: readonly AssignedHome[]): number {
+	#sumTasksInside(resource: Resource, workspace: string, own: readonly AssignedBlock[]): number {
 		const isInside = (at: number) => own.some(({accelerators}) => accelerators.includes(at))
-		return this.#hardTasks
+		return this.#unstoppableTasks
 			.filter(task => task.workspace === workspace && task.accelerators.every(isInside))
 			.reduce((sum, task) => sum + task[resource], 0)
 	}
--- a/src/policies/guarantee-homes.ts
+++ b/src/policies/guarantee-homes.ts
@@ -4,33 +4,33 @@
 	type FleetWorker,
 	type GuaranteePlacement,
 	type GuaranteeUnit,
-	HomeWorker
+	PackingWorker
 } from "../internal.js"
 
-export interface WorkerHome {
+export interface GuaranteedBlock {
 	readonly unit: GuaranteeUnit
 	readonly accelerators: readonly number[]
 }
 
-export class GuaranteeHomes {
+export class GuaranteePlacements {
 	readonly list: readonly GuaranteePlacement[]
 	/** Number of units that have a placement. */
 	readonly count: number
-	readonly #byWorker = new Map<string, WorkerHome[]>()
+	readonly #byWorker = new Map<string, GuaranteedBlock[]>()
 
 	constructor(list: readonly GuaranteePlacement[]) {
 		this.list = list
 		this.count = list.filter(({members}) => members.length > 0).length
 		for (const {unit, members} of list) {
 			for (const {workerId, accelerators} of members) {
-				const homes = this.#byWorker.get(workerId) ?? []
-				homes.push({unit, accelerators})
-				this.#byWorker.set(workerId, homes)
+				const blocks = this.#byWorker.get(workerId) ?? []
+				blocks.push({unit, accelerators})
+				this.#byWorker.set(workerId, blocks)
 			}
 		}
 	}
 
-	listAt(workerId: string): readonly WorkerHome[] {
+	listBlocksOn(workerId: string): readonly GuaranteedBlock[] {
 		return this.#byWorker.get(workerId) ?? []
 	}
 
@@ -40,7 +40,8 @@
 
 	/** Workspace whose guarantee placement contains the accelerator, or undefined. */
 	findOwner(workerId: string, at: number): string | undefined {
-		return this.listAt(workerId).find(({accelerators}) => accelerators.includes(at))?.unit.workspace
+		return this.listBlocksOn(workerId).find(({accelerators}) => accelerators.includes(at))?.unit
+			.workspace
 	}
 
 	/**
@@ -54,23 +55,23 @@
 	}
 
 	/** True if every guarantee placement on the worker is still valid. */
-	isKeptOn(worker: FleetWorker, now: number): boolean {
-		const homes = this.listAt(worker.id)
-		if (homes.length === 0) return true
+	isValidOn(worker: FleetWorker, now: number): boolean {
+		const blocks = this.listBlocksOn(worker.id)
+		if (blocks.length === 0) return true
 		if (!worker.usable) return false
-		const packed = new HomeWorker(worker, now)
-		return homes.every(({unit, accelerators}) => {
-			if (!packed.canHold(unit, accelerators)) return false
-			packed.assign(unit, accelerators)
+		const packing = new PackingWorker(worker, now)
+		return blocks.every(({unit, accelerators}) => {
+			if (!packing.canHold(unit, accelerators)) return false
+			packing.assign(unit, accelerators)
 			return true
 		})
 	}
 
 	/** Masks the guarantee placements of other workspaces, for the placement of unstoppable work. */
 	restrict(worker: FleetWorker, workspace: string): FleetWorker {
-		const foreign = this.listAt(worker.id).filter(({unit}) => unit.workspace !== workspace)
+		const foreign = this.listBlocksOn(worker.id).filter(({unit}) => unit.workspace !== workspace)
 		if (foreign.length === 0) return worker
-		const kept = new Set(foreign.flatMap(({accelerators}) => accelerators))
-		return {...worker, free: worker.free.map((isFree, at) => isFree && !kept.has(at))}
+		const excluded = new Set(foreign.flatMap(({accelerators}) => accelerators))
+		return {...worker, free: worker.free.map((isFree, at) => isFree && !excluded.has(at))}
 	}
 }
--- a/src/policies/guarantee-keeper.ts
+++ b/src/policies/guarantee-keeper.ts
@@ -12,7 +12,7 @@
 	type PlacementPolicy,
 	type PlacementRequest,
 	GreedyGuaranteePacker,
-	GuaranteeHomes,
+	GuaranteePlacements,
 	ReasonCode,
 	addTask
 } from "../internal.js"
@@ -24,23 +24,23 @@
 export class GuaranteeKeeper {
 	readonly #packer: GuaranteePacker
 	#units: readonly GuaranteeUnit[] = []
-	#homes = new GuaranteeHomes([])
+	#placements = new GuaranteePlacements([])
 	#packedVersion = -1
 
 	constructor(packer: GuaranteePacker = new GreedyGuaranteePacker()) {
 		this.#packer = packer
 	}
 
-	get homes(): GuaranteeHomes {
-		return this.#homes
+	get placements(): GuaranteePlacements {
+		return this.#placements
 	}
 
 	/** Adopts the units of a new bundle, and packs again if a guarantee placement is no longer valid. */
 	sync(units: readonly GuaranteeUnit[], fleet: FleetIndex, now: number): void {
 		const isNew = this.#units !== units
 		this.#units = units
-		if (units.length === 0) this.#homes = new GuaranteeHomes([])
-		else if (isNew || !this.#isEveryHomeGood(fleet, now)) this.#adopt(fleet, now)
+		if (units.length === 0) this.#placements = new GuaranteePlacements([])
+		else if (isNew || !this.#isEveryPlacementValid(fleet, now)) this.#repack(fleet, now)
 	}
 
 	/**
@@ -48,13 +48,13 @@
 	 * workspace then count against its shapes before it claims them.
 	 */
 	refresh(waiting: Iterable<string>, fleet: FleetIndex, now: number): void {
-		if (this.#packedVersion === fleet.version || !this.#hasUnits(waiting)) return
+		if (this.#packedVersion === fleet.version || !this.#hasGuarantees(waiting)) return
 		const packed = this.#pack([...fleet.values()], now)
 		this.#packedVersion = fleet.version
-		if (packed.count >= this.#homes.count) this.#homes = packed
+		if (packed.count >= this.#placements.count) this.#placements = packed
 	}
 
-	#hasUnits(workspaces: Iterable<string>): boolean {
+	#hasGuarantees(workspaces: Iterable<string>): boolean {
 		const guaranteed = new Set(this.#units.map(({workspace}) => workspace))
 		for (const workspace of workspaces) if (guaranteed.has(workspace)) return true
 		return false
@@ -71,29 +71,32 @@
 		fleet: FleetIndex,
 		now: number
 	): Result<readonly MemberChoice[], ReasonCode> {
-		const free = policy.place(request, fleet)
-		if (free === undefined) return err(ReasonCode.noRoom)
-		if (this.#homes.count === 0 || task.stoppable) return ok(free)
-		if (this.#isKept(free, task, fleet, now)) return ok(free)
-		if (this.#adoptWith(free, task, fleet, now)) return ok(free)
+		const unrestricted = policy.place(request, fleet)
+		if (unrestricted === undefined) return err(ReasonCode.noRoom)
+		if (this.#placements.count === 0 || task.stoppable) return ok(unrestricted)
+		if (this.#hasValidPlacements(unrestricted, task, fleet, now)) return ok(unrestricted)
+		if (this.#tryRepackAround(unrestricted, task, fleet, now)) return ok(unrestricted)
 		const restrict = (worker: FleetWorker) =>
-			this.#homes.restrict(request.restrict?.(worker) ?? worker, task.workspace)
-		const apart = policy.place({...request, restrict}, fleet)
-		if (apart !== undefined && this.#isKept(apart, task, fleet, now)) return ok(apart)
+			this.#placements.restrict(request.restrict?.(worker) ?? worker, task.workspace)
+		const restricted = policy.place({...request, restrict}, fleet)
+		if (restricted !== undefined && this.#hasValidPlacements(restricted, task, fleet, now))
+			return ok(restricted)
 		return err(ReasonCode.guaranteeAtRisk)
 	}
 
-	#isKept(
+	#hasValidPlacements(
 		members: readonly MemberChoice[],
 		task: PlannedTask,
 		fleet: FleetIndex,
 		now: number
 	): boolean {
-		return buildPlanned(members, task, fleet).every(worker => this.#homes.isKeptOn(worker, now))
+		return buildPlanned(members, task, fleet).every(worker =>
+			this.#placements.isValidOn(worker, now)
+		)
 	}
 
 	/** Packs again around the members; changes nothing if fewer shapes would have a placement. */
-	#adoptWith(
+	#tryRepackAround(
 		members: readonly MemberChoice[],
 		task: PlannedTask,
 		fleet: FleetIndex,
@@ -102,28 +105,28 @@
 		const planned = new Map(buildPlanned(members, task, fleet).map(worker => [worker.id, worker]))
 		const workers = [...fleet.values()].map(worker => planned.get(worker.id) ?? worker)
 		const packed = this.#pack(workers, now)
-		if (packed.count < this.#homes.count) return false
-		this.#homes = packed
+		if (packed.count < this.#placements.count) return false
+		this.#placements = packed
 		return true
 	}
 
-	#isEveryHomeGood(fleet: FleetIndex, now: number): boolean {
-		if (this.#homes.count < this.#units.length && this.#packedVersion !== fleet.version)
+	#isEveryPlacementValid(fleet: FleetIndex, now: number): boolean {
+		if (this.#placements.count < this.#units.length && this.#packedVersion !== fleet.version)
 			return false
-		for (const id of this.#homes.listWorkers()) {
+		for (const id of this.#placements.listWorkers()) {
 			const worker = fleet.get(id)
-			if (worker === undefined || !this.#homes.isKeptOn(worker, now)) return false
+			if (worker === undefined || !this.#placements.isValidOn(worker, now)) return false
 		}
 		return true
 	}
 
-	#adopt(fleet: FleetIndex, now: number): void {
-		this.#homes = this.#pack([...fleet.values()], now)
+	#repack(fleet: FleetIndex, now: number): void {
+		this.#placements = this.#pack([...fleet.values()], now)
 		this.#packedVersion = fleet.version
 	}
 
-	#pack(workers: readonly FleetWorker[], now: number): GuaranteeHomes {
-		return new GuaranteeHomes(this.#packer.pack(this.#units, workers, now))
+	#pack(workers: readonly FleetWorker[], now: number): GuaranteePlacements {
+		return new GuaranteePlacements(this.#packer.pack(this.#units, workers, now))
 	}
 }
 
--- a/src/policies/guarantee.ts
+++ b/src/policies/guarantee.ts
@@ -8,17 +8,17 @@
 	type FleetWorker,
 	type GuaranteePlacement,
 	type GuaranteeUnit,
-	type HomeFit,
+	type BlockFit,
 	Adjacency,
-	HomeWorker,
+	PackingWorker,
 	groupBy
 } from "../internal.js"
 
 /** One unit for each instance of a shape that is guaranteed in the zone. */
 export function listUnits(content: BundleContent, zone: string): readonly GuaranteeUnit[] {
 	return content.workspaces.flatMap(({name, guarantees}) =>
-		guarantees.flatMap(({shape, count, zone: home}, at) =>
-			home === zone
+		guarantees.flatMap(({shape, count, zone: guaranteedZone}, at) =>
+			guaranteedZone === zone
 				? Array.from({length: count}, (_, nth) => ({
 						id: `${name}/${at}/${nth}`,
 						workspace: name,
@@ -54,25 +54,28 @@
 	): readonly GuaranteePlacement[] {
 		const candidates = [...workers]
 			.filter(({usable}) => usable)
-			.map(worker => new HomeWorker(worker, now))
-		const homes = new Map<string, GuaranteePlacement>()
+			.map(worker => new PackingWorker(worker, now))
+		const placements = new Map<string, GuaranteePlacement>()
 		const ordered = [...units].sort(compareDifficulty)
 		const active = new Set(
 			candidates.flatMap(({worker}) => worker.tasks.map(({workspace}) => workspace))
 		)
 		for (const ownOnly of [true, false]) {
 			for (const unit of ordered) {
-				if (homes.has(unit.id) || (ownOnly && !active.has(unit.workspace))) continue
+				if (placements.has(unit.id) || (ownOnly && !active.has(unit.workspace))) continue
 				const fits = this.#findFits(unit, candidates)
 				if (fits === undefined || (ownOnly && fits.every(({own}) => own === 0))) continue
-				homes.set(unit.id, assignHome(unit, fits))
+				placements.set(unit.id, assignPlacement(unit, fits))
 			}
 		}
-		return units.map(unit => homes.get(unit.id) ?? {unit, members: []})
+		return units.map(unit => placements.get(unit.id) ?? {unit, members: []})
 	}
 
-	#findFits(unit: GuaranteeUnit, workers: readonly HomeWorker[]): readonly HomeFit[] | undefined {
-		const fits: HomeFit[] = []
+	#findFits(
+		unit: GuaranteeUnit,
+		workers: readonly PackingWorker[]
+	): readonly BlockFit[] | undefined {
+		const fits: BlockFit[] = []
 		for (const worker of workers) {
 			if (worker.worker.accelerators < unit.shape.accelerators) continue
 			const fit = worker.findFit(unit)
@@ -80,7 +83,7 @@
 		}
 		if (unit.shape.adjacency === Adjacency.any) return takeCheapest(fits, unit.shape.members)
 		const racks = groupBy(fits, ({worker}) => worker.worker.rack)
-		let best: readonly HomeFit[] | undefined
+		let best: readonly BlockFit[] | undefined
 		for (const inRack of racks.values()) {
 			const taken = takeCheapest(inRack, unit.shape.members)
 			if (taken === undefined) continue
@@ -100,16 +103,16 @@
 	)
 }
 
-function takeCheapest(fits: readonly HomeFit[], members: number): readonly HomeFit[] | undefined {
+function takeCheapest(fits: readonly BlockFit[], members: number): readonly BlockFit[] | undefined {
 	if (fits.length < members) return undefined
 	return [...fits].sort((a, b) => a.cost - b.cost).slice(0, members)
 }
 
-function sumCost(fits: readonly HomeFit[]): number {
+function sumCost(fits: readonly BlockFit[]): number {
 	return fits.reduce((sum, {cost}) => sum + cost, 0)
 }
 
-function assignHome(unit: GuaranteeUnit, fits: readonly HomeFit[]): GuaranteePlacement {
+function assignPlacement(unit: GuaranteeUnit, fits: readonly BlockFit[]): GuaranteePlacement {
 	for (const {worker, accelerators} of fits) worker.assign(unit, accelerators)
 	return {
 		unit,
--- a/src/policies/placement-best-fit.ts
+++ b/src/policies/placement-best-fit.ts
@@ -18,7 +18,7 @@
 	countFree,
 	findTightestBlock,
 	isMemberFitting,
-	mayReturn
+	mayUseFailedWorkers
 } from "../internal.js"
 
 /** Workers of one bucket that may fail to fit before the next bucket is tried. */
@@ -37,8 +37,8 @@
 	readonly name = "best-fit"
 
 	place(request: PlacementRequest, fleet: FleetIndex): readonly MemberChoice[] | undefined {
-		const picked = this.#pick(request, fleet, request.avoid)
-		if (picked !== undefined || !mayReturn(request, fleet)) return picked
+		const picked = this.#pick(request, fleet, request.failedOn)
+		if (picked !== undefined || !mayUseFailedWorkers(request, fleet)) return picked
 		return this.#pick(request, fleet, [])
 	}
 
@@ -116,9 +116,9 @@
 		avoid: readonly string[]
 	): MemberChoice | undefined {
 		if (avoid.includes(worker.id)) return undefined
-		const seen = restrict === undefined ? worker : restrict(worker)
-		if (!isMemberFitting(seen, shape)) return undefined
-		return buildChoice(seen, shape, findTightestBlock(seen.free, shape.accelerators))
+		const candidate = restrict === undefined ? worker : restrict(worker)
+		if (!isMemberFitting(candidate, shape)) return undefined
+		return buildChoice(candidate, shape, findTightestBlock(candidate.free, shape.accelerators))
 	}
 }
 
--- a/src/policies/placement.ts
+++ b/src/policies/placement.ts
@@ -16,7 +16,7 @@
 	readonly workspace: string
 	readonly shape: GangShape
 	/** Workers that this job failed on; used only if no others could ever hold it. */
-	readonly avoid: readonly string[]
+	readonly failedOn: readonly string[]
 	/** Reduces a worker to the part that this job may use. */
 	readonly restrict?: ((worker: FleetWorker) => FleetWorker) | undefined
 }
@@ -33,7 +33,10 @@
  * True if only workers that the job failed on could ever hold it. A worker that fails every task is always free, so a
  * job that did not wait for other workers would spend all its attempts there.
  */
-export function mayReturn({shape, avoid}: PlacementRequest, fleet: FleetIndex): boolean {
+export function mayUseFailedWorkers(
+	{shape, failedOn: avoid}: PlacementRequest,
+	fleet: FleetIndex
+): boolean {
 	if (avoid.length === 0) return false
 	const others = [...fleet.values()].filter(({id, usable}) => usable && !avoid.includes(id))
 	return !isEverFitting(shape, others)
@@ -44,13 +47,13 @@
 	readonly name = "first-fit"
 
 	place(request: PlacementRequest, fleet: FleetIndex): readonly MemberChoice[] | undefined {
-		const {shape, avoid, restrict} = request
+		const {shape, failedOn: avoid, restrict} = request
 		const workers = [...fleet.values()]
-		const seen = restrict === undefined ? workers : workers.map(restrict)
-		const fitting = seen.filter(worker => isMemberFitting(worker, shape))
+		const candidates = restrict === undefined ? workers : workers.map(restrict)
+		const fitting = candidates.filter(worker => isMemberFitting(worker, shape))
 		const preferred = fitting.filter(worker => !avoid.includes(worker.id))
 		const picked = this.#pick(preferred, shape)
-		if (picked !== undefined || !mayReturn(request, fleet)) return picked
+		if (picked !== undefined || !mayUseFailedWorkers(request, fleet)) return picked
 		return this.#pick(fitting, shape)
 	}
 
--- a/src/policies/queue-backfill.ts
+++ b/src/policies/queue-backfill.ts
@@ -20,7 +20,7 @@
 	/** Returns a function that reduces a worker to what `job` may use, or undefined if it may use all workers. */
 	restrict(job: JobEntry): ((worker: FleetWorker) => FleetWorker) | undefined
 	/** Handles a job that does not fit now, for which workers may be reserved. */
-	withhold(job: JobEntry, fleet: FleetIndex): void
+	reserve(job: JobEntry, fleet: FleetIndex): void
 }
 
 export interface BackfillPolicy {
@@ -30,7 +30,7 @@
 /** Baseline: any job that fits may start. */
 export class GreedyBackfillPolicy implements BackfillPolicy {
 	begin(): BackfillPass {
-		return {restrict: () => undefined, withhold: () => undefined}
+		return {restrict: () => undefined, reserve: () => undefined}
 	}
 }
 
@@ -70,16 +70,16 @@
 		}
 	}
 
-	withhold({record}: JobEntry, fleet: FleetIndex): void {
+	reserve({record}: JobEntry, fleet: FleetIndex): void {
 		if (this.#reservations >= MAX_BACKFILL_RESERVATIONS) return
-		const chosen = this.#choose(record.spec.shape, fleet)
+		const chosen = this.#chooseReservation(record.spec.shape, fleet)
 		if (chosen.length === 0) return
 		this.#reservations++
 		for (const {worker, readyAt} of chosen) this.#readyAt.set(worker.id, readyAt)
 	}
 
 	/** The workers on which the whole gang could start soonest, in the order in which they become ready. */
-	#choose(shape: GangShape, fleet: FleetIndex): readonly ReadyWorker[] {
+	#chooseReservation(shape: GangShape, fleet: FleetIndex): readonly ReadyWorker[] {
 		const groups = new Map<string, ReadyWorker[]>()
 		for (const worker of fleet.values()) {
 			if (!worker.usable || this.#readyAt.has(worker.id)) continue
--- a/src/policies/reclaim.ts
+++ b/src/policies/reclaim.ts
@@ -6,7 +6,7 @@
 	type FleetTask,
 	type FleetWorker,
 	type GangShape,
-	type GuaranteeHomes,
+	type GuaranteePlacements,
 	type AcceleratorBlock,
 	type JobRecord,
 	Adjacency,
@@ -22,7 +22,7 @@
 	/** Reason for the stop, as events show it. */
 	readonly reason: ReasonCode
 	/** True if the job may use the accelerator once its holder has stopped. */
-	isOpen(worker: FleetWorker, at: number): boolean
+	isClaimable(worker: FleetWorker, at: number): boolean
 	isStoppable(worker: FleetWorker, task: FleetTask): boolean
 	/** True if the job may take the shape's processors and memory from the worker. */
 	isAffordable(worker: FleetWorker, shape: GangShape): boolean
@@ -38,15 +38,15 @@
 export class GuaranteeReclaimRule implements ReclaimRule {
 	readonly reason = ReasonCode.reclaimed
 	readonly #workspace: string
-	readonly #homes: GuaranteeHomes
+	readonly #placements: GuaranteePlacements
 
-	constructor(workspace: string, homes: GuaranteeHomes) {
+	constructor(workspace: string, placements: GuaranteePlacements) {
 		this.#workspace = workspace
-		this.#homes = homes
+		this.#placements = placements
 	}
 
-	isOpen(worker: FleetWorker, at: number): boolean {
-		if (this.#homes.findOwner(worker.id, at) !== this.#workspace) return false
+	isClaimable(worker: FleetWorker, at: number): boolean {
+		if (this.#placements.findOwner(worker.id, at) !== this.#workspace) return false
 		return !worker.tasks.some(
 			({workspace, accelerators}) => workspace === this.#workspace && accelerators.includes(at)
 		)
@@ -56,23 +56,23 @@
 		return (
 			task.stoppable &&
 			task.workspace !== this.#workspace &&
-			!this.#homes.isCovered(worker.id, task)
+			!this.#placements.isCovered(worker.id, task)
 		)
 	}
 
 	isAffordable(worker: FleetWorker, shape: GangShape): boolean {
-		const homes = this.#homes
-			.listAt(worker.id)
+		const blocks = this.#placements
+			.listBlocksOn(worker.id)
 			.filter(({unit}) => unit.workspace === this.#workspace)
 		const own = worker.tasks.filter(
 			task =>
 				task.workspace === this.#workspace &&
-				task.accelerators.every(at => this.#homes.findOwner(worker.id, at) === this.#workspace)
+				task.accelerators.every(at => this.#placements.findOwner(worker.id, at) === this.#workspace)
 		)
 		const count = (resource: "cpus" | "memoryMb") =>
-			homes.reduce((sum, {unit}) => sum + unit.shape[resource], 0) -
+			blocks.reduce((sum, {unit}) => sum + unit.shape[resource], 0) -
 			own.reduce((sum, task) => sum + task[resource], 0)
-		return homes.length > 0 && count("cpus") >= shape.cpus && count("memoryMb") >= shape.memoryMb
+		return blocks.length > 0 && count("cpus") >= shape.cpus && count("memoryMb") >= shape.memoryMb
 	}
 }
 
@@ -88,18 +88,18 @@
 export class PreemptionRule implements ReclaimRule {
 	readonly reason = ReasonCode.preempted
 	readonly #record: JobRecord
-	readonly #homes: GuaranteeHomes
+	readonly #placements: GuaranteePlacements
 	readonly #stoppable: boolean
 
-	constructor(record: JobRecord, homes: GuaranteeHomes) {
+	constructor(record: JobRecord, placements: GuaranteePlacements) {
 		this.#record = record
-		this.#homes = homes
+		this.#placements = placements
 		this.#stoppable = record.spec.repeatable || record.spec.checkpoint
 	}
 
-	isOpen(worker: FleetWorker, at: number): boolean {
+	isClaimable(worker: FleetWorker, at: number): boolean {
 		if (this.#stoppable) return true
-		const owner = this.#homes.findOwner(worker.id, at)
+		const owner = this.#placements.findOwner(worker.id, at)
 		return owner === undefined || owner === this.#record.workspace
 	}
 
@@ -107,7 +107,7 @@
 		return (
 			task.stoppable &&
 			CLASS_RANK[task.priority] < CLASS_RANK[this.#record.spec.priority] &&
-			!this.#homes.isCovered(worker.id, task)
+			!this.#placements.isCovered(worker.id, task)
 		)
 	}
 
@@ -116,7 +116,7 @@
 	}
 }
 
-interface MemberRoom {
+interface MemberCandidate {
 	readonly worker: FleetWorker
 	readonly accelerators: readonly number[]
 	readonly victims: ReadonlySet<FleetTask>
@@ -132,27 +132,27 @@
 	rule: ReclaimRule,
 	now: number
 ): ReclaimChoice | undefined {
-	const rooms: MemberRoom[] = []
+	const candidates: MemberCandidate[] = []
 	for (const worker of workers) {
-		const room = findMemberRoom(shape, worker, rule, now)
-		if (room !== undefined) rooms.push(room)
+		const candidate = findCandidate(shape, worker, rule, now)
+		if (candidate !== undefined) candidates.push(candidate)
 	}
-	const chosen = chooseRooms(shape, rooms)
+	const chosen = chooseCandidates(shape, candidates)
 	if (chosen === undefined) return undefined
-	const victims = chosen.flatMap(room => [...room.victims].map(({jobId}) => jobId))
+	const victims = chosen.flatMap(candidate => [...candidate.victims].map(({jobId}) => jobId))
 	return {
 		members: chosen.map(({worker, accelerators}) => ({workerId: worker.id, accelerators})),
 		victims: [...new Set(victims)]
 	}
 }
 
-function chooseRooms(
+function chooseCandidates(
 	shape: GangShape,
-	rooms: readonly MemberRoom[]
-): readonly MemberRoom[] | undefined {
-	if (shape.adjacency === Adjacency.any) return takeLeastLoss(rooms, shape.members)
-	let best: readonly MemberRoom[] | undefined
-	for (const inRack of groupBy(rooms, ({worker}) => worker.rack).values()) {
+	candidates: readonly MemberCandidate[]
+): readonly MemberCandidate[] | undefined {
+	if (shape.adjacency === Adjacency.any) return takeLeastLoss(candidates, shape.members)
+	let best: readonly MemberCandidate[] | undefined
+	for (const inRack of groupBy(candidates, ({worker}) => worker.rack).values()) {
 		const taken = takeLeastLoss(inRack, shape.members)
 		if (taken !== undefined && (best === undefined || sumLoss(taken) < sumLoss(best))) best = taken
 	}
@@ -160,25 +160,25 @@
 }
 
 function takeLeastLoss(
-	rooms: readonly MemberRoom[],
+	candidates: readonly MemberCandidate[],
 	members: number
-): readonly MemberRoom[] | undefined {
-	if (rooms.length < members) return undefined
-	return [...rooms].sort((a, b) => a.loss - b.loss).slice(0, members)
+): readonly MemberCandidate[] | undefined {
+	if (candidates.length < members) return undefined
+	return [...candidates].sort((a, b) => a.loss - b.loss).slice(0, members)
 }
 
-function sumLoss(rooms: readonly MemberRoom[]): number {
-	return rooms.reduce((sum, {loss}) => sum + loss, 0)
+function sumLoss(candidates: readonly MemberCandidate[]): number {
+	return candidates.reduce((sum, {loss}) => sum + loss, 0)
 }
 
-function findMemberRoom(
+function findCandidate(
 	shape: GangShape,
 	worker: FleetWorker,
 	rule: ReclaimRule,
 	now: number
-): MemberRoom | undefined {
+): MemberCandidate | undefined {
 	if (!worker.usable || !rule.isAffordable(worker, shape)) return undefined
-	let best: MemberRoom | undefined
+	let best: MemberCandidate | undefined
 	for (const start of listBlockStarts(worker.accelerators, shape.accelerators)) {
 		const accelerators = listBlock(start, shape.accelerators)
 		const victims = collectVictims(shape, worker, accelerators, rule, now)
@@ -203,7 +203,7 @@
 	rule: ReclaimRule,
 	now: number
 ): ReadonlySet<FleetTask> | undefined {
-	if (!accelerators.every(at => rule.isOpen(worker, at))) return undefined
+	if (!accelerators.every(at => rule.isClaimable(worker, at))) return undefined
 	const holders = worker.tasks.filter(task =>
 		task.accelerators.some(at => accelerators.includes(at))
 	)
--- a/src/policies/run-placement.ts
+++ b/src/policies/run-placement.ts
@@ -6,20 +6,20 @@
 import {type ResourceDemand, type StepSpec, type TaskRef, groupBy} from "../internal.js"
 
 /** A worker during one round of placement; its free capacity shrinks and its list of runs grows as tasks are placed. */
-export interface NodeRoom {
+export interface NodeCapacity {
 	readonly id: string
 	readonly incarnation: string
 	readonly rack: string
 	readonly labels: readonly string[]
 	/** Suspected of being faulty; chosen only if no other worker fits. */
-	readonly isDoubted: boolean
+	readonly isSuspect: boolean
 	readonly free: {cpuMillis: number; memoryMb: number; accelerators: number}
 	/** Computed on the first call, since most rounds need the runs of few workers. */
-	listRuns(): RoomRun[]
+	listRuns(): NodeRun[]
 }
 
 /** A run on a worker, with its rank in the queue and the cost of stopping it. */
-export interface RoomRun {
+export interface NodeRun {
 	readonly ref: TaskRef
 	readonly rank: number
 	/** Core-seconds of work lost by stopping it. */
@@ -44,12 +44,12 @@
 	/** Cost of running outside the rack of its data, or in several racks, in core-seconds. */
 	readonly remoteCost: number
 	/** Workers that its tasks failed on. */
-	readonly avoid: ReadonlySet<string>
+	readonly failedOn: ReadonlySet<string>
 }
 
 /** Capacity for one task on a worker, available once the victims have stopped. */
 export interface Slot {
-	readonly room: NodeRoom
+	readonly capacity: NodeCapacity
 	/** Runs that have to be stopped. */
 	readonly victims: readonly TaskRef[]
 	/** True if no run has to end or stop first. */
@@ -61,41 +61,41 @@
 	/**
 	 * Slots that are expected to become available soonest without stopping any run; undefined if the tasks never fit.
 	 */
-	forecast(unit: PlacementUnit, rooms: readonly NodeRoom[]): readonly Slot[] | undefined
+	forecast(unit: PlacementUnit, nodes: readonly NodeCapacity[]): readonly Slot[] | undefined
 	/** One slot for each task, or undefined if there are too few. */
-	choose(unit: PlacementUnit, rooms: readonly NodeRoom[]): readonly Slot[] | undefined
+	choose(unit: PlacementUnit, nodes: readonly NodeCapacity[]): readonly Slot[] | undefined
 }
 
 export class PackedRunPlacement implements RunPlacementPolicy {
-	choose(unit: PlacementUnit, rooms: readonly NodeRoom[]): readonly Slot[] | undefined {
-		const eligible = rooms.filter(room => isEligible(room, unit.spec))
-		const free = eligible.flatMap(room => listSlots(room, unit, () => []))
-		const atOnce = this.#chooseNear(unit, free)
-		if (atOnce !== undefined && computeTotal(atOnce, unit) === 0) return atOnce
+	choose(unit: PlacementUnit, nodes: readonly NodeCapacity[]): readonly Slot[] | undefined {
+		const eligible = nodes.filter(node => isEligible(node, unit.spec))
+		const free = eligible.flatMap(node => listSlots(node, unit, () => []))
+		const immediate = this.#chooseNear(unit, free)
+		if (immediate !== undefined && computeTotalCost(immediate, unit) === 0) return immediate
 		const slots =
 			unit.lossMax < 0
 				? free
-				: eligible.flatMap(room => listSlots(room, unit, () => listVictims(room, unit)))
+				: eligible.flatMap(node => listSlots(node, unit, () => listVictims(node, unit)))
 		if (slots.length < unit.refs.length) return undefined
 		// Free slots are also considered alone: the cheapest choice among all slots may lose more than is allowed.
 		const pools = free.length === slots.length ? [free] : [free, slots]
 		const candidates = pools.map(pool => ({slots: this.#chooseNear(unit, pool), extra: 0}))
-		if (hasPlaceOfChoice(unit) && unit.remoteCost < Infinity)
+		if (isRackSensitive(unit) && unit.remoteCost < Infinity)
 			for (const pool of pools)
 				candidates.push({slots: chooseBest(pool, unit), extra: unit.remoteCost})
 		let best: {slots: readonly Slot[]; cost: number} | undefined
 		for (const {slots: chosen, extra} of candidates) {
 			if (chosen === undefined || !isAllowed(chosen, unit)) continue
-			const cost = computeTotal(chosen, unit) + extra
+			const cost = computeTotalCost(chosen, unit) + extra
 			if (best === undefined || cost < best.cost) best = {slots: chosen, cost}
 		}
 		return best?.slots
 	}
 
-	forecast(unit: PlacementUnit, rooms: readonly NodeRoom[]): readonly Slot[] | undefined {
-		const slots = rooms
+	forecast(unit: PlacementUnit, nodes: readonly NodeCapacity[]): readonly Slot[] | undefined {
+		const slots = nodes
 			.filter(room => isEligible(room, unit.spec))
-			.flatMap(room => listSlots(room, unit, () => listEnds(room)))
+			.flatMap(room => listSlots(room, unit, () => listByExpectedEnd(room)))
 		return this.#chooseNear(unit, slots)
 	}
 
@@ -104,19 +104,19 @@
 		const {spec} = unit
 		if (spec.dataRack !== undefined)
 			return chooseBest(
-				slots.filter(({room}) => room.rack === spec.dataRack),
+				slots.filter(({capacity: node}) => node.rack === spec.dataRack),
 				unit
 			)
-		return hasPlaceOfChoice(unit) ? chooseRack(slots, unit) : chooseBest(slots, unit)
+		return isRackSensitive(unit) ? chooseRack(slots, unit) : chooseBest(slots, unit)
 	}
 }
 
 /** True if the rack matters for the tasks. */
-function hasPlaceOfChoice({spec, refs}: PlacementUnit): boolean {
+function isRackSensitive({spec, refs}: PlacementUnit): boolean {
 	return spec.dataRack !== undefined || (spec.tightlyCoupled && refs.length > 1)
 }
 
-function isEligible({labels}: NodeRoom, {requiredLabel}: StepSpec): boolean {
+function isEligible({labels}: NodeCapacity, {requiredLabel}: StepSpec): boolean {
 	return requiredLabel === undefined || labels.includes(requiredLabel)
 }
 
@@ -130,7 +130,7 @@
 
 /** Adds a task's demand to the free capacity, or subtracts it if `sign` is -1. */
 export function addDemand(
-	free: NodeRoom["free"],
+	free: NodeCapacity["free"],
 	{demand, usesIdleCpu}: StepSpec,
 	sign: 1 | -1
 ): void {
@@ -140,11 +140,15 @@
 }
 
 /** The worker's slots for the unit's tasks, where the runs of `listCandidates` end in their order. */
-function listSlots(room: NodeRoom, unit: PlacementUnit, listCandidates: () => RoomRun[]): Slot[] {
+function listSlots(
+	node: NodeCapacity,
+	unit: PlacementUnit,
+	listCandidates: () => NodeRun[]
+): Slot[] {
 	const {spec, refs} = unit
-	let candidates: RoomRun[] | undefined
-	const free = {...room.free}
-	const present = countOfStep(room, unit)
+	let candidates: NodeRun[] | undefined
+	const free = {...node.free}
+	const present = countTasksOfStep(node, unit)
 	const limit = Math.min(refs.length, (spec.maxPerWorker ?? Infinity) - present)
 	const slots: Slot[] = []
 	// If one slot needs a run to end, so do all later ones: they may use capacity that this run frees.
@@ -157,44 +161,46 @@
 			const victim = candidates.shift()
 			if (victim === undefined) return slots
 			isFree = false
-			if (!isLeaving(victim, unit)) {
+			if (!isAboutToEnd(victim, unit)) {
 				victims.push(victim.ref)
 				loss += victim.loss
 			}
 			addDemand(free, victim.ref.spec, 1)
 		}
 		addDemand(free, spec, -1)
-		slots.push({room, victims, isFree, loss})
+		slots.push({capacity: node, victims, isFree, loss})
 	}
 	return slots
 }
 
 /** Counts the worker's runs of the same step and occurrence. */
-function countOfStep(room: NodeRoom, {refs, spec}: PlacementUnit): number {
+function countTasksOfStep(node: NodeCapacity, {refs, spec}: PlacementUnit): number {
 	const first = refs[0]
 	if (spec.maxPerWorker === undefined || first === undefined) return 0
-	return room
+	return node
 		.listRuns()
 		.filter(({ref}) => ref.occurrence === first.occurrence && ref.stepIndex === first.stepIndex)
 		.length
 }
 
 /** True if the run frees its capacity without having to be stopped. */
-function isLeaving({isStopping, isEnding}: RoomRun, {mayWait}: PlacementUnit): boolean {
+function isAboutToEnd({isStopping, isEnding}: NodeRun, {mayWait}: PlacementUnit): boolean {
 	return isStopping || (isEnding && mayWait)
 }
 
 /** Runs that can free capacity: those about to end, then the others by loss. */
-function listVictims(room: NodeRoom, unit: PlacementUnit): RoomRun[] {
-	return room
+function listVictims(node: NodeCapacity, unit: PlacementUnit): NodeRun[] {
+	return node
 		.listRuns()
-		.filter(run => isLeaving(run, unit) || (run.rank > unit.rank && !run.isProtected))
-		.sort((a, b) => Number(isLeaving(b, unit)) - Number(isLeaving(a, unit)) || a.loss - b.loss)
+		.filter(run => isAboutToEnd(run, unit) || (run.rank > unit.rank && !run.isProtected))
+		.sort(
+			(a, b) => Number(isAboutToEnd(b, unit)) - Number(isAboutToEnd(a, unit)) || a.loss - b.loss
+		)
 }
 
 /** All runs in the order of their expected end; their loss is the remaining time in seconds. */
-function listEnds(room: NodeRoom): RoomRun[] {
-	return room
+function listByExpectedEnd(node: NodeCapacity): NodeRun[] {
+	return node
 		.listRuns()
 		.map(run => ({...run, loss: run.remainingMs / MS_PER_S, isEnding: false, isStopping: false}))
 		.sort((a, b) => a.loss - b.loss)
@@ -202,14 +208,14 @@
 
 const MS_PER_S = 1000
 
-function compareSlots(a: Slot, b: Slot, {avoid}: PlacementUnit): number {
+function compareSlots(a: Slot, b: Slot, {failedOn: avoid}: PlacementUnit): number {
 	return (
-		Number(avoid.has(a.room.id)) - Number(avoid.has(b.room.id)) ||
-		Number(a.room.isDoubted) - Number(b.room.isDoubted) ||
+		Number(avoid.has(a.capacity.id)) - Number(avoid.has(b.capacity.id)) ||
+		Number(a.capacity.isSuspect) - Number(b.capacity.isSuspect) ||
 		a.loss - b.loss ||
 		Number(b.isFree) - Number(a.isFree) ||
-		a.room.free.accelerators - b.room.free.accelerators ||
-		a.room.free.cpuMillis - b.room.free.cpuMillis
+		a.capacity.free.accelerators - b.capacity.free.accelerators ||
+		a.capacity.free.cpuMillis - b.capacity.free.cpuMillis
 	)
 }
 
@@ -227,13 +233,13 @@
 
 /** Replaces a chosen slot by an earlier slot of the same worker that was not chosen. */
 function closeGaps(chosen: readonly Slot[], slots: readonly Slot[]): readonly Slot[] {
-	const counts = new Map<NodeRoom, number>()
-	for (const {room} of chosen) counts.set(room, (counts.get(room) ?? 0) + 1)
+	const counts = new Map<NodeCapacity, number>()
+	for (const {capacity: node} of chosen) counts.set(node, (counts.get(node) ?? 0) + 1)
 	const closed: Slot[] = []
 	for (const slot of slots) {
-		const left = counts.get(slot.room) ?? 0
+		const left = counts.get(slot.capacity) ?? 0
 		if (left === 0) continue
-		counts.set(slot.room, left - 1)
+		counts.set(slot.capacity, left - 1)
 		closed.push(slot)
 	}
 	return closed
@@ -242,10 +248,10 @@
 /** The slots of the rack with the least cost, then with the fewest slots to spare. */
 function chooseRack(slots: readonly Slot[], unit: PlacementUnit): readonly Slot[] | undefined {
 	let best: {slots: readonly Slot[]; cost: number; spare: number} | undefined
-	for (const inRack of groupBy(slots, ({room}) => room.rack).values()) {
+	for (const inRack of groupBy(slots, ({capacity: node}) => node.rack).values()) {
 		const chosen = chooseBest(inRack, unit)
 		if (chosen === undefined) continue
-		const cost = computeTotal(chosen, unit)
+		const cost = computeTotalCost(chosen, unit)
 		const spare = inRack.length - chosen.length
 		const isBetter =
 			best === undefined || cost < best.cost || (cost === best.cost && spare < best.spare)
@@ -259,16 +265,19 @@
 	return slots.reduce((sum, {loss}) => sum + loss, 0) <= Math.max(0, lossMax)
 }
 
-function computeTotal(slots: readonly Slot[], unit: PlacementUnit): number {
+function computeTotalCost(slots: readonly Slot[], unit: PlacementUnit): number {
 	return slots.reduce((sum, slot) => sum + computeCost(slot, unit), 0)
 }
 
 /** Loss that is accepted to avoid a worker suspected of being faulty, in core-seconds. */
-const DOUBT_PENALTY = 1000
+const SUSPECT_PENALTY = 1000
 /** Loss that is accepted to avoid waiting for a run to end, in core-seconds. */
 const WAIT_PENALTY = 10
 
-function computeCost({loss, room, isFree}: Slot, {avoid}: PlacementUnit): number {
-	const doubt = room.isDoubted || avoid.has(room.id) ? DOUBT_PENALTY : 0
-	return loss + doubt + (isFree ? 0 : WAIT_PENALTY)
+function computeCost(
+	{loss, capacity: node, isFree}: Slot,
+	{failedOn: avoid}: PlacementUnit
+): number {
+	const penalty = node.isSuspect || avoid.has(node.id) ? SUSPECT_PENALTY : 0
+	return loss + penalty + (isFree ? 0 : WAIT_PENALTY)
 }
--- a/src/policies/run-queue.ts
+++ b/src/policies/run-queue.ts
@@ -44,7 +44,7 @@
 }
 
 /** Overhead of a run besides its work: the commit of the plan, the start, the report of the end and its commit. */
-const ORDER_TIME_MS = 200
+const RUN_OVERHEAD_MS = 200
 
 /** Multiple of the objective up to which the platform's operators still count a late workflow as served. */
 const OVERDUE_FACTOR = 3
@@ -54,27 +54,27 @@
  * from its start to the end of the last step that depends on it.
  */
 export function computePunctuality(
-	chainsMs: readonly number[],
+	criticalPathsMs: readonly number[],
 	stepIndex: number,
 	queue: QueueConfig | undefined,
 	ageMs: number
 ): Punctuality {
 	if (queue === undefined) return Punctuality.onTime
-	const objectiveMs = queue.stretch * Math.max(...chainsMs) + queue.targetLatencyMs
-	const expectedMs = ageMs + ORDER_TIME_MS + (chainsMs[stepIndex] ?? 0)
+	const objectiveMs = queue.stretch * Math.max(...criticalPathsMs) + queue.targetLatencyMs
+	const expectedMs = ageMs + RUN_OVERHEAD_MS + (criticalPathsMs[stepIndex] ?? 0)
 	if (expectedMs <= objectiveMs) return Punctuality.onTime
 	return expectedMs <= OVERDUE_FACTOR * objectiveMs ? Punctuality.late : Punctuality.overdue
 }
 
 /** Estimated time from the start of each step to the end of the last one that depends on it. */
-export function computeChains(specs: readonly StepSpec[]): readonly number[] {
-	const chainsMs = specs.map(({estimateMs}) => estimateMs)
+export function computeCriticalPaths(specs: readonly StepSpec[]): readonly number[] {
+	const criticalPathsMs = specs.map(({estimateMs}) => estimateMs)
 	// Steps depend only on earlier steps, so all dependents of a step are computed before it.
 	for (let index = specs.length - 1; index >= 0; index--)
 		for (const earlier of specs[index]?.after ?? [])
-			chainsMs[earlier] = Math.max(
-				chainsMs[earlier] ?? 0,
-				(specs[earlier]?.estimateMs ?? 0) + (chainsMs[index] ?? 0)
+			criticalPathsMs[earlier] = Math.max(
+				criticalPathsMs[earlier] ?? 0,
+				(specs[earlier]?.estimateMs ?? 0) + (criticalPathsMs[index] ?? 0)
 			)
-	return chainsMs
+	return criticalPathsMs
 }
--- a/src/policies/zone-choice-load.ts
+++ b/src/policies/zone-choice-load.ts
@@ -22,7 +22,7 @@
 		const candidates = listCandidates(context)
 		const queued = new Map(candidates.map(({name}) => [name, findQueued(context, name)]))
 		const own = candidates.find(({name}) => name === context.ownZone)
-		if (own !== undefined && !isCrowded(own, queued)) return own.name
+		if (own !== undefined && !isOverloaded(own, queued)) return own.name
 		return drawZone(context, candidates, queued)
 	}
 }
@@ -48,7 +48,7 @@
 }
 
 /** True if the zone's queue is long and that of another zone is less than half as long. */
-function isCrowded({name}: ZoneConfig, queued: ReadonlyMap<string, number>): boolean {
+function isOverloaded({name}: ZoneConfig, queued: ReadonlyMap<string, number>): boolean {
 	const here = queued.get(name) ?? 0
 	return here > LOCAL_QUEUE_THRESHOLD && Math.min(...queued.values()) * 2 < here
 }
--- a/src/utils/authority.ts
+++ b/src/utils/authority.ts
@@ -18,7 +18,7 @@
 }
 
 /** True while no other host can have taken over, so that this host may command workers. */
-export function isTermProven(board: Board, now: number): boolean {
+export function isTermConfirmed(board: Board, now: number): boolean {
 	const term = findTerm(board)
 	return term !== undefined && now - term.observedAt < DOMAIN_LEASE_USABLE_MS
 }
--- a/src/utils/commit-batch.ts
+++ b/src/utils/commit-batch.ts
@@ -28,7 +28,7 @@
 	readonly writes: RowWrite[]
 	readonly states: SavedState[]
 	readonly occurrences: SavedOccurrence[]
-	readonly forgotten: WorkflowEntry[]
+	readonly removed: WorkflowEntry[]
 }
 
 export interface WorkflowStateRow {
@@ -37,7 +37,7 @@
 }
 
 export function createCommitBatch(): CommitBatch {
-	return {writes: [], states: [], occurrences: [], forgotten: []}
+	return {writes: [], states: [], occurrences: [], removed: []}
 }
 
 /** Adds the changes of one workflow that are not in the table yet. */
@@ -70,7 +70,7 @@
 /** Adds the deletion of all rows of a workflow that ended long ago. */
 export function addRemoval(batch: CommitBatch, entry: WorkflowEntry): void {
 	const {id} = entry.record
-	batch.forgotten.push(entry)
+	batch.removed.push(entry)
 	batch.writes.push(
 		{key: formatWorkflowKey(id), ifVersion: -1, value: null},
 		{key: formatStateKey(id), ifVersion: -1, value: null},
@@ -79,7 +79,7 @@
 }
 
 /** Records what a successful commit has made durable; `versions` holds the new row versions by key. */
-export function noteSaved(
+export function recordSaved(
 	board: Board,
 	batch: CommitBatch,
 	versions: ReadonlyMap<string, number>
@@ -102,7 +102,7 @@
 		const entry = board.workflows.get(id)
 		if (entry !== undefined) touched.add(entry)
 	}
-	for (const {record} of batch.forgotten) board.workflows.delete(record.id)
+	for (const {record} of batch.removed) board.workflows.delete(record.id)
 	for (const entry of touched) board.workflows.set(entry.record.id, entry)
 }
 
--- a/src/utils/fleet-tracker.ts
+++ b/src/utils/fleet-tracker.ts
@@ -47,7 +47,7 @@
 	sync(board: Board, now: number): void {
 		const watches = this.#watch(board)
 		for (const id of takeAll(watches.gangs)) {
-			this.#noteEnded(board, id)
+			this.#recordEnded(board, id)
 			this.#hold(`gang ${id}`, listGangHoldings(board, id))
 		}
 		for (const id of takeAll(watches.placements))
@@ -56,7 +56,7 @@
 			this.#holdPlanned(board, "hold", id, board.holds.get(id)?.members)
 		for (const id of takeAll(watches.workers)) this.#stale.add(id)
 		for (const id of takeAll(watches.hosts)) this.#stale.add(id)
-		this.#noteUsability(board, now)
+		this.#markUsabilityChanges(board, now)
 		for (const id of this.#stale) this.#rebuild(board, id, now)
 		this.#stale.clear()
 	}
@@ -82,7 +82,7 @@
 		return this.#watches
 	}
 
-	#noteEnded(board: Board, jobId: string): void {
+	#recordEnded(board: Board, jobId: string): void {
 		for (const {workerId, taskId, ...member} of board.gangs.get(jobId)?.members ?? []) {
 			if (!isSettled({workerId, taskId, ...member})) continue
 			const ended = this.#ended.get(workerId) ?? new Set<string>()
@@ -121,7 +121,7 @@
 	}
 
 	/** A worker becomes silent without a change on the board, and a new epoch affects all workers. */
-	#noteUsability(board: Board, now: number): void {
+	#markUsabilityChanges(board: Board, now: number): void {
 		const epoch = board.authority.get(board.settings.zone)?.epoch
 		const changedEpoch = epoch !== this.#epoch
 		this.#epoch = epoch
--- a/src/utils/fleet.ts
+++ b/src/utils/fleet.ts
@@ -125,16 +125,16 @@
 /** Returns the worker without the tasks for which `isRemoved` is true. */
 export function removeTasks(
 	worker: FleetWorker,
-	isGone: (task: FleetTask) => boolean
+	isRemoved: (task: FleetTask) => boolean
 ): FleetWorker {
-	const gone = worker.tasks.filter(isGone)
-	const tasks = worker.tasks.filter(task => !isGone(task))
+	const removed = worker.tasks.filter(isRemoved)
+	const tasks = worker.tasks.filter(task => !isRemoved(task))
 	const taken = new Set(tasks.flatMap(({accelerators}) => accelerators))
 	return {
 		...worker,
 		free: worker.free.map((_, at) => !taken.has(at)),
-		freeCpus: worker.freeCpus + gone.reduce((sum, {cpus}) => sum + cpus, 0),
-		freeMemoryMb: worker.freeMemoryMb + gone.reduce((sum, {memoryMb}) => sum + memoryMb, 0),
+		freeCpus: worker.freeCpus + removed.reduce((sum, {cpus}) => sum + cpus, 0),
+		freeMemoryMb: worker.freeMemoryMb + removed.reduce((sum, {memoryMb}) => sum + memoryMb, 0),
 		tasks
 	}
 }
--- a/src/utils/gangs.ts
+++ b/src/utils/gangs.ts
@@ -126,7 +126,7 @@
 }
 
 /** Changes of a member according to its worker's last report, or undefined if there are none. */
-export function computeReportOf(
+export function findReportedChange(
 	board: Board,
 	gang: GangEntry,
 	member: GangMember,
@@ -160,7 +160,7 @@
 }
 
 /** True once the worker's lease must have expired, so that its tasks have stopped by themselves. */
-export function isMemberLapsed(
+export function isMemberLeaseExpired(
 	board: Board,
 	gang: GangEntry,
 	member: GangMember,
@@ -192,21 +192,21 @@
 }
 
 /** Outcome of a job whose members have all settled, or undefined if the job is to be retried. */
-export function computeEnd(record: JobRecord, gang: GangEntry): Outcome | undefined {
+export function computeOutcome(record: JobRecord, gang: GangEntry): Outcome | undefined {
 	if (isEveryMember(gang, MemberState.completed))
 		return {kind: OutcomeKind.completed, answer: combineAnswers(gang)}
 	const ran = computeRan(gang)
 	const reason = gang.abortReason ?? ReasonCode.workerLost
 	const detail = gang.members.find(({error}) => error !== undefined)?.error
-	if (record.cancelRequested) return describeEnd(ran, ReasonCode.cancelled, detail)
+	if (record.cancelRequested) return buildOutcome(ran, ReasonCode.cancelled, detail)
 	if (ran === RanState.no) return undefined
 	const resumable = isWithdrawn(reason) && isCheckpointed(gang)
-	if (!record.spec.repeatable && !resumable) return describeEnd(ran, reason, detail)
+	if (!record.spec.repeatable && !resumable) return buildOutcome(ran, reason, detail)
 	if (isWithdrawn(reason) || gang.attempt < MAX_ATTEMPTS) return undefined
-	return describeEnd(ran, ReasonCode.attemptsExhausted, detail)
+	return buildOutcome(ran, ReasonCode.attemptsExhausted, detail)
 }
 
-function describeEnd(ran: RanState, reason: ReasonCode, detail: string | undefined): Outcome {
+function buildOutcome(ran: RanState, reason: ReasonCode, detail: string | undefined): Outcome {
 	const kinds = {
 		[RanState.no]: OutcomeKind.notRun,
 		[RanState.yes]: OutcomeKind.failed,
--- a/src/utils/nodes.ts
+++ b/src/utils/nodes.ts
@@ -16,12 +16,12 @@
 }
 
 /** Time at which a lease granted at `grantedAt` has certainly expired on the worker, however slow its clock is. */
-export function computeLapse(grantedAt: number): number {
+export function computeLeaseExpiry(grantedAt: number): number {
 	return grantedAt + NODE_LEASE_MS / (1 - WORKER_CLOCK_ERROR) + NODE_LEASE_MARGIN_MS
 }
 
 /** True while the worker may be given new runs. */
-export function isNodeOpen(node: NodeEntry, {zonesOut}: CatalogEntry): boolean {
+export function isNodeSchedulable(node: NodeEntry, {zonesOut}: CatalogEntry): boolean {
 	const {registration, listed, incarnation, failures} = node
 	return (
 		listed &&
--- a/src/utils/outage.ts
+++ b/src/utils/outage.ts
@@ -21,7 +21,7 @@
 	}
 
 	/** Returns the delay before the next try, in ms. */
-	noteFailure(board: Board, error: CallError): number {
+	recordFailure(board: Board, error: CallError): number {
 		if (this.#failures === 0) {
 			const fields = {detail: error.message}
 			board.record(EventLevel.warn, `${this.#name}-lost`, fields, ReasonCode.platformUnavailable)
@@ -30,7 +30,7 @@
 		return Math.min(OUTAGE_RETRY_MAX_MS, delayMs)
 	}
 
-	noteSuccess(board: Board): void {
+	recordSuccess(board: Board): void {
 		if (this.#failures > 0)
 			board.record(EventLevel.info, `${this.#name}-regained`, {failures: this.#failures})
 		this.#failures = 0
--- a/src/utils/peers.ts
+++ b/src/utils/peers.ts
@@ -40,7 +40,7 @@
 	return [...peers, ...peers].slice(from, from + count)
 }
 
-export function buildPeerNews(board: Board, withBundle: boolean, now: number): PeerStatus {
+export function buildPeerStatus(board: Board, withBundle: boolean, now: number): PeerStatus {
 	const {hostId, zone} = board.settings
 	const current = board.bundle.get("current")
 	const known = current !== undefined && Number.isFinite(current.evidenceAt)
--- a/src/utils/placement-queue.ts
+++ b/src/utils/placement-queue.ts
@@ -39,7 +39,7 @@
 		return changed
 	}
 
-	notePlaced(id: string, now: number): void {
+	recordPlaced(id: string, now: number): void {
 		this.#jobs.delete(id)
 		this.#placedAt.set(id, now)
 	}
@@ -89,7 +89,7 @@
 
 	#computeReadyAt(job: JobEntry): number {
 		const placedAt = this.#placedAt.get(job.record.id)
-		const replacedAt = placedAt === undefined ? 0 : placedAt + PLACEMENT_RETRY_DELAY_MS
-		return Math.max(replacedAt, job.notBefore)
+		const retryAt = placedAt === undefined ? 0 : placedAt + PLACEMENT_RETRY_DELAY_MS
+		return Math.max(retryAt, job.notBefore)
 	}
 }
--- a/src/utils/replies.ts
+++ b/src/utils/replies.ts
@@ -15,7 +15,7 @@
 }
 
 /** Reasons after which the same request may succeed later. */
-const PASSING: ReadonlySet<ReasonCode> = new Set<ReasonCode>([
+const RETRYABLE_REASONS: ReadonlySet<ReasonCode> = new Set<ReasonCode>([
 	ReasonCode.queueFull,
 	ReasonCode.noZoneInService,
 	ReasonCode.noBundle,
@@ -31,7 +31,7 @@
 	detail: string = reason,
 	jobId?: string
 ): Refusal {
-	return {reason, detail, ran, askAgain: PASSING.has(reason), jobId}
+	return {reason, detail, ran, askAgain: RETRYABLE_REASONS.has(reason), jobId}
 }
 
 export function buildBundleView(board: Board, now: number): BundleView {
@@ -42,11 +42,11 @@
 		generation: current?.bundle.generation ?? 0,
 		ageMs: 0
 	}
-	const others = [...board.peers.values()].map(({status: news, observedAt: heardAt}) => ({
-		hostId: news.hostId,
-		zone: news.zone,
-		generation: news.generation,
-		ageMs: Math.round(now - heardAt)
+	const others = [...board.peers.values()].map(({status: peer, observedAt: receivedAt}) => ({
+		hostId: peer.hostId,
+		zone: peer.zone,
+		generation: peer.generation,
+		ageMs: Math.round(now - receivedAt)
 	}))
 	return {
 		generation: own.generation,
--- a/src/utils/rooms.ts
+++ b/src/utils/rooms.ts
@@ -3,8 +3,8 @@
 	type Board,
 	type CatalogEntry,
 	type NodeEntry,
-	type NodeRoom,
-	type RoomRun,
+	type NodeCapacity,
+	type NodeRun,
 	type StepSpec,
 	type TaskProgress,
 	type TaskRef,
@@ -13,7 +13,7 @@
 	type WorkflowEntry,
 	computeRank,
 	isFinal,
-	isNodeOpen
+	isNodeSchedulable
 } from "../internal.js"
 
 /** A run that ends this soon is waited for instead of stopped: stopping takes about as long. */
@@ -28,62 +28,62 @@
 /** Number of cores that one accelerator counts as in the cost of work. */
 const CORES_PER_ACCELERATOR = 8
 
-export type RoomsOfServices = ReadonlyMap<string, readonly NodeRoom[]>
+export type CapacityByService = ReadonlyMap<string, readonly NodeCapacity[]>
 
 export function findRank({record}: WorkflowEntry, guaranteed: ReadonlySet<string>): number {
 	return guaranteed.has(record.id) ? GUARANTEED_RANK : computeRank(record.priority)
 }
 
 /** Free capacity of every worker that may be given work, by service. */
-export function listRooms(
+export function listNodeCapacities(
 	board: Board,
 	catalog: CatalogEntry,
 	guaranteed: ReadonlySet<string>,
 	now: number
-): RoomsOfServices {
-	const rooms = new Map<string, NodeRoom[]>()
+): CapacityByService {
+	const byService = new Map<string, NodeCapacity[]>()
 	for (const node of board.nodes.values()) {
-		if (!isNodeOpen(node, catalog)) continue
+		if (!isNodeSchedulable(node, catalog)) continue
 		const health = board.health.get(node.registration.id)
 		if (health !== undefined && (health.quarantinedUntil > now || health.foreignRuns.length > 0))
 			continue
-		const isDoubted = health !== undefined && health.suspectUntil > now
-		const room = buildRoom(board, node, guaranteed, isDoubted, now)
+		const suspect = health !== undefined && health.suspectUntil > now
+		const capacity = buildNodeCapacity(board, node, guaranteed, suspect, now)
 		const {service} = node.registration
-		const list = rooms.get(service)
-		if (list === undefined) rooms.set(service, [room])
-		else list.push(room)
+		const list = byService.get(service)
+		if (list === undefined) byService.set(service, [capacity])
+		else list.push(capacity)
 	}
-	return rooms
+	return byService
 }
 
-function buildRoom(
+function buildNodeCapacity(
 	board: Board,
 	{registration}: NodeEntry,
 	guaranteed: ReadonlySet<string>,
-	isDoubted: boolean,
+	suspect: boolean,
 	now: number
-): NodeRoom {
+): NodeCapacity {
 	const {id, incarnation, rack, labels, capacity} = registration
 	const used = board.runs.sumDemandOn(id)
-	let runs: RoomRun[] | undefined
+	let runs: NodeRun[] | undefined
 	return {
 		id,
 		incarnation,
 		rack,
 		labels,
-		isDoubted,
+		isSuspect: suspect,
 		free: {
 			cpuMillis: capacity.cpuMillis - used.cpuMillis,
 			memoryMb: capacity.memoryMb - used.memoryMb,
 			accelerators: capacity.accelerators - used.accelerators
 		},
 		listRuns: () =>
-			(runs ??= [...board.runs.listOn(id).values()].map(ref => buildRoomRun(ref, guaranteed, now)))
+			(runs ??= [...board.runs.listOn(id).values()].map(ref => buildNodeRun(ref, guaranteed, now)))
 	}
 }
 
-function buildRoomRun(ref: TaskRef, guaranteed: ReadonlySet<string>, now: number): RoomRun {
+function buildNodeRun(ref: TaskRef, guaranteed: ReadonlySet<string>, now: number): NodeRun {
 	const {workflow, task, spec} = ref
 	const rank = isFinal(workflow.state) ? Infinity : findRank(workflow, guaranteed)
 	return {
@@ -97,7 +97,7 @@
 	}
 }
 
-export function buildPlannedRun(ref: TaskRef, rank: number): RoomRun {
+export function buildPlannedRun(ref: TaskRef, rank: number): NodeRun {
 	return {
 		ref,
 		rank,
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -17,7 +17,11 @@
 } from "../internal.js"
 
 /** Marks a change of the occurrence that has to be durable before it takes effect. */
-export function noteProgress(board: Board, workflow: WorkflowEntry, occurrence: Occurrence): void {
+export function recordProgress(
+	board: Board,
+	workflow: WorkflowEntry,
+	occurrence: Occurrence
+): void {
 	occurrence.revision++
 	board.workflows.set(workflow.record.id, workflow)
 }
@@ -58,7 +62,7 @@
 	task.plannedRevision = occurrence.revision + 1
 	board.runs.set(ref.taskId, ref)
 	if (workflow.state === WorkflowState.queued) workflow.state = WorkflowState.running
-	noteProgress(board, workflow, occurrence)
+	recordProgress(board, workflow, occurrence)
 }
 
 /** Every run of the workflow that may be on a worker. */
@@ -70,7 +74,7 @@
 	return refs.filter(({taskId}) => board.runs.has(taskId))
 }
 
-export function noteRunning(board: Board, ref: TaskRef, now: number): void {
+export function recordRunning(board: Board, ref: TaskRef, now: number): void {
 	if (ref.task.phase !== TaskPhase.starting) return
 	ref.task.phase = TaskPhase.running
 	ref.task.startedAt = now
@@ -86,8 +90,8 @@
 	task.phase = TaskPhase.waiting
 	step.notBefore = Math.max(step.notBefore, now + STEP_RETRY_DELAY_MS)
 	board.runs.delete(taskId)
-	noteProgress(board, workflow, occurrence)
-	reconcileGang(board, ref, now)
+	recordProgress(board, workflow, occurrence)
+	stopGangMembers(board, ref, now)
 }
 
 /** Requests that the run stop; a run that was never sent is released at once. */
@@ -104,18 +108,18 @@
 	board.runs.set(taskId, ref)
 	const fields = {task: taskId, run: task.run, worker: task.workerId, percent: task.percent}
 	board.record(EventLevel.info, "stop-asked", fields, reason)
-	reconcileGang(board, ref, now)
+	stopGangMembers(board, ref, now)
 }
 
 /** Stops all members of a gang once one is stopped or released, since no part of it runs without the rest. */
-function reconcileGang(board: Board, ref: TaskRef, now: number): void {
+function stopGangMembers(board: Board, ref: TaskRef, now: number): void {
 	if (!ref.spec.gang) return
 	const index = ref.stepIndex
 	for (const member of listTaskRefs(ref.workflow, ref.occurrence, index)) {
 		const {phase} = member.task
-		const isUp =
+		const isActive =
 			phase === TaskPhase.planned || phase === TaskPhase.starting || phase === TaskPhase.running
-		if (isUp) stopRun(board, member, ReasonCode.gangStopped, now)
+		if (isActive) stopRun(board, member, ReasonCode.gangStopped, now)
 	}
 }
 
@@ -133,7 +137,7 @@
 		if (workflow.completedOccurrences === countOccurrences(workflow.record))
 			endWorkflow(board, workflow, WorkflowState.completed, now)
 	}
-	noteProgress(board, workflow, occurrence)
+	recordProgress(board, workflow, occurrence)
 }
 
 export function endWorkflow(
@@ -154,7 +158,7 @@
 }
 
 /** True if the worker's run is the task's current one. */
-export function isRunOn(
+export function isCurrentRun(
 	{task}: TaskRef,
 	{registration, incarnation}: NodeEntry,
 	run: number
--- a/src/utils/transitions.ts
+++ b/src/utils/transitions.ts
@@ -79,7 +79,7 @@
 }
 
 /** Replaces the answer of an end by a reference to it. */
-export function moveAnswer(transition: Transition, answerRef: string): Transition {
+export function replaceAnswer(transition: Transition, answerRef: string): Transition {
 	if (transition.kind !== TransitionKind.end) return transition
 	return {...transition, outcome: {...transition.outcome, answer: undefined, answerRef}}
 }
--- a/src/utils/workflows.ts
+++ b/src/utils/workflows.ts
@@ -9,7 +9,7 @@
 	type WorkflowRecord,
 	TaskPhase,
 	WorkflowState,
-	computeChains,
+	computeCriticalPaths,
 	isFinal
 } from "../internal.js"
 
@@ -112,7 +112,7 @@
 	return {
 		record,
 		occurrences: new Map(),
-		criticalPathsMs: computeChains(record.spec.steps),
+		criticalPathsMs: computeCriticalPaths(record.spec.steps),
 		state: WorkflowState.queued,
 		savedState: WorkflowState.queued,
 		stateVersion: 0,
--- a/src/utils/write-window.ts
+++ b/src/utils/write-window.ts
@@ -31,17 +31,17 @@
 		return this.#inFlight < Math.max(1, Math.floor(this.#size * share))
 	}
 
-	noteSent(): void {
+	recordSent(): void {
 		this.#inFlight++
 	}
 
-	noteAnswer(): void {
+	recordAnswer(): void {
 		this.#inFlight--
 		this.#size = Math.min(WRITE_WINDOW_MAX, this.#size + 1 / this.#size)
 	}
 
 	/** Halves the window, once for all commits that were in flight together. */
-	noteLoss(sentAt: number, now: number): void {
+	recordLoss(sentAt: number, now: number): void {
 		this.#inFlight--
 		if (sentAt < this.#halvedAt) return
 		this.#size = Math.max(WRITE_WINDOW_MIN, this.#size / 2)
