Rename names of the platform's adapters, the host and the tool

Cause: engineers who join read figurative or private names without knowing what they mean. Conclusion: one word for each concept over all parts.

--- a/__tests__/adoption.test.ts
+++ b/__tests__/adoption.test.ts
@@ -2,10 +2,10 @@
 import {type ClusterView, HostRole, LEASE_MARGIN_MS, START_PERMIT_MS} from "../src/internal.js"
 import {
 	Force,
-	computePermits,
+	computePermitDurations,
 	findAdoptionExitCode,
-	formatRolledOut,
-	judgeZones
+	formatRolloutResult,
+	checkZones
 } from "../src/cli/adoption.js"
 import {ExitCode} from "../src/cli/exit-code.js"
 import {createBundleContent} from "./fixtures/cluster.js"
@@ -50,25 +50,27 @@
 	]
 	for (const [what, view, elapsedMs, expected] of cases)
 		it(`is ${expected} where ${what}`, () => {
-			const zones = judgeZones(view, 2, permits, elapsedMs)
+			const zones = checkZones(view, 2, permits, elapsedMs)
 			expect(zones.map(({force}) => force)).to.deep.equal([expected])
 			const code = expected === Force.pending ? ExitCode.notAdopted : ExitCode.ok
 			expect(findAdoptionExitCode({generation: 2, zones})).to.equal(code)
 		})
 
 	it("prints how long work may still start", () => {
-		const zones = judgeZones(createView({a: 1}), 2, permits, 1000)
-		const text = formatRolledOut({generation: 2, zones})
+		const zones = checkZones(createView({a: 1}), 2, permits, 1000)
+		const text = formatRolloutResult({generation: 2, zones})
 		expect(text).to.include(`work may start there for ${PERMIT_MS - 1000} ms more`)
 	})
 
 	it("uses the previous bundle's start limit of a zone that is cut off", () => {
 		const content = createBundleContent({zones: [ZONE, "zone-b"], zonesOut: ["zone-b"]})
 		const zones = content.zones.map(zone => ({...zone, cutOffStartMs: 60000}))
-		expect([...computePermits(content, {...content, zones})]).to.deep.equal([
+		expect([...computePermitDurations(content, {...content, zones})]).to.deep.equal([
 			[ZONE, 60000 + LEASE_MARGIN_MS],
 			["zone-b", 0]
 		])
-		expect([...computePermits(content, undefined)].map(([, ms]) => ms)).to.deep.equal([0, 0])
+		expect([...computePermitDurations(content, undefined)].map(([, ms]) => ms)).to.deep.equal([
+			0, 0
+		])
 	})
 })
--- a/__tests__/cli.test.ts
+++ b/__tests__/cli.test.ts
@@ -105,8 +105,8 @@
 		const hosts = [...cluster.daemons.values()].map(({url}) => url)
 		return runTool(args, hosts, token)
 	}
-	const operate = (...args: string[]) => runAs(OPERATOR_TOKEN, ...args)
-	const call = (...args: string[]) => runAs(CALLER_TOKEN, ...args)
+	const runAsOperator = (...args: string[]) => runAs(OPERATOR_TOKEN, ...args)
+	const runAsCaller = (...args: string[]) => runAs(CALLER_TOKEN, ...args)
 
 	async function readJson<T>(token: string, ...args: string[]): Promise<T> {
 		const result = await runAs(token, ...args, "--json")
@@ -119,7 +119,7 @@
 		return bundles
 	}
 
-	async function readService(): Promise<BundleContent["zones"]> {
+	async function readZones(): Promise<BundleContent["zones"]> {
 		const [current] = await readHistory()
 		return current?.content.zones ?? []
 	}
@@ -127,16 +127,16 @@
 	async function sign(out: string, ...args: string[]): Promise<string> {
 		const file = path(out)
 		const signing = ["bundle", "sign", path("bundle.yaml"), "--key", key, "--out", file, ...args]
-		expectCode(await operate(...signing), ExitCode.ok)
+		expectCode(await runAsOperator(...signing), ExitCode.ok)
 		return file
 	}
 
 	before(async () => {
 		cluster = await createCluster({zones: ZONES, daemonsPerZone: 1, workersPerZone: 1})
 		key = cluster.storeSigningKey()
-		expectCode(await operate("bundle", "rollout", await sign("first.json")), ExitCode.ok)
+		expectCode(await runAsOperator("bundle", "rollout", await sign("first.json")), ExitCode.ok)
 		await waitFor("the first read completes", async () => {
-			const read = await call("job", "submit", path("read.yaml"), "--key", "first", "--wait")
+			const read = await runAsCaller("job", "submit", path("read.yaml"), "--key", "first", "--wait")
 			return read.code === ExitCode.ok
 		})
 	})
@@ -148,7 +148,7 @@
 	it("lets one of two racing roll-outs through and tells the other of the conflict", async () => {
 		const files = [await sign("one.json", "--note", "one"), await sign("two.json", "--note", "two")]
 		const before = (await readHistory()).length
-		const results = await Promise.all(files.map(file => operate("bundle", "rollout", file)))
+		const results = await Promise.all(files.map(file => runAsOperator("bundle", "rollout", file)))
 		const codes = results.map(({code}) => code).sort()
 		expect(codes).to.deep.equal([ExitCode.ok, ExitCode.conflict])
 		expect(results.find(({code}) => code === ExitCode.conflict)?.stderr).to.match(
@@ -158,38 +158,40 @@
 	})
 
 	it("takes zones out and in, also while operators race with --retry", async () => {
-		const out = ZONES.map(zone => operate("zone", "out", zone, "--key", key, "--retry"))
+		const out = ZONES.map(zone => runAsOperator("zone", "out", zone, "--key", key, "--retry"))
 		for (const result of await Promise.all(out)) expectCode(result, ExitCode.ok)
-		expect((await readService()).map(({inService}) => inService)).to.deep.equal([false, false])
-		expectCode(await operate("zone", "out", "zone-a", "--key", key), ExitCode.usage)
+		expect((await readZones()).map(({inService}) => inService)).to.deep.equal([false, false])
+		expectCode(await runAsOperator("zone", "out", "zone-a", "--key", key), ExitCode.usage)
 		for (const zone of ZONES)
-			expectCode(await operate("zone", "in", zone, "--key", key), ExitCode.ok)
-		const status = await operate("zone", "status")
+			expectCode(await runAsOperator("zone", "in", zone, "--key", key), ExitCode.ok)
+		const status = await runAsOperator("zone", "status")
 		expect(status.stdout).to.match(/zone-a +region-zone-a +in +zone-a-host-1 +1/)
 		expect(status.stdout).to.match(/zone-b +region-zone-b +in +zone-b-host-1 +1/)
 	})
 
 	it("names the existing zones when asked for an unknown one", async () => {
-		const result = await operate("zone", "out", "zone-z", "--key", key)
+		const result = await runAsOperator("zone", "out", "zone-z", "--key", key)
 		expectCode(result, ExitCode.usage)
 		expect(result.stderr).to.match(/expected one of zone-a\|zone-b/)
 	})
 
 	it("rolls back to an earlier content as a new generation", async () => {
 		const before = await readHistory()
-		expectCode(await operate("bundle", "rollback", "1", "--key", key), ExitCode.ok)
+		expectCode(await runAsOperator("bundle", "rollback", "1", "--key", key), ExitCode.ok)
 		const [current] = await readHistory()
 		expect(current?.generation).to.equal((before[0]?.generation ?? 0) + 1)
 		expect(current?.content).to.deep.equal(before.at(-1)?.content)
-		expectCode(await operate("bundle", "rollback", "9999", "--key", key), ExitCode.usage)
-		expect((await operate("bundle", "status")).stdout).to.match(/zone-b +zone-b-host-1 +\d+ +\d+/)
+		expectCode(await runAsOperator("bundle", "rollback", "9999", "--key", key), ExitCode.usage)
+		expect((await runAsOperator("bundle", "status")).stdout).to.match(
+			/zone-b +zone-b-host-1 +\d+ +\d+/
+		)
 	})
 
 	it("refuses a bundle signed with a key the hosts do not know, and changes nothing", async () => {
 		const other = path("other.key")
-		expectCode(await operate("key", "generate", "--out", other), ExitCode.ok)
+		expectCode(await runAsOperator("key", "generate", "--out", other), ExitCode.ok)
 		const before = await readHistory()
-		const result = await operate("zone", "out", "zone-a", "--key", other)
+		const result = await runAsOperator("zone", "out", "zone-a", "--key", other)
 		expectCode(result, ExitCode.refused)
 		expect(result.stderr).to.match(/bad-signature/)
 		expect(await readHistory()).to.deep.equal(before)
@@ -223,39 +225,40 @@
 			return workers.length === ZONES.length && workers.every(({inUse}) => inUse === 8)
 		})
 		const {id} = await submit("queued")
-		expectCode(await call("job", "cancel", id), ExitCode.ok)
-		const waited = await call("job", "wait", id, "--json")
+		expectCode(await runAsCaller("job", "cancel", id), ExitCode.ok)
+		const waited = await runAsCaller("job", "wait", id, "--json")
 		expectCode(waited, ExitCode.notCompleted)
 		expect((JSON.parse(waited.stdout) as JobView).outcome?.kind).to.equal(OutcomeKind.notRun)
-		expect((await call("job", "show", id)).stdout).to.match(/not-run \(cancelled\)/)
-		for (const blocker of blockers) expectCode(await call("job", "cancel", blocker.id), ExitCode.ok)
+		expect((await runAsCaller("job", "show", id)).stdout).to.match(/not-run \(cancelled\)/)
+		for (const blocker of blockers)
+			expectCode(await runAsCaller("job", "cancel", blocker.id), ExitCode.ok)
 	})
 
 	it("refuses the same key with another job as a conflict", async () => {
-		const result = await call("job", "submit", path("full.yaml"), "--key", "first")
+		const result = await runAsCaller("job", "submit", path("full.yaml"), "--key", "first")
 		expectCode(result, ExitCode.conflict)
 	})
 
 	it("shows workers, endpoints and hosts", async () => {
-		const workers = await operate("worker", "list")
+		const workers = await runAsOperator("worker", "list")
 		expect(workers.stdout).to.match(/zone-a-worker-1 +zone-a +8/)
 		expect(workers.stdout).to.match(/zone-b-endpoint-1 +zone-b +8/)
-		const hosts = await operate("host", "list")
+		const hosts = await runAsOperator("host", "list")
 		expect(hosts.stdout).to.match(/zone-a-host-1 +daemon +zone-a/)
 		expect(hosts.stdout).to.match(/zone-b-worker-1 +worker +zone-b/)
 	})
 
 	it("is refused without the right token", async () => {
 		expectCode(await runAs("wrong", "bundle", "history"), ExitCode.refused)
-		expectCode(await call("bundle", "history"), ExitCode.refused)
-		expectCode(await operate("job", "list"), ExitCode.refused)
+		expectCode(await runAsCaller("bundle", "history"), ExitCode.refused)
+		expectCode(await runAsOperator("job", "list"), ExitCode.refused)
 	})
 
 	it("reports a change as in force in an unreachable zone once all earlier permits have expired", async () => {
 		const silent = cluster.daemons.get("zone-b-host-1")!
 		await cluster.launcher.stop(silent, "SIGKILL")
 		cluster.daemons.delete("zone-b-host-1")
-		const result = await operate("zone", "out", "zone-b", "--key", key)
+		const result = await runAsOperator("zone", "out", "zone-b", "--key", key)
 		expectCode(result, ExitCode.ok)
 		expect(result.stdout).to.match(/zone-b: in force: all earlier permits have expired/)
 		expect(result.stdout).to.match(/zone-a: in force \(adopted by 1 of 1 hosts\)/)
--- a/src/cli/adoption.ts
+++ b/src/cli/adoption.ts
@@ -37,12 +37,12 @@
 	readonly pendingMs: number
 }
 
-export interface RolledOut {
+export interface RolloutResult {
 	readonly generation: number
 	readonly zones: readonly ZoneForce[]
 }
 
-const NOTHING_SEEN: ClusterView = {
+const EMPTY_VIEW: ClusterView = {
 	generation: 0,
 	adopted: [],
 	hosts: [],
@@ -56,13 +56,13 @@
 	client: ApiClient,
 	{generation, content}: SignedBundle,
 	earlier: SignedBundle | undefined
-): Promise<RolledOut> {
+): Promise<RolloutResult> {
 	const rolledOutAt = performance.now()
-	const permits = computePermits(content, earlier?.content)
+	const permits = computePermitDurations(content, earlier?.content)
 	for (;;) {
 		const view = await getClusterView(client)
 		const elapsedMs = performance.now() - rolledOutAt
-		const zones = judgeZones(view.unwrapOr(NOTHING_SEEN), generation, permits, elapsedMs)
+		const zones = checkZones(view.unwrapOr(EMPTY_VIEW), generation, permits, elapsedMs)
 		if (isSettled(zones, elapsedMs)) return {generation, zones}
 		await new Promise(resolve => setTimeout(resolve, ADOPTION_POLL_INTERVAL_MS))
 	}
@@ -76,7 +76,7 @@
 }
 
 /** For each zone, how long after a roll-out a disconnected host may still start work under the generation before. */
-export function computePermits(
+export function computePermitDurations(
 	content: BundleContent,
 	earlier: BundleContent | undefined
 ): ReadonlyMap<string, number> {
@@ -88,39 +88,39 @@
 	return permits
 }
 
-export function judgeZones(
+export function checkZones(
 	view: ClusterView,
 	generation: number,
 	permits: ReadonlyMap<string, number>,
 	elapsedMs: number
 ): ZoneForce[] {
 	return [...permits].map(([zone, permitMs]) => {
-		const heard = view.adopted.filter(host => host.zone === zone)
+		const reports = view.adopted.filter(host => host.zone === zone)
 		const listed = view.hosts.filter(host => host.role === HostRole.daemon && host.zone === zone)
-		const hosts = new Set([...heard.map(({hostId}) => hostId), ...listed.map(({id}) => id)]).size
-		const adopted = heard.filter(host => host.generation >= generation).length
-		const all = hosts > 0 && adopted === hosts
-		const pendingMs = all ? 0 : Math.max(0, Math.round(permitMs - elapsedMs))
+		const hosts = new Set([...reports.map(({hostId}) => hostId), ...listed.map(({id}) => id)]).size
+		const adopted = reports.filter(host => host.generation >= generation).length
+		const isAdoptedByAll = hosts > 0 && adopted === hosts
+		const pendingMs = isAdoptedByAll ? 0 : Math.max(0, Math.round(permitMs - elapsedMs))
 		let force: Force = pendingMs === 0 ? Force.permitsRanOut : Force.pending
-		if (all) force = Force.adopted
+		if (isAdoptedByAll) force = Force.adopted
 		return {zone, force, hosts, adopted, pendingMs}
 	})
 }
 
-const WORDS: Readonly<Record<Force, string>> = {
+const FORCE_LABELS: Readonly<Record<Force, string>> = {
 	[Force.adopted]: "in force",
 	[Force.permitsRanOut]: "in force: all earlier permits have expired",
 	[Force.pending]: "NOT YET IN FORCE"
 }
 
-export function formatRolledOut({generation, zones}: RolledOut): string {
+export function formatRolloutResult({generation, zones}: RolloutResult): string {
 	const lines = zones.map(({zone, force, hosts, adopted, pendingMs}) => {
-		const left = pendingMs === 0 ? "" : `, work may start there for ${pendingMs} ms more`
-		return `  ${zone}: ${WORDS[force]}${left} (adopted by ${adopted} of ${hosts} hosts)`
+		const remaining = pendingMs === 0 ? "" : `, work may start there for ${pendingMs} ms more`
+		return `  ${zone}: ${FORCE_LABELS[force]}${remaining} (adopted by ${adopted} of ${hosts} hosts)`
 	})
 	return [`generation ${generation} is rolled out`, ...lines].join("\n")
 }
 
-export function findAdoptionExitCode({zones}: RolledOut): ExitCode {
+export function findAdoptionExitCode({zones}: RolloutResult): ExitCode {
 	return zones.some(({force}) => force === Force.pending) ? ExitCode.notAdopted : ExitCode.ok
 }
--- a/src/cli/base.ts
+++ b/src/cli/base.ts
@@ -14,12 +14,12 @@
 	print<T>(
 		result: Result<T, Error>,
 		format: (value: T) => string,
-		choose: (value: T) => ExitCode = () => ExitCode.ok
+		chooseExitCode: (value: T) => ExitCode = () => ExitCode.ok
 	): ExitCode {
 		if (result.isErr()) return this.printError(result.error)
 		const text = this.json ? JSON.stringify(result.value, null, 2) : format(result.value)
 		this.context.stdout.write(`${text}\n`)
-		return choose(result.value)
+		return chooseExitCode(result.value)
 	}
 
 	printError(error: Error): ExitCode {
--- a/src/cli/bundle.ts
+++ b/src/cli/bundle.ts
@@ -12,7 +12,7 @@
 import {getClusterView} from "./cluster-view.js"
 import {type ExitCode} from "./exit-code.js"
 import {loadBundleContent, loadPrivateKey, loadText, storeText} from "./files.js"
-import {GenerationCommand, RollingCommand, putBundle} from "./generation.js"
+import {GenerationCommand, RolloutCommand, putBundle} from "./generation.js"
 import {type HistoryAnswer, getCurrentBundle, getGeneration} from "./history.js"
 import {formatTable} from "./table.js"
 
@@ -91,7 +91,7 @@
 	}
 }
 
-export class BundleRolloutCommand extends RollingCommand {
+export class BundleRolloutCommand extends RolloutCommand {
 	static override paths = [["bundle", "rollout"]]
 	static override usage = Command.Usage({
 		category: CATEGORY,
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -20,8 +20,8 @@
 }
 
 export class HostUnreachableError extends CardamomError {
-	constructor(urls: readonly string[], why: string) {
-		super(`no host answers at ${urls.join(", ")}: ${why}`)
+	constructor(urls: readonly string[], detail: string) {
+		super(`no host answers at ${urls.join(", ")}: ${detail}`)
 	}
 }
 
@@ -85,8 +85,8 @@
 			if (response.statusCode < HTTP_REFUSED_MIN) return ok(answer)
 			return err(new ProblemError(response.statusCode, answer as Record<string, unknown>))
 		} catch (error) {
-			const why = error instanceof Error ? error.message : String(error)
-			return err(new HostUnreachableError(this.#urls, why))
+			const detail = error instanceof Error ? error.message : String(error)
+			return err(new HostUnreachableError(this.#urls, detail))
 		}
 	}
 }
--- a/src/cli/files.ts
+++ b/src/cli/files.ts
@@ -16,20 +16,20 @@
 /** Readable and writable by its owner only. */
 const SECRET_FILE_MODE = 0o600
 
-export function loadText(what: string, path: string): Result<string, MalformedError> {
+export function loadText(label: string, path: string): Result<string, MalformedError> {
 	try {
 		return ok(readFileSync(path, "utf8"))
 	} catch (error) {
-		return err(new MalformedError(`${what} ${path}`, describeError(error)))
+		return err(new MalformedError(`${label} ${path}`, describeError(error)))
 	}
 }
 
-export function loadYaml(what: string, path: string): Result<unknown, MalformedError> {
-	return loadText(what, path).andThen(text => {
+export function loadYaml(label: string, path: string): Result<unknown, MalformedError> {
+	return loadText(label, path).andThen(text => {
 		try {
 			return ok(parse(text) as unknown)
 		} catch (error) {
-			return err(new MalformedError(`${what} ${path}`, describeError(error)))
+			return err(new MalformedError(`${label} ${path}`, describeError(error)))
 		}
 	})
 }
--- a/src/cli/generation.ts
+++ b/src/cli/generation.ts
@@ -8,7 +8,7 @@
 	ReasonCode,
 	signBundle
 } from "../internal.js"
-import {findAdoptionExitCode, formatRolledOut, waitForAdoption} from "./adoption.js"
+import {findAdoptionExitCode, formatRolloutResult, waitForAdoption} from "./adoption.js"
 import {HostCommand} from "./base.js"
 import {type ApiClient, type ApiError, ProblemError} from "./client.js"
 import {type ExitCode} from "./exit-code.js"
@@ -30,20 +30,20 @@
 ) => Result<BundleContent, Error> | Promise<Result<BundleContent, Error>>
 
 /** A command that rolls a bundle out. */
-export abstract class RollingCommand extends HostCommand {
+export abstract class RolloutCommand extends HostCommand {
 	/** Waits until the rolled-out bundle is in force, and prints its state in each zone. */
 	async printAdoption(
 		client: ApiClient,
 		bundle: SignedBundle,
 		earlier: SignedBundle | undefined
 	): Promise<ExitCode> {
-		const rolledOut = await waitForAdoption(client, bundle, earlier)
-		return this.print(ok(rolledOut), formatRolledOut, findAdoptionExitCode)
+		const result = await waitForAdoption(client, bundle, earlier)
+		return this.print(ok(result), formatRolloutResult, findAdoptionExitCode)
 	}
 }
 
 /** A command that creates a new generation. */
-export abstract class GenerationCommand extends RollingCommand {
+export abstract class GenerationCommand extends RolloutCommand {
 	key = Option.String("--key", {required: true, description: "File of the signing key"})
 	keyId = Option.String("--key-id", "main", {
 		description: "Name of the key in the hosts' settings (main)"
@@ -63,8 +63,8 @@
 			if (current.isErr()) return this.printError(current.error)
 			const answer = await this.#tryOnce(client, key.value, current.value, change, note)
 			if (answer.isOk()) return this.printAdoption(client, answer.value, current.value)
-			const again = this.retry && attempt < RETRIES_MAX
-			if (!again || !isConflict(answer.error)) return this.printError(answer.error)
+			const mayRetry = this.retry && attempt < RETRIES_MAX
+			if (!mayRetry || !isConflict(answer.error)) return this.printError(answer.error)
 		}
 	}
 
--- a/src/cli/key.ts
+++ b/src/cli/key.ts
@@ -23,12 +23,12 @@
 
 	execute(): Promise<ExitCode> {
 		const {privateKey, publicKey} = generateKeyPairSync("ed25519")
-		const secret = privateKey.export({format: "der", type: "pkcs8"}).toString("base64")
-		const shown = publicKey.export({format: "der", type: "spki"}).toString("base64")
-		const made = storeSecret(this.out, `${secret}\n`).map(file => ({
+		const encodedPrivateKey = privateKey.export({format: "der", type: "pkcs8"}).toString("base64")
+		const encodedPublicKey = publicKey.export({format: "der", type: "spki"}).toString("base64")
+		const made = storeSecret(this.out, `${encodedPrivateKey}\n`).map(file => ({
 			file,
 			keyId: this.keyId,
-			publicKey: shown
+			publicKey: encodedPublicKey
 		}))
 		return Promise.resolve(
 			this.print(made, ({file, keyId, publicKey: key}) =>
--- a/src/cli/table.ts
+++ b/src/cli/table.ts
@@ -4,13 +4,15 @@
 	rows: readonly (readonly (string | number)[])[]
 ): string {
 	const lines = [headings, ...rows].map(row => row.map(String))
-	const widths = headings.map((_, at) => Math.max(...lines.map(line => (line[at] ?? "").length)))
+	const widths = headings.map((_, column) =>
+		Math.max(...lines.map(line => (line[column] ?? "").length))
+	)
 	return lines.map(line => formatLine(line, widths)).join("\n")
 }
 
 function formatLine(cells: readonly string[], widths: readonly number[]): string {
 	return cells
-		.map((cell, at) => cell.padEnd(widths[at] ?? 0))
+		.map((cell, column) => cell.padEnd(widths[column] ?? 0))
 		.join("  ")
 		.trimEnd()
 }
--- a/src/cli/zone.ts
+++ b/src/cli/zone.ts
@@ -56,7 +56,7 @@
 abstract class ZoneServiceCommand extends GenerationCommand {
 	zone = Option.String()
 
-	moveZone(inService: boolean): Promise<ExitCode> {
+	rollOutServiceChange(inService: boolean): Promise<ExitCode> {
 		return this.rollOutNext(
 			current => setInService(current?.content, this.zone, inService),
 			`zone ${this.zone} ${inService ? "in" : "out"}`
@@ -75,7 +75,7 @@
 	})
 
 	execute(): Promise<ExitCode> {
-		return this.moveZone(false)
+		return this.rollOutServiceChange(false)
 	}
 }
 
@@ -88,7 +88,7 @@
 	})
 
 	execute(): Promise<ExitCode> {
-		return this.moveZone(true)
+		return this.rollOutServiceChange(true)
 	}
 }
 
--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -52,16 +52,16 @@
 		const {EmbeddedSystem} = await import("./embedded.js")
 		const system = new EmbeddedSystem(port)
 		try {
-			const {host, port: listening} = await system.start()
-			this.context.stdout.write(`${system.describe(listening)}\n`)
+			const {host, port: boundPort} = await system.start()
+			this.context.stdout.write(`${system.formatInstructions(boundPort)}\n`)
 			return await stopOnSignal(host)
 		} catch (error) {
 			return reportListenError(error)
 		}
 	}
 
-	#refuse(why: string): number {
-		this.context.stderr.write(`${why}\n`)
+	#refuse(message: string): number {
+		this.context.stderr.write(`${message}\n`)
 		return EXIT_BAD_SETTINGS
 	}
 }
--- a/src/embedded.ts
+++ b/src/embedded.ts
@@ -73,13 +73,13 @@
 		const {port} = await host.start()
 		host.telemetry.log.info({port}, "listening")
 		const content = this.#buildContent()
-		this.#storeFiles(content)
+		this.#writeFiles(content)
 		await this.#rollOut(buildUrl(port), content)
 		return {host, port}
 	}
 
 	/** Instructions for a first try, with the commands and tokens to use. */
-	describe(port: number): string {
+	formatInstructions(port: number): string {
 		const {folder, operatorToken, callerToken} = this
 		return [
 			`cardamomhook runs at ${buildUrl(port)}: workspace "${WORKSPACE}", zone "${ZONE}",`,
@@ -107,16 +107,16 @@
 			this.#clock
 		)
 		const port = await listen(createWorkerApp(core, new FaultSwitch()), 0)
-		this.#listHost(id, HostRole.worker, port)
+		this.#registerHost(id, HostRole.worker, port)
 	}
 
 	async #startEndpoint(): Promise<void> {
 		const core = new EndpointCore(ENDPOINT_ID, randomUUID(), ENDPOINT_SLOTS, this.#clock)
 		const port = await listen(createEndpointApp(core, new FaultSwitch()), 0)
-		this.#listHost(ENDPOINT_ID, HostRole.endpoint, port)
+		this.#registerHost(ENDPOINT_ID, HostRole.endpoint, port)
 	}
 
-	#listHost(id: string, role: HostRole, port: number): void {
+	#registerHost(id: string, role: HostRole, port: number): void {
 		const rack = role === HostRole.worker ? RACK : ""
 		const address = buildUrl(port)
 		const record = {id, role, zone: ZONE, rack, address, peerAddress: "", leaving: false}
@@ -147,19 +147,19 @@
 		})
 	}
 
-	#readPrivateKey(): string {
+	#encodePrivateKey(): string {
 		return this.#keys.privateKey.export({format: "der", type: "pkcs8"}).toString("base64")
 	}
 
-	#storeFiles(content: BundleContent): void {
-		const key = `${this.#readPrivateKey()}\n`
+	#writeFiles(content: BundleContent): void {
+		const key = `${this.#encodePrivateKey()}\n`
 		writeFileSync(join(this.folder, "signing.key"), key, {mode: SECRET_FILE_MODE})
 		writeFileSync(join(this.folder, "bundle.yaml"), stringify(content))
 		writeFileSync(join(this.folder, "job.yaml"), stringify(EXAMPLE_JOB))
 	}
 
 	async #rollOut(url: string, content: BundleContent): Promise<void> {
-		const bundle = signBundle(1, content, KEY_ID, this.#readPrivateKey(), "embedded")
+		const bundle = signBundle(1, content, KEY_ID, this.#encodePrivateKey(), "embedded")
 		const {body} = await request(`${url}/v1/bundle`, {
 			method: "PUT",
 			headers: {
--- a/src/host.ts
+++ b/src/host.ts
@@ -46,7 +46,7 @@
 
 /** The parts of a host that differ between deployments. */
 export interface HostWiring {
-	createCarriers(http: HttpClient, settings: HostSettings): readonly CommandExecutor[]
+	createExecutors(http: HttpClient, settings: HostSettings): readonly CommandExecutor[]
 	createControllers(board: Board, clock: Clock): readonly Controller[]
 	/** The first one serves callers; `Host.start` returns its port. */
 	createFrontEnds(board: Board, gateway: Gateway, telemetry: Telemetry): readonly FrontEnd[]
@@ -58,7 +58,7 @@
 export class ZoneWiring implements HostWiring {
 	readonly hasPeers = true
 
-	createCarriers(http: HttpClient, {platformUrl}: HostSettings): readonly CommandExecutor[] {
+	createExecutors(http: HttpClient, {platformUrl}: HostSettings): readonly CommandExecutor[] {
 		return [new PlatformClient(http, platformUrl), new WorkerClient(http), new EndpointClient(http)]
 	}
 
@@ -79,7 +79,7 @@
 	readonly #http = new HttpClient()
 	readonly #runner: CommandRunner
 	readonly #gateway: Gateway
-	readonly #peerCarrier: PeerClient | undefined
+	readonly #peerClient: PeerClient | undefined
 	readonly #peerServer: PeerServer | undefined
 	readonly #telemetry: Telemetry
 	readonly #frontEnds: readonly FrontEnd[]
@@ -88,15 +88,15 @@
 	constructor(settings: HostSettings, clock: Clock, wiring: HostWiring = new ZoneWiring()) {
 		this.board = new Board(settings)
 		this.#clock = clock
-		const carriers = [...wiring.createCarriers(this.#http, settings)]
+		const executors = [...wiring.createExecutors(this.#http, settings)]
 		if (wiring.hasPeers) {
 			const seal = new PeerSeal(settings.peerSecrets)
-			this.#peerCarrier = new PeerClient(settings.hostId, seal)
+			this.#peerClient = new PeerClient(settings.hostId, seal)
 			this.#peerServer = new PeerServer(this.board, clock, seal)
-			carriers.push(this.#peerCarrier)
+			executors.push(this.#peerClient)
 		}
 		this.#telemetry = new Telemetry(this.board)
-		this.#runner = new CommandRunner(this.board, carriers, (kind, result, tookMs) => {
+		this.#runner = new CommandRunner(this.board, executors, (kind, result, tookMs) => {
 			this.#telemetry.observeCall(kind, result, tookMs)
 		})
 		this.#gateway = new Gateway(this.board, clock)
@@ -150,14 +150,14 @@
 		const closeAt = stoppedAt + Math.min(CLOSE_GRACE_MS, shutdownTimeoutMs * HAND_OVER_SHARE)
 		const handOverMs = Math.min(HAND_OVER_MAX_MS, shutdownTimeoutMs * HAND_OVER_SHARE)
 		this.board.lifecycle.set("state", Lifecycle.stopping)
-		await this.#waitUntil(() => this.#isQuiet(), giveUpAt - handOverMs)
+		await this.#waitUntil(() => this.#isIdle(), giveUpAt - handOverMs)
 		this.board.lifecycle.set("state", Lifecycle.drained)
 		await this.#waitUntil(() => this.board.authority.get(scope)?.isHeldHere !== true, giveUpAt)
 		await this.#waitUntil(() => this.#clock.now() >= closeAt, giveUpAt)
 		await Promise.all(this.#servers.map(server => this.#closeServer(server, giveUpAt)))
 		this.#loop.stop()
 		this.#peerServer?.close()
-		this.#peerCarrier?.close()
+		this.#peerClient?.close()
 		await this.#http.close()
 	}
 
@@ -171,9 +171,11 @@
 		if ("closeAllConnections" in server) server.closeAllConnections()
 	}
 
-	#isQuiet(): boolean {
-		const settingUp = [...this.board.gangs.values()].some(({stage}) => stage !== GangStage.running)
-		return !settingUp && this.board.calls.size === 0 && this.#gateway.pending === 0
+	#isIdle(): boolean {
+		const isGangStarting = [...this.board.gangs.values()].some(
+			({stage}) => stage !== GangStage.running
+		)
+		return !isGangStarting && this.board.calls.size === 0 && this.#gateway.pending === 0
 	}
 
 	async #waitUntil(isDone: () => boolean, giveUpAt: number): Promise<void> {
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -25,11 +25,11 @@
 })
 /** Accepts an address as an object or as the text `host:port`. */
 const socketSchema = z.preprocess(
-	value => (typeof value === "string" ? splitAddress(value) : value),
+	value => (typeof value === "string" ? parseAddress(value) : value),
 	addressSchema
 )
 
-function splitAddress(text: string): {host: string; port: number} {
+function parseAddress(text: string): {host: string; port: number} {
 	const colon = text.lastIndexOf(":")
 	return {host: text.slice(0, colon), port: Number(text.slice(colon + 1))}
 }
@@ -95,7 +95,7 @@
 	try {
 		return decodeSettings(readFileSync(path, "utf8"))
 	} catch (error) {
-		const why = error instanceof Error ? error.message : "unreadable"
-		return err(new MalformedError(`settings file ${path}`, why))
+		const message = error instanceof Error ? error.message : "unreadable"
+		return err(new MalformedError(`settings file ${path}`, message))
 	}
 }
