--- a/standins/scenario/callers.ts
+++ b/standins/scenario/callers.ts
@@ -10,11 +10,11 @@
 import {sendRequest} from "./http.js"
 import {NodeRole} from "./nodes.js"
 import {type Rig} from "./rig.js"
-import {waitUntil, yieldFor} from "./wait.js"
+import {waitUntil, pauseFor} from "./wait.js"
 
 const ACCEPT_LIMIT_MS = 45000
 const END_LIMIT_MS = 90000
-const WAIT_SLICE_MS = 1500
+const LONG_POLL_MS = 1500
 const RETRY_PAUSE_MS = 100
 
 export interface SubmitOptions {
@@ -31,7 +31,7 @@
 	readonly once: boolean
 }
 
-export interface GivenReply {
+export interface CallerReply {
 	readonly host: string
 	readonly atWallMs: number
 	readonly status: number
@@ -41,50 +41,55 @@
 	readonly job: JobView | undefined
 }
 
-export interface AskedJob {
+export interface SubmittedJob {
 	readonly name: string
 	readonly id: string
 	readonly workspace: string
 	readonly spec: ReturnType<typeof jobSpecSchema.parse>
 	readonly answer: string
-	readonly replies: GivenReply[]
+	readonly replies: CallerReply[]
 	/** Replies to callers of other workspaces that requested this job. */
-	readonly foreignReplies: GivenReply[]
+	readonly foreignReplies: CallerReply[]
 	ended: JobView | undefined
 	endedAtWallMs: number | undefined
 	pending: Promise<void>
 }
 
 export class Callers {
-	readonly jobs = new Map<string, AskedJob>()
+	readonly jobs = new Map<string, SubmittedJob>()
 	readonly #rig: Rig
-	#closed = false
+	#isClosed = false
 
 	constructor(rig: Rig) {
 		this.#rig = rig
 	}
 
 	close(): void {
-		this.#closed = true
+		this.#isClosed = true
 	}
 
 	/** Starts the requests without waiting; `pending` resolves after the last reply. */
 	submit(options: SubmitOptions): void {
 		const job = this.jobs.get(options.job) ?? this.#createJob(options)
 		this.jobs.set(options.job, job)
-		const asked = options.everywhere
+		const requests = options.everywhere
 			? Promise.all(
-					this.#listHosts(options).map(host => this.#askUntilDefinite(job, [host], options))
+					this.#listHosts(options).map(host => this.#submitUntilFinalReply(job, [host], options))
 				)
-			: this.#askUntilDefinite(job, options.hosts, options)
-		job.pending = Promise.all([job.pending, asked]).then(() => undefined)
+			: this.#submitUntilFinalReply(job, options.hosts, options)
+		job.pending = Promise.all([job.pending, requests]).then(() => undefined)
 	}
 
 	async cancel(name: string, host?: string): Promise<void> {
 		const job = this.find(name)
 		await waitUntil(`the cancellation of ${name} is accepted`, ACCEPT_LIMIT_MS, async () => {
-			for (const at of host === undefined ? this.#listLiveHosts() : [host]) {
-				const reply = await this.#ask(at, job.workspace, "POST", `/v1/jobs/${job.id}/cancel`)
+			for (const target of host === undefined ? this.#listLiveHosts() : [host]) {
+				const reply = await this.#request(
+					target,
+					job.workspace,
+					"POST",
+					`/v1/jobs/${job.id}/cancel`
+				)
 				if (reply.status === 200 || reply.reason === "already-ended") return true
 			}
 			return undefined
@@ -95,12 +100,12 @@
 	async askAs(name: string, workspace: string): Promise<void> {
 		const job = this.find(name)
 		for (const host of this.#listLiveHosts())
-			job.foreignReplies.push(await this.#ask(host, workspace, "GET", `/v1/jobs/${job.id}`))
+			job.foreignReplies.push(await this.#request(host, workspace, "GET", `/v1/jobs/${job.id}`))
 	}
 
 	/** Returns the status with which one host answers a request that bears the workspace's token. */
 	async probe(host: string, workspace: string): Promise<number> {
-		return (await this.#ask(host, workspace, "GET", "/v1/jobs")).status
+		return (await this.#request(host, workspace, "GET", "/v1/jobs")).status
 	}
 
 	/** Waits until one of the hosts, or of all live ones, reports the job's end. */
@@ -108,8 +113,8 @@
 		const job = this.find(name)
 		return waitUntil(`${name} ends`, END_LIMIT_MS, async () => {
 			for (const host of hosts.length > 0 ? hosts : this.#listLiveHosts()) {
-				const path = `/v1/jobs/${job.id}?waitMs=${WAIT_SLICE_MS}`
-				const reply = await this.#ask(host, job.workspace, "GET", path)
+				const path = `/v1/jobs/${job.id}?waitMs=${LONG_POLL_MS}`
+				const reply = await this.#request(host, job.workspace, "GET", path)
 				if (reply.job?.state !== JobState.ended) continue
 				job.ended = reply.job
 				job.endedAtWallMs ??= reply.atWallMs
@@ -119,13 +124,13 @@
 		})
 	}
 
-	find(name: string): AskedJob {
+	find(name: string): SubmittedJob {
 		const job = this.jobs.get(name)
 		if (job === undefined) throw new Error(`unknown job ${name}`)
 		return job
 	}
 
-	#createJob({job, workspace, spec, runMs, answerBytes}: SubmitOptions): AskedJob {
+	#createJob({job, workspace, spec, runMs, answerBytes}: SubmitOptions): SubmittedJob {
 		const answer = `answer-of-${job}`.padEnd(answerBytes, "x")
 		const payload = JSON.stringify({runMs, answer})
 		return {
@@ -147,29 +152,29 @@
 		}
 	}
 
-	async #askUntilDefinite(
-		job: AskedJob,
+	async #submitUntilFinalReply(
+		job: SubmittedJob,
 		hosts: readonly string[],
 		{once}: SubmitOptions
 	): Promise<void> {
 		const giveUpAt = performance.now() + ACCEPT_LIMIT_MS
-		while (performance.now() < giveUpAt && !this.#closed) {
+		while (performance.now() < giveUpAt && !this.#isClosed) {
 			for (const host of hosts.length > 0 ? hosts : this.#listLiveHosts()) {
-				const reply = await this.#ask(host, job.workspace, "POST", "/v1/jobs", job)
+				const reply = await this.#request(host, job.workspace, "POST", "/v1/jobs", job)
 				job.replies.push(reply)
 				if (once || reply.job !== undefined || isFinalRefusal(reply)) return
 			}
-			await yieldFor(RETRY_PAUSE_MS)
+			await pauseFor(RETRY_PAUSE_MS)
 		}
 	}
 
-	async #ask(
+	async #request(
 		host: string,
 		workspace: string,
 		method: "GET" | "POST",
 		path: string,
-		job?: AskedJob
-	): Promise<GivenReply> {
+		job?: SubmittedJob
+	): Promise<CallerReply> {
 		const token = formatCallerToken(workspace)
 		const body = job?.spec
 		const key = job === undefined ? {} : {key: job.name}
@@ -177,10 +182,10 @@
 			const url = `${this.#rig.findCallerUrl(host)}${path}`
 			const timeoutMs = 12000
 			const answer = await sendRequest(url, {method, token, body, timeoutMs, ...key})
-			return describeReply(host, answer.status, answer.body)
+			return buildReply(host, answer.status, answer.body)
 		} catch (error) {
 			const reason = error instanceof Error ? error.message : String(error)
-			return {...describeReply(host, 0, {}), reason}
+			return {...buildReply(host, 0, {}), reason}
 		}
 	}
 
@@ -193,15 +198,15 @@
 	}
 }
 
-export function isAccepted(job: AskedJob): boolean {
+export function isAccepted(job: SubmittedJob): boolean {
 	return job.replies.some(({job: view}) => view !== undefined)
 }
 
-function isFinalRefusal({status, askAgain}: GivenReply): boolean {
+function isFinalRefusal({status, askAgain}: CallerReply): boolean {
 	return status >= 400 && !askAgain
 }
 
-function describeReply(host: string, status: number, body: unknown): GivenReply {
+function buildReply(host: string, status: number, body: unknown): CallerReply {
 	const problem = body as {reason?: string; ran?: RanState; askAgain?: boolean}
 	const isJob = status === 200 || status === 201
 	return {
--- a/standins/scenario/conditions.ts
+++ b/standins/scenario/conditions.ts
@@ -4,7 +4,7 @@
 import {isAccepted} from "./callers.js"
 import {collectGenerations} from "./journal.js"
 import {NodeRole} from "./nodes.js"
-import {type Stage} from "./stage.js"
+import {type ScenarioContext} from "./stage.js"
 import {type Condition} from "./step.js"
 
 const HTTP_UNAUTHORIZED = 401
@@ -13,25 +13,27 @@
 class AcceptedCondition implements Condition<z.infer<typeof jobsSchema>> {
 	readonly name = "accepted"
 	readonly schema = jobsSchema
-	isMet(stage: Stage, given: z.infer<typeof jobsSchema>): boolean {
-		return matchJobs(stage, given).every(name => isAccepted(stage.callers.find(name)))
+	isMet(context: ScenarioContext, input: z.infer<typeof jobsSchema>): boolean {
+		return matchJobNames(context, input).every(name => isAccepted(context.callers.find(name)))
 	}
 }
 
 class RepliedCondition implements Condition<z.infer<typeof jobsSchema>> {
 	readonly name = "replied"
 	readonly schema = jobsSchema
-	isMet(stage: Stage, given: z.infer<typeof jobsSchema>): boolean {
-		return matchJobs(stage, given).every(name => stage.callers.find(name).replies.length > 0)
+	isMet(context: ScenarioContext, input: z.infer<typeof jobsSchema>): boolean {
+		return matchJobNames(context, input).every(
+			name => context.callers.find(name).replies.length > 0
+		)
 	}
 }
 
 class EndedCondition implements Condition<z.infer<typeof jobsSchema>> {
 	readonly name = "ended"
 	readonly schema = jobsSchema
-	async isMet(stage: Stage, given: z.infer<typeof jobsSchema>): Promise<boolean> {
-		const names = matchJobs(stage, given)
-		const views = await Promise.all(names.map(name => stage.callers.waitForEnd(name)))
+	async isMet(context: ScenarioContext, input: z.infer<typeof jobsSchema>): Promise<boolean> {
+		const names = matchJobNames(context, input)
+		const views = await Promise.all(names.map(name => context.callers.waitForEnd(name)))
 		return views.every(({state}) => state === JobState.ended)
 	}
 }
@@ -42,9 +44,9 @@
 class RunningCondition implements Condition<z.infer<typeof runsSchema>> {
 	readonly name = "running"
 	readonly schema = runsSchema
-	isMet(stage: Stage, {job, atLeast}: z.infer<typeof runsSchema>): boolean {
-		const ids = new Set(matchJobs(stage, job).map(name => stage.callers.find(name).id))
-		const running = stage
+	isMet(context: ScenarioContext, {job, atLeast}: z.infer<typeof runsSchema>): boolean {
+		const ids = new Set(matchJobNames(context, job).map(name => context.callers.find(name).id))
+		const running = context
 			.listRuns()
 			.filter(run => ids.has(run.jobId) && run.endedWallMs === undefined)
 		return running.length >= atLeast
@@ -55,9 +57,9 @@
 class StartedCondition implements Condition<z.infer<typeof runsSchema>> {
 	readonly name = "started"
 	readonly schema = runsSchema
-	isMet(stage: Stage, {job, atLeast}: z.infer<typeof runsSchema>): boolean {
-		const ids = new Set(matchJobs(stage, job).map(name => stage.callers.find(name).id))
-		return stage.listRuns().filter(run => ids.has(run.jobId)).length >= atLeast
+	isMet(context: ScenarioContext, {job, atLeast}: z.infer<typeof runsSchema>): boolean {
+		const ids = new Set(matchJobNames(context, job).map(name => context.callers.find(name).id))
+		return context.listRuns().filter(run => ids.has(run.jobId)).length >= atLeast
 	}
 }
 
@@ -65,9 +67,9 @@
 class StoppedCondition implements Condition<string> {
 	readonly name = "stopped"
 	readonly schema = z.string()
-	isMet(stage: Stage, job: string): boolean {
-		const {id} = stage.callers.find(job)
-		const runs = stage.listRuns().filter(({jobId}) => jobId === id)
+	isMet(context: ScenarioContext, job: string): boolean {
+		const {id} = context.callers.find(job)
+		const runs = context.listRuns().filter(({jobId}) => jobId === id)
 		return runs.length > 0 && runs.every(({endedWallMs}) => endedWallMs !== undefined)
 	}
 }
@@ -77,9 +79,9 @@
 class TrappedCondition implements Condition<z.infer<typeof trappedSchema>> {
 	readonly name = "trapped"
 	readonly schema = trappedSchema
-	isMet(stage: Stage, given: z.infer<typeof trappedSchema>): boolean {
-		const {name, hits} = typeof given === "string" ? {name: given, hits: 1} : given
-		return (stage.traps.get(name)?.hits ?? 0) >= hits
+	isMet(context: ScenarioContext, input: z.infer<typeof trappedSchema>): boolean {
+		const {name, hits} = typeof input === "string" ? {name: input, hits: 1} : input
+		return (context.traps.get(name)?.hits ?? 0) >= hits
 	}
 }
 
@@ -89,10 +91,10 @@
 class HeldCondition implements Condition<z.infer<typeof heldSchema>> {
 	readonly name = "held"
 	readonly schema = heldSchema
-	async isMet(stage: Stage, {zone, not}: z.infer<typeof heldSchema>): Promise<boolean> {
-		const holder = await stage.rig.readHolder(zone)
-		const excluded = not === "" ? "" : await stage.findOne(not)
-		return holder !== "" && holder !== excluded && stage.rig.nodes.get(holder)?.isLive === true
+	async isMet(context: ScenarioContext, {zone, not}: z.infer<typeof heldSchema>): Promise<boolean> {
+		const holder = await context.rig.readHolder(zone)
+		const excluded = not === "" ? "" : await context.findOne(not)
+		return holder !== "" && holder !== excluded && context.rig.nodes.get(holder)?.isLive === true
 	}
 }
 
@@ -100,19 +102,21 @@
 class InForceCondition implements Condition<z.infer<typeof jobsSchema>> {
 	readonly name = "inForce"
 	readonly schema = jobsSchema
-	isMet(stage: Stage, given: z.infer<typeof jobsSchema>): boolean {
-		const generation = stage.operators.current?.generation ?? 0
-		const zones = [given].flat()
-		const live = stage.rig
+	isMet(context: ScenarioContext, input: z.infer<typeof jobsSchema>): boolean {
+		const generation = context.operators.current?.generation ?? 0
+		const zones = [input].flat()
+		const workers = context.rig
 			.listLive(NodeRole.worker)
 			.filter(({zone}) => zones.includes("all") || zones.includes(zone))
-		const hosts = stage.rig
+		const hosts = context.rig
 			.listLive(NodeRole.host)
 			.filter(({zone}) => zones.includes("all") || zones.includes(zone))
-		const isTold = hosts.every(node => stage.operators.findToldGeneration(node) >= generation)
+		const isReportedByHosts = hosts.every(
+			node => context.operators.findReportedGeneration(node) >= generation
+		)
 		return (
-			isTold &&
-			live.every(node => {
+			isReportedByHosts &&
+			workers.every(node => {
 				const last = collectGenerations([node]).at(-1)
 				return (last?.at(-1)?.generation ?? 0) >= generation
 			})
@@ -124,17 +128,19 @@
 class RefusedEverywhereCondition implements Condition<string> {
 	readonly name = "refusedEverywhere"
 	readonly schema = z.string()
-	async isMet(stage: Stage, workspace: string): Promise<boolean> {
-		const hosts = stage.rig.listLive(NodeRole.host)
-		const statuses = await Promise.all(hosts.map(({name}) => stage.callers.probe(name, workspace)))
+	async isMet(context: ScenarioContext, workspace: string): Promise<boolean> {
+		const hosts = context.rig.listLive(NodeRole.host)
+		const statuses = await Promise.all(
+			hosts.map(({name}) => context.callers.probe(name, workspace))
+		)
 		return statuses.every(status => status === HTTP_UNAUTHORIZED)
 	}
 }
 
-function matchJobs(stage: Stage, given: string | readonly string[]): string[] {
-	return [given].flat().flatMap(pattern => {
+function matchJobNames(context: ScenarioContext, patterns: string | readonly string[]): string[] {
+	return [patterns].flat().flatMap(pattern => {
 		if (!pattern.endsWith("*")) return [pattern]
-		return [...stage.callers.jobs.keys()].filter(name => name.startsWith(pattern.slice(0, -1)))
+		return [...context.callers.jobs.keys()].filter(name => name.startsWith(pattern.slice(0, -1)))
 	})
 }
 
--- a/standins/scenario/expectations.ts
+++ b/standins/scenario/expectations.ts
@@ -1,10 +1,10 @@
 /** Expectations of single scenarios beyond the invariants, checked against the same records. */
 import {z} from "zod"
 import {OutcomeKind} from "../../src/internal.js"
-import {type AskedJob} from "./callers.js"
-import {formatRuns, isNamed} from "./invariants.js"
+import {type SubmittedJob} from "./callers.js"
+import {formatRuns, isMatch} from "./invariants.js"
 import {type Run} from "./journal.js"
-import {type Stage} from "./stage.js"
+import {type ScenarioContext} from "./stage.js"
 import {type Expectation} from "./step.js"
 
 const HTTP_OK = 200
@@ -18,16 +18,20 @@
 class OutcomeExpectation implements Expectation<z.infer<typeof outcomeSchema>> {
 	readonly name = "outcome"
 	readonly schema = outcomeSchema
-	check(stage: Stage, runs: readonly Run[], given: z.infer<typeof outcomeSchema>): string[] {
-		return matchJobs(stage, given.job).flatMap(({name, id, ended}) => {
+	check(
+		context: ScenarioContext,
+		runs: readonly Run[],
+		input: z.infer<typeof outcomeSchema>
+	): string[] {
+		return matchJobs(context, input.job).flatMap(({name, id, ended}) => {
 			const outcome = ended?.outcome
-			const isKind = outcome !== undefined && given.in.includes(outcome.kind)
-			const isReason = given.reason === undefined || outcome?.reason === given.reason
+			const isKind = outcome !== undefined && input.in.includes(outcome.kind)
+			const isReason = input.reason === undefined || outcome?.reason === input.reason
 			if (isKind && isReason) return []
-			const own = runs.filter(({jobId}) => jobId === id)
-			const told = `${outcome?.kind ?? "no outcome"} (${outcome?.reason ?? ""}, ${outcome?.detail ?? ""})`
+			const jobRuns = runs.filter(({jobId}) => jobId === id)
+			const actual = `${outcome?.kind ?? "no outcome"} (${outcome?.reason ?? ""}, ${outcome?.detail ?? ""})`
 			return [
-				`${name} ended with ${told}, expected ${given.in.join(" or ")}; runs: ${formatRuns(own)}`
+				`${name} ended with ${actual}, expected ${input.in.join(" or ")}; runs: ${formatRuns(jobRuns)}`
 			]
 		})
 	}
@@ -42,11 +46,15 @@
 class RunsExpectation implements Expectation<z.infer<typeof runsSchema>> {
 	readonly name = "runs"
 	readonly schema = runsSchema
-	check(stage: Stage, runs: readonly Run[], given: z.infer<typeof runsSchema>): string[] {
-		return matchJobs(stage, given.job).flatMap(({name, id}) => {
-			const own = runs.filter(({jobId}) => jobId === id)
-			if (own.length >= given.atLeast && own.length <= given.atMost) return []
-			return [`${name} has an unexpected number of runs, ${own.length}: ${formatRuns(own)}`]
+	check(
+		context: ScenarioContext,
+		runs: readonly Run[],
+		input: z.infer<typeof runsSchema>
+	): string[] {
+		return matchJobs(context, input.job).flatMap(({name, id}) => {
+			const jobRuns = runs.filter(({jobId}) => jobId === id)
+			if (jobRuns.length >= input.atLeast && jobRuns.length <= input.atMost) return []
+			return [`${name} has an unexpected number of runs, ${jobRuns.length}: ${formatRuns(jobRuns)}`]
 		})
 	}
 }
@@ -63,16 +71,20 @@
 class NoStartExpectation implements Expectation<z.infer<typeof noStartSchema>> {
 	readonly name = "noStart"
 	readonly schema = noStartSchema
-	check(stage: Stage, runs: readonly Run[], given: z.infer<typeof noStartSchema>): string[] {
-		const after = findMark(stage, given.after) + given.withinMs
-		const until = given.until === undefined ? Infinity : findMark(stage, given.until)
-		const late = listAt(runs, given.at).filter(
+	check(
+		context: ScenarioContext,
+		runs: readonly Run[],
+		input: z.infer<typeof noStartSchema>
+	): string[] {
+		const after = findMark(context, input.after) + input.withinMs
+		const until = input.until === undefined ? Infinity : findMark(context, input.until)
+		const late = listRunsAt(runs, input.at).filter(
 			({startedWallMs}) => startedWallMs > after && startedWallMs < until
 		)
 		if (late.length === 0) return []
-		const lateMs = late.map(({startedWallMs}) => startedWallMs - after + given.withinMs)
+		const lateMs = late.map(({startedWallMs}) => startedWallMs - after + input.withinMs)
 		return [
-			`${late.length} started at ${given.at} after ${given.after} (up to ${Math.max(...lateMs)} ms): ${formatRuns(late.slice(0, 3))}`
+			`${late.length} started at ${input.at} after ${input.after} (up to ${Math.max(...lateMs)} ms): ${formatRuns(late.slice(0, 3))}`
 		]
 	}
 }
@@ -87,14 +99,18 @@
 class StartsExpectation implements Expectation<z.infer<typeof startsSchema>> {
 	readonly name = "starts"
 	readonly schema = startsSchema
-	check(stage: Stage, runs: readonly Run[], given: z.infer<typeof startsSchema>): string[] {
-		const after = findMark(stage, given.after)
-		const until = given.until === undefined ? Infinity : findMark(stage, given.until)
-		const found = listAt(runs, given.at).filter(
+	check(
+		context: ScenarioContext,
+		runs: readonly Run[],
+		input: z.infer<typeof startsSchema>
+	): string[] {
+		const after = findMark(context, input.after)
+		const until = input.until === undefined ? Infinity : findMark(context, input.until)
+		const found = listRunsAt(runs, input.at).filter(
 			({startedWallMs}) => startedWallMs > after && startedWallMs < until
 		)
-		if (found.length >= given.atLeast) return []
-		return [`${found.length} of ${given.atLeast} started at ${given.at} after ${given.after}`]
+		if (found.length >= input.atLeast) return []
+		return [`${found.length} of ${input.atLeast} started at ${input.at} after ${input.after}`]
 	}
 }
 
@@ -110,14 +126,18 @@
 class StartedWithinExpectation implements Expectation<z.infer<typeof startedWithinSchema>> {
 	readonly name = "startedWithin"
 	readonly schema = startedWithinSchema
-	check(stage: Stage, runs: readonly Run[], given: z.infer<typeof startedWithinSchema>): string[] {
-		const from = findMark(stage, given.after)
-		return matchJobs(stage, given.job).flatMap(({name, id}) => {
-			const own = runs.filter(({jobId}) => jobId === id)
-			const tookMs = (own[given.members - 1]?.startedWallMs ?? Infinity) - from
-			if (tookMs <= given.withinMs) return []
-			const told = `${tookMs} ms after ${given.after}, expected within ${given.withinMs} ms`
-			return [`${name} started ${told}; runs: ${formatRuns(own)}`]
+	check(
+		context: ScenarioContext,
+		runs: readonly Run[],
+		input: z.infer<typeof startedWithinSchema>
+	): string[] {
+		const from = findMark(context, input.after)
+		return matchJobs(context, input.job).flatMap(({name, id}) => {
+			const jobRuns = runs.filter(({jobId}) => jobId === id)
+			const tookMs = (jobRuns[input.members - 1]?.startedWallMs ?? Infinity) - from
+			if (tookMs <= input.withinMs) return []
+			const timing = `${tookMs} ms after ${input.after}, expected within ${input.withinMs} ms`
+			return [`${name} started ${timing}; runs: ${formatRuns(jobRuns)}`]
 		})
 	}
 }
@@ -126,14 +146,14 @@
 class ResumedExpectation implements Expectation<string> {
 	readonly name = "resumed"
 	readonly schema = z.string()
-	check(stage: Stage, runs: readonly Run[], given: string): string[] {
-		return matchJobs(stage, given).flatMap(({name, id, spec}) => {
-			const own = runs.filter(({jobId}) => jobId === id)
-			const last = own.at(-1)
+	check(context: ScenarioContext, runs: readonly Run[], input: string): string[] {
+		return matchJobs(context, input).flatMap(({name, id, spec}) => {
+			const jobRuns = runs.filter(({jobId}) => jobId === id)
+			const last = jobRuns.at(-1)
 			const lastMs = last === undefined ? 0 : last.untilWallMs - last.startedWallMs
-			const wasStopped = own.slice(0, -1).some(({end}) => end === "stopped")
+			const wasStopped = jobRuns.slice(0, -1).some(({end}) => end === "stopped")
 			if (wasStopped && last?.end === "completed" && lastMs < readRunMs(spec.payload)) return []
-			return [`${name} did not resume from its checkpoint: ${formatRuns(own)}`]
+			return [`${name} did not resume from its checkpoint: ${formatRuns(jobRuns)}`]
 		})
 	}
 }
@@ -147,11 +167,15 @@
 class BetweenExpectation implements Expectation<z.infer<typeof betweenSchema>> {
 	readonly name = "between"
 	readonly schema = betweenSchema
-	check(stage: Stage, _: readonly Run[], given: z.infer<typeof betweenSchema>): string[] {
-		const tookMs = findMark(stage, given.to) - findMark(stage, given.from)
-		if (tookMs <= given.atMostMs) return []
+	check(
+		context: ScenarioContext,
+		_: readonly Run[],
+		input: z.infer<typeof betweenSchema>
+	): string[] {
+		const tookMs = findMark(context, input.to) - findMark(context, input.from)
+		if (tookMs <= input.atMostMs) return []
 		return [
-			`${given.to} came ${tookMs} ms after ${given.from}, expected within ${given.atMostMs} ms`
+			`${input.to} came ${tookMs} ms after ${input.from}, expected within ${input.atMostMs} ms`
 		]
 	}
 }
@@ -162,10 +186,14 @@
 class ExitExpectation implements Expectation<z.infer<typeof exitSchema>> {
 	readonly name = "exit"
 	readonly schema = exitSchema
-	check(stage: Stage, _: readonly Run[], {node, code}: z.infer<typeof exitSchema>): string[] {
-		return stage.rig
+	check(
+		context: ScenarioContext,
+		_: readonly Run[],
+		{node, code}: z.infer<typeof exitSchema>
+	): string[] {
+		return context.rig
 			.find(node)
-			.lives.filter(({wasAsked, exitCode}) => wasAsked && exitCode !== code)
+			.incarnations.filter(({wasAskedToStop: wasAsked, exitCode}) => wasAsked && exitCode !== code)
 			.map(({exitCode}) => `${node} exited with ${exitCode ?? "a signal"}, expected ${code}`)
 	}
 }
@@ -175,11 +203,17 @@
 class RefusedExpectation implements Expectation<z.infer<typeof refusedSchema>> {
 	readonly name = "refused"
 	readonly schema = refusedSchema
-	check(stage: Stage, _: readonly Run[], given: z.infer<typeof refusedSchema>): string[] {
-		return matchJobs(stage, given.job).flatMap(({name, replies}) => {
-			if (replies.some(({reason}) => reason === given.reason)) return []
-			const told = replies.map(({status, reason}) => `${status} ${reason}`)
-			return [`${name} was never refused with reason ${given.reason}; replies: ${told.join(", ")}`]
+	check(
+		context: ScenarioContext,
+		_: readonly Run[],
+		input: z.infer<typeof refusedSchema>
+	): string[] {
+		return matchJobs(context, input.job).flatMap(({name, replies}) => {
+			if (replies.some(({reason}) => reason === input.reason)) return []
+			const replyTexts = replies.map(({status, reason}) => `${status} ${reason}`)
+			return [
+				`${name} was never refused with reason ${input.reason}; replies: ${replyTexts.join(", ")}`
+			]
 		})
 	}
 }
@@ -188,12 +222,12 @@
 class AnsweredExpectation implements Expectation<string> {
 	readonly name = "answered"
 	readonly schema = z.string()
-	check(stage: Stage, _: readonly Run[], given: string): string[] {
-		return matchJobs(stage, given).flatMap(({name, replies}) => {
-			const broken = replies.filter(({status}) => status === 0)
-			if (replies.length > 0 && broken.length === 0) return []
-			const told = broken.map(({host, reason}) => `${host} ${reason}`)
-			return [`${name} sent ${replies.length} requests; without a reply: ${told.join(", ")}`]
+	check(context: ScenarioContext, _: readonly Run[], input: string): string[] {
+		return matchJobs(context, input).flatMap(({name, replies}) => {
+			const unanswered = replies.filter(({status}) => status === 0)
+			if (replies.length > 0 && unanswered.length === 0) return []
+			const failures = unanswered.map(({host, reason}) => `${host} ${reason}`)
+			return [`${name} sent ${replies.length} requests; without a reply: ${failures.join(", ")}`]
 		})
 	}
 }
@@ -202,26 +236,26 @@
 class OneWinnerExpectation implements Expectation<boolean> {
 	readonly name = "oneWinner"
 	readonly schema = z.boolean()
-	check({operators}: Stage): string[] {
-		const won = operators.raced.filter(status => status === HTTP_OK).length
-		return won === 1
+	check({operators}: ScenarioContext): string[] {
+		const acceptedCount = operators.raceStatuses.filter(status => status === HTTP_OK).length
+		return acceptedCount === 1
 			? []
 			: [
-					`${won} of the concurrent roll-outs were accepted, expected 1; statuses: ${operators.raced.join(", ")}`
+					`${acceptedCount} of the concurrent roll-outs were accepted, expected 1; statuses: ${operators.raceStatuses.join(", ")}`
 				]
 	}
 }
 
-function matchJobs(stage: Stage, pattern: string): AskedJob[] {
-	return [...stage.callers.jobs.values()].filter(({name}) => isNamed(name, pattern))
+function matchJobs(context: ScenarioContext, pattern: string): SubmittedJob[] {
+	return [...context.callers.jobs.values()].filter(({name}) => isMatch(name, pattern))
 }
 
-function listAt(runs: readonly Run[], at: string): Run[] {
+function listRunsAt(runs: readonly Run[], at: string): Run[] {
 	return runs.filter(({node, zone}) => node === at || zone === at)
 }
 
-function findMark(stage: Stage, name: string): number {
-	const mark = stage.marks.get(name)
+function findMark(context: ScenarioContext, name: string): number {
+	const mark = context.marks.get(name)
 	if (mark === undefined) throw new Error(`unknown mark ${name}`)
 	return mark
 }
--- a/standins/scenario/journal.ts
+++ b/standins/scenario/journal.ts
@@ -27,13 +27,13 @@
 export function collectRuns(nodes: Iterable<Node>): Run[] {
 	const runs: Run[] = []
 	for (const node of nodes) {
-		for (const life of node.lives) {
+		for (const incarnation of node.incarnations) {
 			const latest = new Map<string, RunEntry>()
-			for (const {run} of readJournal(life.process.lines)) {
+			for (const {run} of readJournal(incarnation.process.lines)) {
 				if (run !== undefined) latest.set(`${run.taskId} ${run.startedWallMs}`, run)
 			}
 			for (const run of latest.values()) {
-				const untilWallMs = run.endedWallMs ?? life.endedWallMs ?? Date.now()
+				const untilWallMs = run.endedWallMs ?? incarnation.endedWallMs ?? Date.now()
 				const frozenMs = computeOverlap(node, run.startedWallMs, untilWallMs)
 				runs.push({...run, node: node.name, zone: node.zone, untilWallMs, frozenMs})
 			}
@@ -44,8 +44,8 @@
 
 /** Collects the bundle generations that each incarnation of each worker saw, in order. */
 export function collectGenerations(nodes: Iterable<Node>): GenerationEntry[][] {
-	const lives = [...nodes].flatMap(node => node.lives.map(life => ({node, life})))
-	return lives.map(({node, life}) =>
+	const entries = [...nodes].flatMap(node => node.incarnations.map(life => ({node, life})))
+	return entries.map(({node, life}) =>
 		readJournal(life.process.lines).flatMap(({generation, wallMs}) =>
 			generation === undefined ? [] : [{node: node.name, generation, wallMs: wallMs ?? 0}]
 		)
--- a/standins/scenario/nodes.ts
+++ b/standins/scenario/nodes.ts
@@ -6,12 +6,12 @@
 export type NodeRole = (typeof NodeRole)[keyof typeof NodeRole]
 
 /** One process of a node, from its start to its end. */
-export interface Life {
+export interface Incarnation {
 	readonly process: StartedProcess
 	endedWallMs: number | undefined
 	exitCode: number | null | undefined
 	/** Whether it received SIGTERM rather than SIGKILL. */
-	wasAsked: boolean
+	wasAskedToStop: boolean
 }
 
 export interface Freeze {
@@ -25,7 +25,7 @@
 	readonly zone: string
 	readonly region: string
 	readonly rack: string
-	readonly lives: Life[] = []
+	readonly incarnations: Incarnation[] = []
 	readonly freezes: Freeze[] = []
 
 	constructor(name: string, role: NodeRole, zone: ZoneTopology) {
@@ -37,8 +37,8 @@
 	}
 
 	/** The incarnation that has not ended, if any. */
-	get life(): Life | undefined {
-		const last = this.lives.at(-1)
+	get currentIncarnation(): Incarnation | undefined {
+		const last = this.incarnations.at(-1)
 		return last?.endedWallMs === undefined ? last : undefined
 	}
 
@@ -49,7 +49,7 @@
 
 	/** Whether the process can answer: it has neither ended nor been frozen. */
 	get isLive(): boolean {
-		return this.life !== undefined && !this.isFrozen
+		return this.currentIncarnation !== undefined && !this.isFrozen
 	}
 }
 
@@ -59,8 +59,8 @@
 	for (const zone of zones) {
 		const counts = {host: zone.hosts, worker: zone.workers, endpoint: zone.endpoints}
 		for (const role of Object.values(NodeRole)) {
-			for (let at = 1; at <= counts[role]; at++) {
-				const node = new Node(`${zone.name}-${role}-${at}`, role, zone)
+			for (let number = 1; number <= counts[role]; number++) {
+				const node = new Node(`${zone.name}-${role}-${number}`, role, zone)
 				nodes.set(node.name, node)
 			}
 		}
--- a/standins/scenario/operators.ts
+++ b/standins/scenario/operators.ts
@@ -7,8 +7,8 @@
 import {waitUntil} from "./wait.js"
 
 const ROLLOUT_LIMIT_MS = 45000
-const WATCH_INTERVAL_MS = 250
-const ROLLOUT_TIMEOUT_MS = 12000
+const POLL_INTERVAL_MS = 250
+const REQUEST_TIMEOUT_MS = 12000
 
 export interface Rollout {
 	readonly generation: number
@@ -17,30 +17,30 @@
 }
 
 /** A generation that a host reported to an operator. */
-export interface ToldGeneration {
+export interface ReportedGeneration {
 	readonly host: string
-	readonly life: number
+	readonly incarnationNumber: number
 	readonly generation: number
 	readonly atWallMs: number
 }
 
 export class Operators {
 	readonly rollouts: Rollout[] = []
-	readonly told: ToldGeneration[] = []
+	readonly reportedGenerations: ReportedGeneration[] = []
 	/** Statuses with which the concurrent roll-outs of `race` were answered. */
-	readonly raced: number[] = []
+	readonly raceStatuses: number[] = []
 	readonly #rig: Rig
 	readonly #author: BundleAuthor
-	#watching = true
+	#isPolling = true
 
 	constructor(rig: Rig, author: BundleAuthor) {
 		this.#rig = rig
 		this.#author = author
-		void this.#watch()
+		void this.#pollHosts()
 	}
 
 	close(): void {
-		this.#watching = false
+		this.#isPolling = false
 	}
 
 	get current(): Rollout | undefined {
@@ -48,9 +48,11 @@
 	}
 
 	/** The generation that this incarnation of the host reported last; 0 if none. */
-	findToldGeneration({name, lives}: Node): number {
-		const told = this.told.findLast(({host, life}) => host === name && life === lives.length)
-		return told?.generation ?? 0
+	findReportedGeneration({name, incarnations: started}: Node): number {
+		const last = this.reportedGenerations.findLast(
+			({host, incarnationNumber: incarnation}) => host === name && incarnation === started.length
+		)
+		return last?.generation ?? 0
 	}
 
 	/** Rolls `state` out as the next generation, at the first of `hosts` that accepts it. */
@@ -79,7 +81,7 @@
 		)
 		const acceptedWallMs = Date.now()
 		for (const [at, answer] of answers.entries()) {
-			this.raced.push(answer?.status ?? 0)
+			this.raceStatuses.push(answer?.status ?? 0)
 			const state = states[at]
 			if (answer?.status === 200 && state !== undefined)
 				this.rollouts.push({generation, state, acceptedWallMs})
@@ -88,7 +90,7 @@
 
 	async #put(host: string, bundle: unknown): Promise<HttpAnswer | undefined> {
 		const url = `${this.#rig.findCallerUrl(host)}/v1/bundle`
-		const timeoutMs = ROLLOUT_TIMEOUT_MS
+		const timeoutMs = REQUEST_TIMEOUT_MS
 		try {
 			return await sendRequest(url, {method: "PUT", token: OPERATOR_TOKEN, body: bundle, timeoutMs})
 		} catch {
@@ -97,21 +99,26 @@
 	}
 
 	/** Polls the generation of every live host, to detect one that reverts to an older generation. */
-	async #watch(): Promise<void> {
-		while (this.#watching) {
-			await Promise.all(this.#listHosts().map(host => this.#observe(host)))
-			await new Promise(resolve => setTimeout(resolve, WATCH_INTERVAL_MS))
+	async #pollHosts(): Promise<void> {
+		while (this.#isPolling) {
+			await Promise.all(this.#listHosts().map(host => this.#recordGeneration(host)))
+			await new Promise(resolve => setTimeout(resolve, POLL_INTERVAL_MS))
 		}
 	}
 
-	async #observe(host: string): Promise<void> {
-		const life = this.#rig.find(host).lives.length
+	async #recordGeneration(host: string): Promise<void> {
+		const incarnation = this.#rig.find(host).incarnations.length
 		const url = `${this.#rig.findCallerUrl(host)}/v1/bundle`
 		try {
 			const answer = await sendRequest(url, {method: "GET", token: OPERATOR_TOKEN})
 			if (answer.status !== 200) return
 			const {generation} = answer.body as BundleView
-			this.told.push({host, life, generation, atWallMs: Date.now()})
+			this.reportedGenerations.push({
+				host,
+				incarnationNumber: incarnation,
+				generation,
+				atWallMs: Date.now()
+			})
 		} catch {
 			// The host is cut off, frozen or gone.
 		}
--- a/standins/scenario/requests.ts
+++ b/standins/scenario/requests.ts
@@ -1,9 +1,9 @@
 /** Steps that send requests of callers and operators, name processes and moments, and wait for conditions. */
 import {z} from "zod"
 import {CONDITIONS} from "./conditions.js"
-import {type Stage} from "./stage.js"
+import {type ScenarioContext} from "./stage.js"
 import {type Condition, type Step} from "./step.js"
-import {ScenarioError, checkGiven} from "./schema.js"
+import {ScenarioError, checkInput} from "./schema.js"
 import {waitUntil} from "./wait.js"
 
 const DEFAULT_LIMIT_MS = 45000
@@ -22,8 +22,11 @@
 class SubmitStep implements Step<z.infer<typeof submitSchema>> {
 	readonly name = "submit"
 	readonly schema = submitSchema
-	async run(stage: Stage, {hosts, ...given}: z.infer<typeof submitSchema>): Promise<void> {
-		stage.callers.submit({...given, hosts: await findHosts(stage, hosts)})
+	async run(
+		context: ScenarioContext,
+		{hosts, ...input}: z.infer<typeof submitSchema>
+	): Promise<void> {
+		context.callers.submit({...input, hosts: await findHosts(context, hosts)})
 	}
 }
 
@@ -35,12 +38,17 @@
 class SubmitManyStep implements Step<z.infer<typeof submitManySchema>> {
 	readonly name = "submitMany"
 	readonly schema = submitManySchema
-	async run(stage: Stage, given: z.infer<typeof submitManySchema>): Promise<void> {
-		const {prefix, count, hosts, runMs, ...rest} = given
-		const listed = await findHosts(stage, hosts)
-		for (let at = 1; at <= count; at++) {
-			const varied = Math.round(runMs / 2) + stage.pickNumber(runMs + 1)
-			stage.callers.submit({...rest, job: `${prefix}-${at}`, runMs: varied, hosts: listed})
+	async run(context: ScenarioContext, input: z.infer<typeof submitManySchema>): Promise<void> {
+		const {prefix, count, hosts, runMs, ...rest} = input
+		const hostNames = await findHosts(context, hosts)
+		for (let number = 1; number <= count; number++) {
+			const variedRunMs = Math.round(runMs / 2) + context.pickNumber(runMs + 1)
+			context.callers.submit({
+				...rest,
+				job: `${prefix}-${number}`,
+				runMs: variedRunMs,
+				hosts: hostNames
+			})
 		}
 	}
 }
@@ -50,9 +58,9 @@
 class CancelStep implements Step<z.infer<typeof cancelSchema>> {
 	readonly name = "cancel"
 	readonly schema = cancelSchema
-	async run(stage: Stage, given: z.infer<typeof cancelSchema>): Promise<void> {
-		const names = [given].flat().flatMap(pattern => listJobs(stage, pattern))
-		await Promise.all(names.map(name => stage.callers.cancel(name)))
+	async run(context: ScenarioContext, input: z.infer<typeof cancelSchema>): Promise<void> {
+		const names = [input].flat().flatMap(pattern => matchJobNames(context, pattern))
+		await Promise.all(names.map(name => context.callers.cancel(name)))
 	}
 }
 
@@ -61,8 +69,8 @@
 class AskAsStep implements Step<z.infer<typeof askAsSchema>> {
 	readonly name = "askAs"
 	readonly schema = askAsSchema
-	run(stage: Stage, {job, workspace}: z.infer<typeof askAsSchema>): Promise<void> {
-		return stage.callers.askAs(job, workspace)
+	run(context: ScenarioContext, {job, workspace}: z.infer<typeof askAsSchema>): Promise<void> {
+		return context.callers.askAs(job, workspace)
 	}
 }
 
@@ -77,13 +85,13 @@
 class RollOutStep implements Step<z.infer<typeof rollOutSchema>> {
 	readonly name = "rollOut"
 	readonly schema = rollOutSchema
-	async run(stage: Stage, given: z.infer<typeof rollOutSchema>): Promise<void> {
+	async run(context: ScenarioContext, input: z.infer<typeof rollOutSchema>): Promise<void> {
 		const state = {
-			zonesOut: new Set(given.zonesOut),
-			workspacesOut: new Set(given.workspacesOut)
+			zonesOut: new Set(input.zonesOut),
+			workspacesOut: new Set(input.workspacesOut)
 		}
-		await stage.operators.rollOut(state, await findHosts(stage, given.hosts))
-		if (given.mark !== undefined) stage.marks.set(given.mark, Date.now())
+		await context.operators.rollOut(state, await findHosts(context, input.hosts))
+		if (input.mark !== undefined) context.marks.set(input.mark, Date.now())
 	}
 }
 
@@ -95,23 +103,26 @@
 class RaceRollOutsStep implements Step<z.infer<typeof raceSchema>> {
 	readonly name = "raceRollOuts"
 	readonly schema = raceSchema
-	async run(stage: Stage, {hosts, zonesOut}: z.infer<typeof raceSchema>): Promise<void> {
-		const states = zonesOut.map(out => ({
-			zonesOut: new Set(out),
+	async run(
+		context: ScenarioContext,
+		{hosts, zonesOut}: z.infer<typeof raceSchema>
+	): Promise<void> {
+		const states = zonesOut.map(zones => ({
+			zonesOut: new Set(zones),
 			workspacesOut: new Set<string>()
 		}))
-		await stage.operators.race(states, await findHosts(stage, hosts))
+		await context.operators.race(states, await findHosts(context, hosts))
 	}
 }
 
 class BindStep implements Step<Record<string, string>> {
 	readonly name = "bind"
 	readonly schema = z.record(z.string(), z.string())
-	async run(stage: Stage, given: Record<string, string>): Promise<void> {
-		for (const [name, pattern] of Object.entries(given)) {
-			const node = await stage.findOne(pattern)
-			stage.bind(name, node)
-			stage.note(`  ${name} is ${node}`)
+	async run(context: ScenarioContext, input: Record<string, string>): Promise<void> {
+		for (const [name, pattern] of Object.entries(input)) {
+			const node = await context.findOne(pattern)
+			context.bind(name, node)
+			context.log(`  ${name} is ${node}`)
 		}
 	}
 }
@@ -119,8 +130,8 @@
 class MarkStep implements Step<string> {
 	readonly name = "mark"
 	readonly schema = z.string()
-	run(stage: Stage, given: string): void {
-		stage.marks.set(given, Date.now())
+	run(context: ScenarioContext, input: string): void {
+		context.marks.set(input, Date.now())
 	}
 }
 
@@ -129,12 +140,15 @@
 class WaitUntilStep implements Step<z.infer<typeof waitSchema>> {
 	readonly name = "waitUntil"
 	readonly schema = waitSchema
-	async run(stage: Stage, {limitMs, ...rest}: z.infer<typeof waitSchema>): Promise<void> {
+	async run(
+		context: ScenarioContext,
+		{limitMs, ...rest}: z.infer<typeof waitSchema>
+	): Promise<void> {
 		for (const [name, value] of Object.entries(rest)) {
 			const condition = findCondition(name)
-			const given = checkGiven(name, condition.schema, value)
+			const input = checkInput(name, condition.schema, value)
 			await waitUntil(`${name} ${JSON.stringify(value)}`, limitMs, async () =>
-				(await condition.isMet(stage, given)) ? true : undefined
+				(await condition.isMet(context, input)) ? true : undefined
 			)
 		}
 	}
@@ -146,15 +160,15 @@
 	return condition
 }
 
-async function findHosts(stage: Stage, patterns: readonly string[]): Promise<string[]> {
-	const found = await Promise.all(patterns.map(pattern => stage.findAll(pattern)))
+async function findHosts(context: ScenarioContext, patterns: readonly string[]): Promise<string[]> {
+	const found = await Promise.all(patterns.map(pattern => context.findAll(pattern)))
 	return found.flatMap(set => [...set])
 }
 
 /** Lists the names of the jobs that match a name, or a prefix that ends in `*`. */
-export function listJobs(stage: Stage, pattern: string): string[] {
+export function matchJobNames(context: ScenarioContext, pattern: string): string[] {
 	if (!pattern.endsWith("*")) return [pattern]
-	return [...stage.callers.jobs.keys()].filter(name => name.startsWith(pattern.slice(0, -1)))
+	return [...context.callers.jobs.keys()].filter(name => name.startsWith(pattern.slice(0, -1)))
 }
 
 export const REQUEST_STEPS: readonly Step[] = [
--- a/standins/scenario/rig.ts
+++ b/standins/scenario/rig.ts
@@ -11,7 +11,7 @@
 import {Launcher, type StartedProcess} from "../launcher.js"
 import {Network} from "../proxy/network.js"
 import {type BundleAuthor} from "./bundle-author.js"
-import {type Life, type Node, NodeRole, createNodes} from "./nodes.js"
+import {type Incarnation, type Node, NodeRole, createNodes} from "./nodes.js"
 import {ScenarioError, type Topology} from "./schema.js"
 import {waitUntil} from "./wait.js"
 
@@ -28,7 +28,7 @@
 	readonly #folder = mkdtempSync(join(tmpdir(), "cardamomhook-scenario-"))
 	readonly #author: BundleAuthor
 	readonly #callerUrls = new Map<string, string>()
-	readonly #seenBy = new Map<string, string>()
+	readonly #sentViews = new Map<string, string>()
 	#platform!: StartedProcess
 	#viewTimer: NodeJS.Timeout | undefined
 
@@ -41,16 +41,16 @@
 	async start(): Promise<void> {
 		this.#platform = await this.#launcher.start("standin-platform", [])
 		await Promise.all([...this.nodes.keys()].map(name => this.startNode(name)))
-		this.#followViews()
+		this.#pollViews()
 		await waitUntil("every worker and endpoint is on every host's list", START_LIMIT_MS, () =>
-			this.#listUnseen().length === 0 ? true : undefined
+			this.#listMissing().length === 0 ? true : undefined
 		)
 	}
 
 	async close(): Promise<void> {
 		clearTimeout(this.#viewTimer)
 		this.#viewTimer = undefined
-		for (const node of this.nodes.values()) node.life?.process.child.kill("SIGCONT")
+		for (const node of this.nodes.values()) node.currentIncarnation?.process.child.kill("SIGCONT")
 		await this.#launcher.killAll()
 		this.network.close()
 		rmSync(this.#folder, {recursive: true, force: true})
@@ -70,7 +70,7 @@
 
 	async startNode(name: string): Promise<void> {
 		const node = this.find(name)
-		if (node.life !== undefined) throw new ScenarioError(`${name} is already running`)
+		if (node.currentIncarnation !== undefined) throw new ScenarioError(`${name} is already running`)
 		const platformUrl = await this.network.connect({
 			from: name,
 			to: PLATFORM,
@@ -79,12 +79,17 @@
 		})
 		const {program, args} = this.#buildCommand(node, platformUrl)
 		const process = await this.#launcher.start(program, args, name)
-		const life: Life = {process, endedWallMs: undefined, exitCode: undefined, wasAsked: false}
+		const incarnation: Incarnation = {
+			process,
+			endedWallMs: undefined,
+			exitCode: undefined,
+			wasAskedToStop: false
+		}
 		process.child.once("exit", code => {
-			life.endedWallMs ??= Date.now()
-			life.exitCode = code
+			incarnation.endedWallMs ??= Date.now()
+			incarnation.exitCode = code
 		})
-		node.lives.push(life)
+		node.incarnations.push(incarnation)
 		if (node.role !== NodeRole.host) return
 		const url = await this.network.connect({
 			from: CALLERS,
@@ -94,11 +99,11 @@
 			service: "callers"
 		})
 		this.#callerUrls.set(name, url)
-		await this.#listHost(node, process)
+		await this.#registerHost(node, process)
 	}
 
 	/** Adds the host's current addresses to the platform's list; hosts don't register themselves. */
-	async #listHost(node: Node, {url, lines}: StartedProcess): Promise<void> {
+	async #registerHost(node: Node, {url, lines}: StartedProcess): Promise<void> {
 		const line = lines.findLast(candidate => candidate.includes('"peerPort"')) ?? "{}"
 		const {peerPort = 0} = JSON.parse(line) as {peerPort?: number}
 		const record: HostRecord = {
@@ -115,17 +120,17 @@
 
 	/** Sends a signal and resolves once the process has ended. */
 	async endNode(name: string, signal: "SIGKILL" | "SIGTERM"): Promise<void> {
-		const {life} = this.find(name)
-		if (life === undefined) throw new ScenarioError(`${name} is not running`)
+		const {currentIncarnation: incarnation} = this.find(name)
+		if (incarnation === undefined) throw new ScenarioError(`${name} is not running`)
 		if (signal === "SIGKILL") this.thaw(name)
-		else life.wasAsked = true
-		await this.#launcher.stop(life.process, signal)
-		life.endedWallMs ??= Date.now()
+		else incarnation.wasAskedToStop = true
+		await this.#launcher.stop(incarnation.process, signal)
+		incarnation.endedWallMs ??= Date.now()
 	}
 
 	freeze(name: string): void {
 		const node = this.find(name)
-		node.life?.process.child.kill("SIGSTOP")
+		node.currentIncarnation?.process.child.kill("SIGSTOP")
 		node.freezes.push({fromWallMs: Date.now(), untilWallMs: undefined})
 	}
 
@@ -134,7 +139,7 @@
 		const freeze = node.freezes.at(-1)
 		if (freeze === undefined || freeze.untilWallMs !== undefined) return
 		freeze.untilWallMs = Date.now()
-		node.life?.process.child.kill("SIGCONT")
+		node.currentIncarnation?.process.child.kill("SIGCONT")
 	}
 
 	/** The URL at which callers reach a host through the proxy; empty if the host was never started. */
@@ -144,7 +149,10 @@
 
 	/** Posts to a control route of a stand-in, bypassing the proxy. */
 	async control(name: string, path: string, body: JsonValue): Promise<void> {
-		const url = name === PLATFORM ? this.#platform.url : (this.find(name).life?.process.url ?? "")
+		const url =
+			name === PLATFORM
+				? this.#platform.url
+				: (this.find(name).currentIncarnation?.process.url ?? "")
 		const {status} = await sendRequest(`${url}${path}`, {method: "POST", body})
 		if (status !== 200)
 			throw new ScenarioError(`${name} answered ${path} with status ${status}, expected 200`)
@@ -161,16 +169,19 @@
 
 	#buildCommand(node: Node, platformUrl: string): {program: string; args: string[]} {
 		const {topology} = this
-		const shared = ["--id", node.name, "--zone", node.zone, "--platform", platformUrl]
+		const commonArgs = ["--id", node.name, "--zone", node.zone, "--platform", platformUrl]
 		switch (node.role) {
 			case NodeRole.worker: {
-				const room = ["--rack", node.rack, "--accelerators", String(topology.accelerators)]
-				return {program: "standin-worker", args: [...shared, ...room]}
+				const workerArgs = ["--rack", node.rack, "--accelerators", String(topology.accelerators)]
+				return {program: "standin-worker", args: [...commonArgs, ...workerArgs]}
 			}
 			case NodeRole.endpoint:
-				return {program: "standin-endpoint", args: [...shared, "--slots", String(topology.slots)]}
+				return {
+					program: "standin-endpoint",
+					args: [...commonArgs, "--slots", String(topology.slots)]
+				}
 			case NodeRole.host: {
-				const path = join(this.#folder, `${node.name}-${node.lives.length}.yaml`)
+				const path = join(this.#folder, `${node.name}-${node.incarnations.length}.yaml`)
 				writeFileSync(path, stringify(this.#buildSettings(node, platformUrl)))
 				return {program: "cardamomhookd", args: ["--settings", path]}
 			}
@@ -192,13 +203,13 @@
 		}
 	}
 
-	#followViews(): void {
-		const follow = async (): Promise<void> => {
+	#pollViews(): void {
+		const poll = async (): Promise<void> => {
 			await this.#updateViews()
 			if (this.#viewTimer !== undefined)
-				this.#viewTimer = setTimeout(() => void follow(), VIEW_INTERVAL_MS)
+				this.#viewTimer = setTimeout(() => void poll(), VIEW_INTERVAL_MS)
 		}
-		this.#viewTimer = setTimeout(() => void follow(), 0)
+		this.#viewTimer = setTimeout(() => void poll(), 0)
 	}
 
 	async #updateViews(): Promise<void> {
@@ -215,8 +226,8 @@
 		const addresses: Record<string, {address: string; peerAddress: string}> = {}
 		for (const record of records) {
 			const node = this.nodes.get(record.id)
-			const isNear = node?.zone === viewer.zone || node?.role === NodeRole.host
-			if (node === undefined || !isNear) continue
+			const isVisible = node?.zone === viewer.zone || node?.role === NodeRole.host
+			if (node === undefined || !isVisible) continue
 			if (node === viewer) {
 				addresses[record.id] = {address: record.address, peerAddress: record.peerAddress}
 				continue
@@ -227,9 +238,9 @@
 			}
 		}
 		const view = JSON.stringify(addresses)
-		if (this.#seenBy.get(viewer.name) === view) return
+		if (this.#sentViews.get(viewer.name) === view) return
 		await postJson(`${this.#platform.url}/control/view`, {viewer: viewer.name, addresses})
-		this.#seenBy.set(viewer.name, view)
+		this.#sentViews.set(viewer.name, view)
 	}
 
 	async #connect(viewer: Node, node: Node, address: string, service: string): Promise<string> {
@@ -250,13 +261,13 @@
 		return a.region === b.region ? latency.zoneMs : latency.regionMs
 	}
 
-	#listUnseen(): string[] {
+	#listMissing(): string[] {
 		const hosts = [...this.nodes.values()].filter(({role}) => role === NodeRole.host)
 		return hosts.flatMap(host => {
-			const seen = this.#seenBy.get(host.name) ?? ""
+			const view = this.#sentViews.get(host.name) ?? ""
 			return [...this.nodes.values()]
 				.filter(({role, zone}) => role !== NodeRole.host && zone === host.zone)
-				.filter(({name}) => !seen.includes(`"${name}"`))
+				.filter(({name}) => !view.includes(`"${name}"`))
 				.map(({name}) => `${host.name} ${name}`)
 		})
 	}
--- a/standins/scenario/runner.ts
+++ b/standins/scenario/runner.ts
@@ -1,15 +1,15 @@
 /** Runs one scenario: starts its processes, runs its steps in order, and checks what was recorded. */
-import {type AskedJob, isAccepted} from "./callers.js"
+import {type SubmittedJob, isAccepted} from "./callers.js"
 import {EXPECTATIONS} from "./expectations.js"
-import {checkInvariants, isNamed} from "./invariants.js"
+import {checkInvariants, isMatch} from "./invariants.js"
 import {type Run} from "./journal.js"
 import {NodeRole} from "./nodes.js"
 import {REQUEST_STEPS} from "./requests.js"
-import {type Named, type Scenario, ScenarioError, checkGiven} from "./schema.js"
-import {Stage} from "./stage.js"
+import {type ScenarioEntry, type Scenario, ScenarioError, checkInput} from "./schema.js"
+import {ScenarioContext} from "./stage.js"
 import {FAULT_STEPS} from "./steps.js"
 
-export interface Verdict {
+export interface ScenarioResult {
 	readonly title: string
 	readonly seed: number
 	/** The violations found; empty if the scenario passed. */
@@ -29,68 +29,68 @@
 export async function runScenario(
 	scenario: Scenario,
 	{seed, onLine = () => undefined}: RunOptions
-): Promise<Verdict> {
+): Promise<ScenarioResult> {
 	const log: string[] = []
-	const stage = new Stage(scenario, seed, line => {
+	const context = new ScenarioContext(scenario, seed, line => {
 		log.push(line)
 		onLine(line)
 	})
 	const findings: string[] = []
 	try {
-		await stage.rig.start()
-		stage.note("every process has started")
-		for (const step of scenario.steps) await runStep(stage, step)
-		await settleJobs(stage)
+		await context.rig.start()
+		context.log("every process has started")
+		for (const step of scenario.steps) await runStep(context, step)
+		await settleJobs(context)
 	} catch (error) {
 		findings.push(describeFailure(error))
 	}
-	stage.callers.close()
-	stage.operators.close()
-	await stage.rig.close()
-	findings.push(...judge(stage, stage.listRuns()))
-	return {title: scenario.title, seed, findings, log, hostLogs: collectHostLogs(stage)}
+	context.callers.close()
+	context.operators.close()
+	await context.rig.close()
+	findings.push(...checkRecords(context, context.listRuns()))
+	return {title: scenario.title, seed, findings, log, hostLogs: collectHostLogs(context)}
 }
 
-function collectHostLogs(stage: Stage): Map<string, readonly string[]> {
+function collectHostLogs(context: ScenarioContext): Map<string, readonly string[]> {
 	const logs = new Map<string, readonly string[]>()
-	for (const {name, role, lives} of stage.rig.nodes.values())
+	for (const {name, role, incarnations: started} of context.rig.nodes.values())
 		if (role === NodeRole.host)
 			logs.set(
 				name,
-				lives.flatMap(({process}) => process.lines)
+				started.flatMap(({process}) => process.lines)
 			)
 	return logs
 }
 
-async function runStep(stage: Stage, step: Named): Promise<void> {
-	const [name, value] = readNamed(step)
-	stage.note(`${name} ${JSON.stringify(value)}`)
+async function runStep(context: ScenarioContext, step: ScenarioEntry): Promise<void> {
+	const [name, value] = readEntry(step)
+	context.log(`${name} ${JSON.stringify(value)}`)
 	const found = STEPS.find(candidate => candidate.name === name)
 	if (found === undefined) throw new ScenarioError(`unknown step ${name}`)
-	await found.run(stage, checkGiven(name, found.schema, value))
+	await found.run(context, checkInput(name, found.schema, value))
 }
 
 /** Waits for the last reply to every request, and for the end of every accepted job that may not stay queued. */
-async function settleJobs(stage: Stage): Promise<void> {
-	const jobs = [...stage.callers.jobs.values()]
+async function settleJobs(context: ScenarioContext): Promise<void> {
+	const jobs = [...context.callers.jobs.values()]
 	await Promise.all(jobs.map(({pending}) => pending))
-	const waited = jobs.filter(job => isAccepted(job) && !mayStayQueued(stage, job))
-	await Promise.all(waited.map(({name}) => stage.callers.waitForEnd(name)))
-	for (const job of jobs.length > 12 ? [] : jobs) stage.note(describeJob(job))
+	const ending = jobs.filter(job => isAccepted(job) && !mayStayQueued(context, job))
+	await Promise.all(ending.map(({name}) => context.callers.waitForEnd(name)))
+	for (const job of jobs.length > 12 ? [] : jobs) context.log(describeJob(job))
 }
 
-function mayStayQueued(stage: Stage, {name}: AskedJob): boolean {
-	return stage.scenario.mayStayQueued.some(pattern => isNamed(name, pattern))
+function mayStayQueued(context: ScenarioContext, {name}: SubmittedJob): boolean {
+	return context.scenario.mayStayQueued.some(pattern => isMatch(name, pattern))
 }
 
-function judge(stage: Stage, runs: readonly Run[]): string[] {
-	const findings = checkInvariants(stage, runs)
-	for (const expected of stage.scenario.expect) {
-		const [name, value] = readNamed(expected)
+function checkRecords(context: ScenarioContext, runs: readonly Run[]): string[] {
+	const findings = checkInvariants(context, runs)
+	for (const expectation of context.scenario.expect) {
+		const [name, value] = readEntry(expectation)
 		try {
 			const found = EXPECTATIONS.find(candidate => candidate.name === name)
 			if (found === undefined) throw new ScenarioError(`unknown expectation ${name}`)
-			findings.push(...found.check(stage, runs, checkGiven(name, found.schema, value)))
+			findings.push(...found.check(context, runs, checkInput(name, found.schema, value)))
 		} catch (error) {
 			findings.push(describeFailure(error))
 		}
@@ -98,16 +98,18 @@
 	return findings
 }
 
-function readNamed(named: Named): [string, unknown] {
-	const [entry] = Object.entries(named)
-	if (entry === undefined) throw new ScenarioError("a step or expectation has no key")
-	return entry
+function readEntry(entry: ScenarioEntry): [string, unknown] {
+	const [nameAndValue] = Object.entries(entry)
+	if (nameAndValue === undefined) throw new ScenarioError("a step or expectation has no key")
+	return nameAndValue
 }
 
-function describeJob({name, replies, ended}: AskedJob): string {
-	const told = replies.map(({host, status, reason}) => `${host} ${status} ${reason}`).slice(-3)
+function describeJob({name, replies, ended}: SubmittedJob): string {
+	const replyTexts = replies
+		.map(({host, status, reason}) => `${host} ${status} ${reason}`)
+		.slice(-3)
 	const outcome = ended?.outcome
-	return `  ${name}: ${told.join(", ")}; ${outcome?.kind ?? ended?.state ?? "no end"} ${outcome?.reason ?? ""} ${outcome?.detail ?? ""}`
+	return `  ${name}: ${replyTexts.join(", ")}; ${outcome?.kind ?? ended?.state ?? "no end"} ${outcome?.reason ?? ""} ${outcome?.detail ?? ""}`
 }
 
 function describeFailure(error: unknown): string {
--- a/standins/scenario/schema.ts
+++ b/standins/scenario/schema.ts
@@ -38,18 +38,18 @@
 export type Topology = z.infer<typeof topologySchema>
 
 /** A step or expectation: one key, its name, and its input. */
-const namedSchema = z
+const entrySchema = z
 	.record(z.string(), z.unknown())
 	.refine(value => Object.keys(value).length === 1, "must have exactly one key")
-export type Named = z.infer<typeof namedSchema>
+export type ScenarioEntry = z.infer<typeof entrySchema>
 
 export const scenarioSchema = z.strictObject({
 	title: z.string(),
 	/** Numbers of the invariants that the scenario tests. */
 	invariants: z.array(z.int().min(1).max(9)),
 	topology: topologySchema,
-	steps: z.array(namedSchema).min(1),
-	expect: z.array(namedSchema).default([]),
+	steps: z.array(entrySchema).min(1),
+	expect: z.array(entrySchema).default([]),
 	/** Names or prefixes of jobs that may still be queued at the end. */
 	mayStayQueued: z.array(z.string()).default([]),
 	/** How long a gang may run with only some of its members when one of its workers can't be reached. */
@@ -60,12 +60,12 @@
 export class ScenarioError extends Error {}
 
 /** Checks and converts the input of a step, condition or expectation. */
-export function checkGiven<T>(name: string, schema: z.ZodType<T>, value: unknown): T {
+export function checkInput<T>(name: string, schema: z.ZodType<T>, value: unknown): T {
 	const checked = checkValue(name, schema, value)
 	if (checked.isErr()) throw new ScenarioError(checked.error.message)
 	return checked.value
 }
 
 export function loadScenario(path: string): Scenario {
-	return checkGiven(path, scenarioSchema, parse(readFileSync(path, "utf8")))
+	return checkInput(path, scenarioSchema, parse(readFileSync(path, "utf8")))
 }
--- a/standins/scenario/stage.ts
+++ b/standins/scenario/stage.ts
@@ -12,7 +12,7 @@
 import {CALLERS, PLATFORM, Rig} from "./rig.js"
 import {type Scenario, ScenarioError} from "./schema.js"
 
-export class Stage {
+export class ScenarioContext {
 	readonly scenario: Scenario
 	readonly rig: Rig
 	readonly callers: Callers
@@ -35,7 +35,7 @@
 		this.#print = print
 	}
 
-	note(line: string): void {
+	log(line: string): void {
 		const atMs = Math.round(performance.now() - this.#startedAt)
 		this.#print(`${String(atMs).padStart(6)} ms  ${line}`)
 	}
@@ -87,8 +87,8 @@
 		return new Set(inZone)
 	}
 
-	#listNodes(isMeant: (node: {zone: string; role: NodeRole}) => boolean): string[] {
-		return [...this.rig.nodes.values()].filter(isMeant).map(({name}) => name)
+	#listNodes(isIncluded: (node: {zone: string; role: NodeRole}) => boolean): string[] {
+		return [...this.rig.nodes.values()].filter(isIncluded).map(({name}) => name)
 	}
 
 	/** Lists the processes that run members of the job now. */
--- a/standins/scenario/steps.ts
+++ b/standins/scenario/steps.ts
@@ -3,9 +3,9 @@
 import {CutDirection} from "../proxy/network.js"
 import {Trap, TrapAction, TrapPoint} from "../proxy/trap.js"
 import {PLATFORM} from "./rig.js"
-import {type Stage} from "./stage.js"
+import {type ScenarioContext} from "./stage.js"
 import {type Step} from "./step.js"
-import {yieldFor} from "./wait.js"
+import {pauseFor} from "./wait.js"
 
 const pairSchema = z.strictObject({a: z.string(), b: z.string()})
 const cutSchema = pairSchema.extend({
@@ -15,32 +15,32 @@
 class CutStep implements Step<z.infer<typeof cutSchema>> {
 	readonly name = "cut"
 	readonly schema = cutSchema
-	async run(stage: Stage, {a, b, direction}: z.infer<typeof cutSchema>): Promise<void> {
-		stage.rig.network.cut(await stage.findAll(a), await stage.findAll(b), direction)
+	async run(context: ScenarioContext, {a, b, direction}: z.infer<typeof cutSchema>): Promise<void> {
+		context.rig.network.cut(await context.findAll(a), await context.findAll(b), direction)
 	}
 }
 
 class HealStep implements Step<boolean> {
 	readonly name = "heal"
 	readonly schema = z.boolean()
-	run(stage: Stage): void {
-		stage.rig.network.heal()
+	run(context: ScenarioContext): void {
+		context.rig.network.heal()
 	}
 }
 
 class SilenceStep implements Step<z.infer<typeof pairSchema>> {
 	readonly name = "silence"
 	readonly schema = pairSchema
-	async run(stage: Stage, {a, b}: z.infer<typeof pairSchema>): Promise<void> {
-		stage.rig.network.silence(await stage.findAll(a), await stage.findAll(b))
+	async run(context: ScenarioContext, {a, b}: z.infer<typeof pairSchema>): Promise<void> {
+		context.rig.network.silence(await context.findAll(a), await context.findAll(b))
 	}
 }
 
 class ResetStep implements Step<z.infer<typeof pairSchema>> {
 	readonly name = "reset"
 	readonly schema = pairSchema
-	async run(stage: Stage, {a, b}: z.infer<typeof pairSchema>): Promise<void> {
-		stage.rig.network.reset(await stage.findAll(a), await stage.findAll(b))
+	async run(context: ScenarioContext, {a, b}: z.infer<typeof pairSchema>): Promise<void> {
+		context.rig.network.reset(await context.findAll(a), await context.findAll(b))
 	}
 }
 
@@ -58,43 +58,46 @@
 class TrapStep implements Step<z.infer<typeof trapSchema>> {
 	readonly name = "trap"
 	readonly schema = trapSchema
-	async run(stage: Stage, {from, to, ...options}: z.infer<typeof trapSchema>): Promise<void> {
+	async run(
+		context: ScenarioContext,
+		{from, to, ...options}: z.infer<typeof trapSchema>
+	): Promise<void> {
 		const trap = new Trap(options)
-		stage.traps.set(options.name, trap)
-		stage.rig.network.addTrap(await stage.findAll(from), await stage.findAll(to), trap)
+		context.traps.set(options.name, trap)
+		context.rig.network.addTrap(await context.findAll(from), await context.findAll(to), trap)
 	}
 }
 
 class ReleaseStep implements Step<string> {
 	readonly name = "release"
 	readonly schema = z.string()
-	run(stage: Stage, given: string): void {
-		stage.traps.get(given)?.release()
+	run(context: ScenarioContext, input: string): void {
+		context.traps.get(input)?.release()
 	}
 }
 
 class FreezeStep implements Step<string> {
 	readonly name = "freeze"
 	readonly schema = z.string()
-	async run(stage: Stage, given: string): Promise<void> {
-		for (const name of await stage.findAll(given)) stage.rig.freeze(name)
+	async run(context: ScenarioContext, input: string): Promise<void> {
+		for (const name of await context.findAll(input)) context.rig.freeze(name)
 	}
 }
 
 class ThawStep implements Step<string> {
 	readonly name = "thaw"
 	readonly schema = z.string()
-	async run(stage: Stage, given: string): Promise<void> {
-		for (const name of await stage.findAll(given)) stage.rig.thaw(name)
+	async run(context: ScenarioContext, input: string): Promise<void> {
+		for (const name of await context.findAll(input)) context.rig.thaw(name)
 	}
 }
 
 class KillStep implements Step<string> {
 	readonly name = "kill"
 	readonly schema = z.string()
-	async run(stage: Stage, given: string): Promise<void> {
-		const names = [...(await stage.findAll(given))]
-		await Promise.all(names.map(name => stage.rig.endNode(name, "SIGKILL")))
+	async run(context: ScenarioContext, input: string): Promise<void> {
+		const names = [...(await context.findAll(input))]
+		await Promise.all(names.map(name => context.rig.endNode(name, "SIGKILL")))
 	}
 }
 
@@ -102,17 +105,17 @@
 class StopStep implements Step<string> {
 	readonly name = "stop"
 	readonly schema = z.string()
-	async run(stage: Stage, given: string): Promise<void> {
-		for (const name of await stage.findAll(given)) await stage.rig.endNode(name, "SIGTERM")
+	async run(context: ScenarioContext, input: string): Promise<void> {
+		for (const name of await context.findAll(input)) await context.rig.endNode(name, "SIGTERM")
 	}
 }
 
 class RestartStep implements Step<string> {
 	readonly name = "restart"
 	readonly schema = z.string()
-	async run(stage: Stage, given: string): Promise<void> {
-		const names = [...(await stage.findAll(given))]
-		await Promise.all(names.map(name => stage.rig.startNode(name)))
+	async run(context: ScenarioContext, input: string): Promise<void> {
+		const names = [...(await context.findAll(input))]
+		await Promise.all(names.map(name => context.rig.startNode(name)))
 	}
 }
 
@@ -127,16 +130,16 @@
 class PlatformStep implements Step<z.infer<typeof faultsSchema>> {
 	readonly name = "platform"
 	readonly schema = faultsSchema
-	run(stage: Stage, given: z.infer<typeof faultsSchema>): Promise<void> {
-		return stage.rig.control(PLATFORM, "/control/faults", given)
+	run(context: ScenarioContext, input: z.infer<typeof faultsSchema>): Promise<void> {
+		return context.rig.control(PLATFORM, "/control/faults", input)
 	}
 }
 
 class ListLagStep implements Step<number> {
 	readonly name = "listLagMs"
 	readonly schema = z.number()
-	run(stage: Stage, given: number): Promise<void> {
-		return stage.rig.control(PLATFORM, "/control/list-lag", {ms: given})
+	run(context: ScenarioContext, input: number): Promise<void> {
+		return context.rig.control(PLATFORM, "/control/list-lag", {ms: input})
 	}
 }
 
@@ -149,18 +152,18 @@
 class SwitchesStep implements Step<z.infer<typeof switchesSchema>> {
 	readonly name = "switches"
 	readonly schema = switchesSchema
-	async run(stage: Stage, {of, set}: z.infer<typeof switchesSchema>): Promise<void> {
-		for (const name of await stage.findAll(of))
-			await stage.rig.control(name, "/control/switches", set)
+	async run(context: ScenarioContext, {of, set}: z.infer<typeof switchesSchema>): Promise<void> {
+		for (const name of await context.findAll(of))
+			await context.rig.control(name, "/control/switches", set)
 	}
 }
 
 /** Lets a fault last for a fixed time. To wait until something happens, use `waitUntil`. */
-class LastStep implements Step<number> {
+class DelayStep implements Step<number> {
 	readonly name = "lastMs"
 	readonly schema = z.number()
-	run(_: Stage, given: number): Promise<void> {
-		return yieldFor(given)
+	run(_: ScenarioContext, input: number): Promise<void> {
+		return pauseFor(input)
 	}
 }
 
@@ -179,5 +182,5 @@
 	new PlatformStep(),
 	new ListLagStep(),
 	new SwitchesStep(),
-	new LastStep()
+	new DelayStep()
 ] as readonly Step[]
--- a/standins/scenario/wait.ts
+++ b/standins/scenario/wait.ts
@@ -5,7 +5,7 @@
 
 /** Calls `check` until it returns a value other than undefined, and resolves with that value. */
 export async function waitUntil<T>(
-	what: string,
+	description: string,
 	limitMs: number,
 	check: () => Promise<T | undefined> | T | undefined
 ): Promise<T> {
@@ -14,13 +14,13 @@
 		const value = await check()
 		if (value !== undefined) return value
 		if (performance.now() > giveUpAt)
-			throw new ScenarioError(`timed out after ${limitMs} ms: ${what}`)
-		await yieldFor(CHECK_INTERVAL_MS)
+			throw new ScenarioError(`timed out after ${limitMs} ms: ${description}`)
+		await pauseFor(CHECK_INTERVAL_MS)
 	}
 }
 
 /** Resolves after `ms` milliseconds. */
-export function yieldFor(ms: number): Promise<void> {
+export function pauseFor(ms: number): Promise<void> {
 	return new Promise(resolve => {
 		setTimeout(resolve, ms)
 	})
