--- a/__tests__/calls.test.ts
+++ b/__tests__/calls.test.ts
@@ -65,7 +65,7 @@
 			startByMs: Number.MAX_SAFE_INTEGER
 		}
 		const payload = JSON.stringify({runMs: 10000})
-		endpoint.callThen({...request, taskId: "other.1.0", payload}, () => undefined)
+		endpoint.callWithCallback({...request, taskId: "other.1.0", payload}, () => undefined)
 		const jobId = submit("refused", createCallSpec(100))
 		clock.advance(20000)
 		expect(findOutcome(jobId)).to.include({kind: OutcomeKind.completed})
--- a/__tests__/domain-failover.test.ts
+++ b/__tests__/domain-failover.test.ts
@@ -68,7 +68,7 @@
 	const path = `${BATCH}${BATCH_ID}`
 	const spec = decodeWorkflow(createJob({count: BATCH_TASKS, workMs: 2 * FAULT_MS}))
 	await domain.ask(first, {action: WorkflowAction.submit, path, spec})
-	await domain.advanceUntil(() => domain.fleet.ledger.starts.length === BATCH_TASKS)
+	await domain.advanceUntil(() => domain.fleet.monitor.starts.length === BATCH_TASKS)
 	await domain.advance(1000 + offsetMs)
 	return {...domain, first, second}
 }
@@ -86,12 +86,12 @@
 					path,
 					spec: decodeWorkflow(createJob({workMs: 500}))
 				})
-				const hasStarted = () => fleet.ledger.starts.length > BATCH_TASKS
+				const hasStarted = () => fleet.monitor.starts.length > BATCH_TASKS
 				took.push(await domain.advanceUntil(hasStarted))
 				await domain.advance(2 * FAULT_MS + 2000)
-				expect(fleet.ledger.starts).to.have.length(BATCH_TASKS + 1)
-				expect(fleet.ledger.done.size).to.equal(BATCH_TASKS + 1)
-				expect(fleet.ledger.broken).to.deep.equal([])
+				expect(fleet.monitor.starts).to.have.length(BATCH_TASKS + 1)
+				expect(fleet.monitor.done.size).to.equal(BATCH_TASKS + 1)
+				expect(fleet.monitor.violations).to.deep.equal([])
 			}
 			expect(Math.max(...took)).to.be.below(maxMs)
 		})
--- a/__tests__/domain-hosts.test.ts
+++ b/__tests__/domain-hosts.test.ts
@@ -34,7 +34,7 @@
 		expect(reply.kind).to.equal(ReplyKind.workflow)
 		await submit(first, `${BATCH}${ID_A}`, createJob())
 		await advance(4000)
-		expect(fleet.ledger.starts).to.have.length(1)
+		expect(fleet.monitor.starts).to.have.length(1)
 	})
 
 	it("never says that a job did not run while its commit may still take effect", async () => {
@@ -60,8 +60,8 @@
 		await advance(9000)
 		const [, second] = hosts
 		expect(await readState(second!, `${BATCH}${ID_A}`)).to.equal("completed")
-		expect(fleet.ledger.starts).to.have.length(6)
-		expect(fleet.ledger.broken).to.deep.equal([])
+		expect(fleet.monitor.starts).to.have.length(6)
+		expect(fleet.monitor.violations).to.deep.equal([])
 	})
 
 	it("starts work again within 2.5 s of the death of its holder", async () => {
@@ -74,7 +74,7 @@
 			first.board.authority.delete("fleet")
 			const [, second] = hosts
 			await submit(second!, `${URGENT}${ID_A}`, createJob())
-			const tookMs = await advanceUntil(() => fleet.ledger.starts.length === 1)
+			const tookMs = await advanceUntil(() => fleet.monitor.starts.length === 1)
 			expect(tookMs).to.be.below(2500)
 		}
 	})
@@ -98,7 +98,7 @@
 		const second = addHost()
 		await advanceUntil(() => second.board.authority.get("fleet")?.isHeldHere === true)
 		await advance(3000)
-		expect(fleet.ledger.starts.map(({task}) => task)).to.deep.equal([`${ID_A}.0.0.0`])
+		expect(fleet.monitor.starts.map(({task}) => task)).to.deep.equal([`${ID_A}.0.0.0`])
 	})
 
 	it("leaves the domain to a larger host", async () => {
@@ -173,7 +173,7 @@
 		plan.isLost = () => false
 		await advance(6000)
 		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("completed")
-		expect(fleet.ledger.starts).to.have.length(4)
+		expect(fleet.monitor.starts).to.have.length(4)
 	})
 
 	it("refuses a key that was not confirmed recently, well before the bound", async () => {
@@ -191,7 +191,7 @@
 		await submit(first, `${BATCH}${ID_A}`, createJob())
 		const other = await ask(first, {path: `${BATCH}${ID_A}`, key: "key-of-another"})
 		expect(other.kind === ReplyKind.refused && other.refusal.reason).to.equal("unknown-workflow")
-		fleet.store.put("op", "config", createCatalogRecord(2, {keys: ["a-new-key"]}))
+		fleet.store.putRow("op", "config", createCatalogRecord(2, {keys: ["a-new-key"]}))
 		await advance(500)
 		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("unauthenticated")
 	})
@@ -199,8 +199,8 @@
 	it("reads everything again where the history of changes is gone", async () => {
 		const {first, fleet, advance, readState, plan} = await createServingDomain()
 		plan.isLost = (_, call) => isCallTo(call, "/v1/rows-feed")
-		fleet.store.put("op", "config", createCatalogRecord(2, {keys: [CALLER_KEY, "a-new-key"]}))
-		fleet.store.forgetHistory()
+		fleet.store.putRow("op", "config", createCatalogRecord(2, {keys: [CALLER_KEY, "a-new-key"]}))
+		fleet.store.clearHistory()
 		await advance(2500)
 		plan.isLost = () => false
 		await advance(500)
--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -19,8 +19,8 @@
 		expect(reply.kind).to.equal(ReplyKind.workflow)
 		await advance(2000)
 		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("completed")
-		expect(fleet.ledger.done.size).to.equal(3)
-		expect(fleet.ledger.broken).to.deep.equal([])
+		expect(fleet.monitor.done.size).to.equal(3)
+		expect(fleet.monitor.violations).to.deep.equal([])
 	})
 
 	it("gives the members of a gang one run number", async () => {
@@ -28,7 +28,7 @@
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, gpu: 4, gang: true}))
 		await advance(2000)
 		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("completed")
-		expect(new Set(fleet.ledger.starts.map(({run}) => run))).to.deep.equal(new Set([1]))
+		expect(new Set(fleet.monitor.starts.map(({run}) => run))).to.deep.equal(new Set([1]))
 	})
 
 	it("respects max_per_server within one round", async () => {
@@ -44,16 +44,16 @@
 		const job = {spec: '{"workMs":1000}', steps: [step, {...step, after: [0]}]}
 		await submit(first, `${BATCH}${ID_A}`, job)
 		await advance(800)
-		expect(fleet.ledger.starts.map(({task}) => task)).to.deep.equal([`${ID_A}.0.0.0`])
+		expect(fleet.monitor.starts.map(({task}) => task)).to.deep.equal([`${ID_A}.0.0.0`])
 		await advance(2000)
-		expect(fleet.ledger.done.has(`${ID_A}.0.1.0`)).to.equal(true)
+		expect(fleet.monitor.done.has(`${ID_A}.0.1.0`)).to.equal(true)
 	})
 
 	it("never exceeds the capacity of a worker", async () => {
 		const {first, fleet, submit, advance, readState} = await createServingDomain()
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 40, gpu: 1, workMs: 400}))
 		await advance(4000)
-		expect(fleet.ledger.broken).to.deep.equal([])
+		expect(fleet.monitor.violations).to.deep.equal([])
 		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("completed")
 	})
 
@@ -63,7 +63,7 @@
 		await advance(500)
 		await submit(first, `${URGENT}${ID_B}`, createJob({count: 1, gpu: 4}))
 		await advance(700)
-		const isUrgent = fleet.ledger.starts.some(({task}) => task.startsWith(ID_B))
+		const isUrgent = fleet.monitor.starts.some(({task}) => task.startsWith(ID_B))
 		expect(isUrgent).to.equal(true)
 		const running = [...fleet.workers.values()].flatMap(worker => worker.running)
 		expect(running.filter(task => task.startsWith(ID_A))).to.have.length(12)
@@ -73,7 +73,7 @@
 		const {first, fleet, submit, advance} = await createServingDomain()
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, workMs: 3600000}))
 		await advance(20000)
-		expect(fleet.ledger.starts).to.have.length(4)
+		expect(fleet.monitor.starts).to.have.length(4)
 	})
 
 	it("does not wait long for runs that do not end when their progress predicts", async () => {
@@ -82,7 +82,7 @@
 		await submit(first, `${BATCH}${ID_A}`, job)
 		await advance(2700)
 		await submit(first, `${URGENT}${ID_B}`, createJob({count: 1, gpu: 8, cpu: 8000}))
-		const isStarted = () => fleet.ledger.starts.some(({task}) => task.startsWith(ID_B))
+		const isStarted = () => fleet.monitor.starts.some(({task}) => task.startsWith(ID_B))
 		expect(await advanceUntil(isStarted)).to.be.lessThan(2000)
 	})
 
@@ -91,7 +91,7 @@
 		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 200}, {fails: true}))
 		await advance(3000)
 		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("failed")
-		expect(fleet.ledger.starts).to.have.length(2)
+		expect(fleet.monitor.starts).to.have.length(2)
 	})
 
 	it("stops a cancelled job, and says that it was cancelled", async () => {
@@ -107,12 +107,12 @@
 	it("starts nothing on a worker that is draining, nor in a zone that is out", async () => {
 		const {first, fleet, submit, advance} = await createServingDomain()
 		fleet.register("w1", "draining")
-		fleet.store.put("op", "evacuate/zone-b", {})
+		fleet.store.putRow("op", "evacuate/zone-b", {})
 		fleet.addWorker("w3", {zone: "zone-b"})
 		await advance(1500)
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 8, workMs: 500}))
 		await advance(3000)
-		const used = new Set(fleet.ledger.starts.map(({worker}) => worker))
+		const used = new Set(fleet.monitor.starts.map(({worker}) => worker))
 		expect([...used]).to.deep.equal(["w2"])
 	})
 
@@ -124,17 +124,17 @@
 		fleet.addWorker("w2")
 		fleet.register("w1", "draining", 2500)
 		await advance(2000)
-		const starts = fleet.ledger.starts.map(({task, worker}) => `${task} ${worker}`)
+		const starts = fleet.monitor.starts.map(({task, worker}) => `${task} ${worker}`)
 		expect(starts).to.deep.equal([`${ID_A}.0.0.0 w1`, `${ID_B}.0.0.0 w1`, `${ID_A}.0.0.0 w2`])
 	})
 
 	it("lets work with checkpoints go on until shortly before its worker leaves", async () => {
 		const {first, fleet, submit, advanceUntil} = await createServingDomain({workers: 1})
 		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 9000, checkpointing: true}))
-		await advanceUntil(() => fleet.ledger.starts.length === 1)
+		await advanceUntil(() => fleet.monitor.starts.length === 1)
 		fleet.addWorker("w2")
 		fleet.register("w1", "draining", 5000)
-		const movedAfterMs = await advanceUntil(() => fleet.ledger.starts.length === 2)
+		const movedAfterMs = await advanceUntil(() => fleet.monitor.starts.length === 2)
 		expect(movedAfterMs).to.be.within(3000, 5000)
 	})
 
@@ -147,7 +147,7 @@
 		const pass = async (ms: number) => {
 			for (let passed = 0; passed < ms; passed += 50) {
 				await advance(50)
-				for (const task of fleet.ledger.done)
+				for (const task of fleet.monitor.done)
 					if (!completedAt.has(task)) completedAt.set(task, clock.now())
 			}
 		}
@@ -172,7 +172,7 @@
 		plan.isAnswerLost = (_, call) => isCallTo(call, "/v1/run-start") && lost++ < 1
 		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 3000}))
 		await advance(6000)
-		expect(fleet.ledger.starts).to.have.length(1)
+		expect(fleet.monitor.starts).to.have.length(1)
 		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("completed")
 	})
 
@@ -185,22 +185,22 @@
 			return isStart
 		}
 		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 3000}))
-		await advanceUntil(() => fleet.ledger.starts.length > 0)
+		await advanceUntil(() => fleet.monitor.starts.length > 0)
 		for (const call of late) await fleet.handle(call)
 		await advance(4000)
-		expect(fleet.ledger.broken).to.deep.equal([])
-		expect(fleet.ledger.starts.map(({run}) => run)).to.deep.equal([2])
+		expect(fleet.monitor.violations).to.deep.equal([])
+		expect(fleet.monitor.starts.map(({run}) => run)).to.deep.equal([2])
 	})
 
 	it("starts work again only after the lease of a worker that is out of reach", async () => {
 		const {first, fleet, plan, submit, advance, advanceUntil} = await createServingDomain()
 		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 30000}))
 		await advance(500)
-		const [{worker: lost} = {worker: ""}] = fleet.ledger.starts
+		const [{worker: lost} = {worker: ""}] = fleet.monitor.starts
 		plan.isLost = (_, call) => call.target === lost
-		const waitedMs = await advanceUntil(() => fleet.ledger.starts.length > 1)
+		const waitedMs = await advanceUntil(() => fleet.monitor.starts.length > 1)
 		expect(waitedMs).to.be.greaterThan(8000).and.lessThan(13000)
-		expect(fleet.ledger.broken).to.deep.equal([])
+		expect(fleet.monitor.violations).to.deep.equal([])
 	})
 
 	it("gives work again soon to a worker that has lost one answer", async () => {
@@ -217,17 +217,17 @@
 		const {first, fleet, submit, advance, advanceUntil} = await createServingDomain()
 		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 30000}))
 		await advance(500)
-		const [{worker} = {worker: ""}] = fleet.ledger.starts
+		const [{worker} = {worker: ""}] = fleet.monitor.starts
 		fleet.workers.get(worker)?.restart()
 		fleet.register(worker)
-		const waitedMs = await advanceUntil(() => fleet.ledger.starts.length > 1)
+		const waitedMs = await advanceUntil(() => fleet.monitor.starts.length > 1)
 		expect(waitedMs).to.be.lessThan(3000)
-		expect(fleet.ledger.broken).to.deep.equal([])
+		expect(fleet.monitor.violations).to.deep.equal([])
 	})
 
 	it("ignores malformed worker entries", async () => {
 		const {first, fleet, advance} = await createServingDomain()
-		fleet.store.put("servers", "odd", {state: "resting", service: 7})
+		fleet.store.putRow("servers", "odd", {state: "resting", service: 7})
 		await advance(1500)
 		expect([...first.board.nodes.keys()]).to.deep.equal(["w1", "w2"])
 	})
--- a/__tests__/platform.test.ts
+++ b/__tests__/platform.test.ts
@@ -16,7 +16,7 @@
 async function createPlatformHost() {
 	const clock = new SystemClock()
 	const fleet = new FleetStandIn(clock)
-	fleet.store.put("op", "config", createCatalogRecord(1))
+	fleet.store.putRow("op", "config", createCatalogRecord(1))
 	const store = await startServer(createFleetApp(fleet, STORE_TARGET), 0)
 	const worker = await startServer(createFleetApp(fleet, "w1"), 0)
 	fleet.addWorker("w1", {address: `${LOOPBACK}:${worker.port}`})
--- a/__tests__/reclaim.test.ts
+++ b/__tests__/reclaim.test.ts
@@ -1,6 +1,6 @@
 import {expect} from "chai"
 import {type Command, JobState, OutcomeKind, PriorityClass, ReasonCode} from "../src/internal.js"
-import {CalmPlan, Fate} from "../standins/fault-plan.js"
+import {DefaultFaultPlan, Fate} from "../standins/fault-plan.js"
 import {type TestZone, createGuaranteedZone} from "./fixtures/zone.js"
 
 /** Required bound on reclaiming a guarantee from borrowers that checkpoint. */
@@ -12,7 +12,7 @@
 const RACK_PAIR = {members: 2, accelerators: 8, adjacency: "rack"} as const
 
 /** Loses every request to one worker. */
-class CutOffPlan extends CalmPlan {
+class CutOffPlan extends DefaultFaultPlan {
 	readonly #target: string
 	constructor(target: string) {
 		super()
--- a/__tests__/write-window.test.ts
+++ b/__tests__/write-window.test.ts
@@ -14,7 +14,7 @@
 	WRITE_WINDOW_MIN,
 	WriteWindow
 } from "../src/internal.js"
-import {CalmPlan} from "../standins/fault-plan.js"
+import {DefaultFaultPlan} from "../standins/fault-plan.js"
 import {InProcessCluster} from "../standins/in-process.js"
 import {WORKSPACE, createBundleContent} from "./fixtures/cluster.js"
 import {createRecord, createSpec} from "./fixtures/jobs.js"
@@ -30,7 +30,7 @@
 }
 
 /** Delays commits like a table that answers a fixed number a second, one after the other, however many wait. */
-class LimitedTablePlan extends CalmPlan {
+class LimitedTablePlan extends DefaultFaultPlan {
 	readonly #clock: ManualClock
 	readonly #intervalMs: number
 	#freeAt = 0
--- a/standins/endpoint/core.ts
+++ b/standins/endpoint/core.ts
@@ -18,12 +18,12 @@
 	/** Called at each start and end of a run. */
 	readonly #onRun: (run: RunEntry) => void
 	readonly #reports = new Map<string, CallReport>()
-	readonly #barred = new Set<string>()
-	readonly #waiting = new Map<string, ((report: CallReport) => void)[]>()
+	readonly #blockedTaskIds = new Set<string>()
+	readonly #pendingReplies = new Map<string, ((report: CallReport) => void)[]>()
 	readonly #runs: RunEntry[] = []
 	#epoch = 0
 	#inUse = 0
-	#dead = false
+	#isKilled = false
 	leaving = false
 	/** Whether it refuses new calls while it is leaving. */
 	refusesWhenLeaving = true
@@ -61,12 +61,12 @@
 	/** Runs the call and resolves with its report; a repeated task id gets the report of the first call. */
 	call(request: CallRequest): Promise<CallReport> {
 		return new Promise(resolve => {
-			this.callThen(request, resolve)
+			this.callWithCallback(request, resolve)
 		})
 	}
 
 	/** Like `call`, with a callback in place of a promise, for callers under a manual clock. */
-	callThen(request: CallRequest, onReport: (report: CallReport) => void): void {
+	callWithCallback(request: CallRequest, onReport: (report: CallReport) => void): void {
 		this.#checkIncarnation(request.incarnation)
 		const known = this.#reports.get(request.taskId)
 		if (known === undefined) this.#begin(request)
@@ -74,9 +74,9 @@
 			onReport(known)
 			return
 		}
-		const waiting = this.#waiting.get(request.taskId) ?? []
-		waiting.push(onReport)
-		this.#waiting.set(request.taskId, waiting)
+		const pending = this.#pendingReplies.get(request.taskId) ?? []
+		pending.push(onReport)
+		this.#pendingReplies.set(request.taskId, pending)
 	}
 
 	/** Returns the call's report; an unknown task id is blocked, so that it can't run later. */
@@ -84,7 +84,7 @@
 		this.#checkIncarnation(incarnation)
 		const known = this.#reports.get(taskId)
 		if (known !== undefined) return known
-		this.#barred.add(taskId)
+		this.#blockedTaskIds.add(taskId)
 		return {taskId, state: "unknown"}
 	}
 
@@ -94,7 +94,7 @@
 
 	/** Ends this incarnation and all its calls. */
 	kill(): void {
-		this.#dead = true
+		this.#isKilled = true
 		for (const run of this.#runs) {
 			if (run.endedWallMs !== undefined) continue
 			run.endedWallMs = this.#clock.readWallClock()
@@ -108,7 +108,7 @@
 	}
 
 	#begin(request: CallRequest): void {
-		if (this.#barred.has(request.taskId)) throw new StandInRefusal("already-ran")
+		if (this.#blockedTaskIds.has(request.taskId)) throw new StandInRefusal("already-ran")
 		if (request.epoch < this.#epoch) this.#refuse(request.taskId, "stale-epoch")
 		if (this.leaving && this.refusesWhenLeaving) this.#refuse(request.taskId, "endpoint-leaving")
 		if (this.#clock.now() >= request.startByMs) this.#refuse(request.taskId, "permit-lapsed")
@@ -135,12 +135,12 @@
 	}
 
 	#refuse(taskId: string, code: string): never {
-		this.#barred.add(taskId)
+		this.#blockedTaskIds.add(taskId)
 		throw new StandInRefusal(code)
 	}
 
 	#finish(run: RunEntry, answer: string): void {
-		if (this.#dead) return
+		if (this.#isKilled) return
 		this.#inUse--
 		const {taskId} = run
 		const report: CallReport = this.failAll
@@ -150,7 +150,7 @@
 		run.end = report.state
 		this.#onRun(run)
 		this.#reports.set(taskId, report)
-		for (const resolve of this.#waiting.get(taskId) ?? []) resolve(report)
-		this.#waiting.delete(taskId)
+		for (const resolve of this.#pendingReplies.get(taskId) ?? []) resolve(report)
+		this.#pendingReplies.delete(taskId)
 	}
 }
--- a/standins/fault-plan.ts
+++ b/standins/fault-plan.ts
@@ -19,7 +19,7 @@
 	computeDelay(hostId: string, command: Command): number
 }
 
-export class CalmPlan implements FaultPlan {
+export class DefaultFaultPlan implements FaultPlan {
 	readonly #latencyMs: number
 	constructor(latencyMs = 1) {
 		this.#latencyMs = latencyMs
--- a/standins/faults.ts
+++ b/standins/faults.ts
@@ -40,7 +40,7 @@
 			if (this.#faults.slowMs > 0) await pause(this.#faults.slowMs)
 			if (this.#faults.outage) return context.json({code: "outage"}, 503)
 			await next()
-			if (this.#takeLoss(context.req.path)) context.env.incoming.socket.destroy()
+			if (this.#consumeLostAnswer(context.req.path)) context.env.incoming.socket.destroy()
 			return undefined
 		}
 	}
@@ -54,7 +54,7 @@
 		return context.json(this.#faults)
 	}
 
-	#takeLoss(path: string): boolean {
+	#consumeLostAnswer(path: string): boolean {
 		if (this.#faults.loseAnswers === 0 || !path.endsWith(this.#faults.losePath)) return false
 		this.set({loseAnswers: this.#faults.loseAnswers - 1})
 		return true
--- a/standins/fleet/fleet.ts
+++ b/standins/fleet/fleet.ts
@@ -6,7 +6,7 @@
 import {type HttpAnswer} from "../../src/adapters/http-client.js"
 import {type Clock, type ResourceDemand} from "../../src/internal.js"
 import {StoreCore} from "./store.js"
-import {FleetLedger, FleetWorker} from "./worker.js"
+import {FleetMonitor, FleetWorker} from "./worker.js"
 
 const rowNameSchema = z.object({table: z.string(), part: z.string(), key: z.string()})
 const transactionSchema = z.object({
@@ -43,7 +43,7 @@
 	readonly body: unknown
 }
 
-export interface WorkerOptions {
+export interface FleetWorkerOptions {
 	readonly zone?: string
 	readonly rack?: string
 	readonly service?: string
@@ -62,10 +62,10 @@
 
 export class FleetStandIn {
 	readonly store: StoreCore
-	readonly ledger = new FleetLedger()
+	readonly monitor = new FleetMonitor()
 	readonly workers = new Map<string, FleetWorker>()
 	readonly #peers = new Set<FleetWorker>()
-	readonly #options = new Map<string, WorkerOptions>()
+	readonly #options = new Map<string, FleetWorkerOptions>()
 	readonly #clock: Clock
 
 	constructor(clock: Clock) {
@@ -73,9 +73,9 @@
 		this.store = new StoreCore(clock)
 	}
 
-	addWorker(id: string, options: WorkerOptions = {}): FleetWorker {
+	addWorker(id: string, options: FleetWorkerOptions = {}): FleetWorker {
 		const capacity = options.capacity ?? DEFAULT_CAPACITY
-		const worker = new FleetWorker(id, this.#clock, this.ledger, this.#peers, capacity)
+		const worker = new FleetWorker(id, this.#clock, this.monitor, this.#peers, capacity)
 		this.workers.set(id, worker)
 		this.#options.set(id, options)
 		this.register(id)
@@ -86,7 +86,7 @@
 	register(id: string, state = "ready", remainingMs?: number): void {
 		const options = this.#options.get(id) ?? {}
 		const {cpuMillis, memoryMb, accelerators} = options.capacity ?? DEFAULT_CAPACITY
-		this.store.put("servers", id, {
+		this.store.putRow("servers", id, {
 			service: options.service ?? "trace",
 			address: options.address ?? id,
 			zone: options.zone ?? "zone-a",
@@ -116,7 +116,7 @@
 			case "GET /v1/rows-get":
 				return {status: 200, body: this.#readRange(query)}
 			case "GET /v1/rows-feed":
-				return this.#follow(query)
+				return this.#pollFeed(query)
 			default:
 				return NOT_FOUND
 		}
@@ -132,10 +132,10 @@
 		)
 	}
 
-	async #follow(query: URLSearchParams): Promise<HttpAnswer> {
+	async #pollFeed(query: URLSearchParams): Promise<HttpAnswer> {
 		const table = query.get("table") ?? ""
 		const waitMs = Number(query.get("wait_ms") ?? 0)
-		const rows = await this.store.follow(table, Number(query.get("after")), waitMs)
+		const rows = await this.store.pollChanges(table, Number(query.get("after")), waitMs)
 		if (rows === undefined) return {status: 410, body: {}}
 		return {status: 200, body: {rows, schema_version: this.store.version}}
 	}
--- a/standins/fleet/store.ts
+++ b/standins/fleet/store.ts
@@ -37,7 +37,7 @@
 	readonly #rows = new Map<string, StoredRow>()
 	#history: StoredRow[] = []
 	/** Changes up to this version are no longer kept. */
-	#forgotten = 0
+	#clearedVersion = 0
 	#version = 1
 	readonly #waiters = new Set<Waiter>()
 
@@ -49,7 +49,7 @@
 		return this.#version
 	}
 
-	transact({precondition, put, delete: dropped}: Transaction): TransactionAnswer {
+	transact({precondition, put, delete: deletions}: Transaction): TransactionAnswer {
 		const current = precondition.map(name => this.#rows.get(formatName(name)))
 		const holds = precondition.every(
 			(condition, index) => (current[index]?.schema_version ?? 0) === condition.schema_version
@@ -57,38 +57,38 @@
 		if (!holds) return {status: 412, rows: current.filter(row => row !== undefined)}
 		this.#version++
 		for (const row of put) this.#write({...row, schema_version: this.#version})
-		for (const {table, part, key} of dropped)
+		for (const {table, part, key} of deletions)
 			this.#write({table, part, key, schema_version: this.#version, deleted: true})
 		this.#wakeWaiters()
 		return {status: 200, schema_version: this.#version}
 	}
 
 	/** Writes a row as JSON, as operators and workers do. */
-	put(table: string, key: string, value: unknown): void {
+	putRow(table: string, key: string, value: unknown): void {
 		const encoded = Buffer.from(JSON.stringify(value)).toString("base64")
 		this.transact({precondition: [], put: [{table, part: "", key, value: encoded}], delete: []})
 	}
 
-	drop(table: string, key: string): void {
+	deleteRow(table: string, key: string): void {
 		this.transact({precondition: [], put: [], delete: [{table, part: "", key}]})
 	}
 
-	readRange(table: string, part: string, from: string, target: string | undefined, limit: number) {
+	readRange(table: string, part: string, from: string, end: string | undefined, limit: number) {
 		const found = [...this.#rows.values()]
 			.filter(row => row.table === table && row.part === part && row.key >= from)
-			.filter(row => target === undefined || row.key < target)
+			.filter(row => end === undefined || row.key < end)
 			.sort((a, b) => (a.key < b.key ? -1 : 1))
 		const rows = found.slice(0, Math.min(limit, PAGE_ROWS))
 		return {rows, has_more: found.length > rows.length, schema_version: this.#version}
 	}
 
 	/** Returns a table's changes after a version, waiting for the first; undefined if they are no longer kept. */
-	async follow(
+	async pollChanges(
 		table: string,
 		after: number,
 		waitMs: number
 	): Promise<readonly StoredRow[] | undefined> {
-		if (after < this.#forgotten) return undefined
+		if (after < this.#clearedVersion) return undefined
 		const rows = this.#listChanges(table, after)
 		if (rows.length > 0 || waitMs === 0) return rows
 		return new Promise(resolve => {
@@ -100,8 +100,8 @@
 		})
 	}
 
-	forgetHistory(): void {
-		this.#forgotten = this.#version
+	clearHistory(): void {
+		this.#clearedVersion = this.#version
 		this.#history = []
 	}
 
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -35,7 +35,7 @@
 
 type End = readonly [number, string, number, string, string]
 
-export type OrderAnswer =
+export type CommandAnswer =
 	| {readonly status: 200; readonly body: Readonly<Record<string, unknown>>}
 	| {readonly status: 409; readonly body: {readonly clock_ms: number; readonly reason: string}}
 	| {readonly status: 421; readonly body: Readonly<Record<string, never>>}
@@ -43,38 +43,38 @@
 const PERCENT_DONE = 100
 
 /** Records the runs on all workers of a fleet, and the rules that they violate. */
-export class FleetLedger {
-	readonly broken: string[] = []
+export class FleetMonitor {
+	readonly violations: string[] = []
 	readonly starts: {readonly task: string; readonly run: number; readonly worker: string}[] = []
 	readonly done = new Set<string>()
 	readonly #running = new Map<string, string>()
 
-	noteStart(task: string, run: number, worker: string, steps: Payload["steps"]): void {
+	recordStart(task: string, run: number, worker: string, steps: Payload["steps"]): void {
 		this.starts.push({task, run, worker})
-		this.#checkOrder(task, steps)
+		this.#checkStepOrder(task, steps)
 		const other = this.#running.get(task)
-		if (other !== undefined) this.broken.push(`${task} runs on both ${other} and ${worker}`)
-		if (this.done.has(task)) this.broken.push(`${task} was started after it was done`)
+		if (other !== undefined) this.violations.push(`${task} runs on both ${other} and ${worker}`)
+		if (this.done.has(task)) this.violations.push(`${task} was started after it was done`)
 		this.#running.set(task, worker)
 	}
 
 	/** Checks that every task of the steps that this one depends on is done. */
-	#checkOrder(task: string, steps: Payload["steps"]): void {
+	#checkStepOrder(task: string, steps: Payload["steps"]): void {
 		const [id = "", occurrence = "", step = ""] = task.split(".")
 		for (const earlier of steps[Number(step)]?.after ?? [])
 			for (let index = 0; index < (steps[earlier]?.count ?? 0); index++) {
 				const needed = `${id}.${occurrence}.${earlier}.${index}`
 				if (!this.done.has(needed))
-					this.broken.push(`${task} was started before ${needed} was done`)
+					this.violations.push(`${task} was started before ${needed} was done`)
 			}
 	}
 
 	/** Takes back completions that were not acknowledged when their worker restarted or lost its lease. */
-	forgetEnds(tasks: readonly string[]): void {
+	recordLostEnds(tasks: readonly string[]): void {
 		for (const task of tasks) this.done.delete(task)
 	}
 
-	noteEnd(task: string, worker: string): void {
+	recordEnd(task: string, worker: string): void {
 		if (this.#running.get(task) === worker) this.#running.delete(task)
 	}
 }
@@ -82,7 +82,7 @@
 export class FleetWorker {
 	readonly id: string
 	readonly #clock: Clock
-	readonly #ledger: FleetLedger
+	readonly #monitor: FleetMonitor
 	readonly #peers: Set<FleetWorker>
 	readonly #capacity: ResourceDemand
 	readonly stopMs: number
@@ -100,14 +100,14 @@
 	constructor(
 		id: string,
 		clock: Clock,
-		ledger: FleetLedger,
+		monitor: FleetMonitor,
 		peers: Set<FleetWorker>,
 		capacity: ResourceDemand,
 		stopMs = 100
 	) {
 		this.id = id
 		this.#clock = clock
-		this.#ledger = ledger
+		this.#monitor = monitor
 		this.#peers = peers
 		this.#capacity = capacity
 		this.stopMs = stopMs
@@ -126,7 +126,7 @@
 	/** Starts a new incarnation at the same address, without the runs and the state of the previous one. */
 	restart(): void {
 		for (const run of [...this.#runs.values()]) this.#remove(run)
-		this.#forgetEnds()
+		this.#recordLostEnds()
 		this.#ends = []
 		this.#position = 0
 		this.#token = 0
@@ -134,52 +134,52 @@
 		this.born = this.#clock.readWallClock()
 	}
 
-	start(order: {
+	start(command: {
 		task: string
 		run_id: number
 		spec: string
 		until_ms: number
 		fencing_token: number
-	}): OrderAnswer {
-		if (!this.#acceptToken(order.fencing_token)) return this.#refuse("fence")
-		const {task, run_id: run} = order
+	}): CommandAnswer {
+		if (!this.#acceptToken(command.fencing_token)) return this.#refuse("fence")
+		const {task, run_id: run} = command
 		const present = this.#runs.get(task)
 		if (present?.run === run) return this.#answer()
-		this.#renew(order.until_ms)
+		this.#renew(command.until_ms)
 		if (run <= (this.#highestRun.get(task) ?? 0)) return this.#refuse("old")
-		if (order.until_ms <= this.#clock.now()) return this.#refuse("late")
-		const payload = payloadSchema.parse(JSON.parse(order.spec === "" ? "{}" : order.spec))
+		if (command.until_ms <= this.#clock.now()) return this.#refuse("late")
+		const payload = payloadSchema.parse(JSON.parse(command.spec === "" ? "{}" : command.spec))
 		this.#highestRun.set(task, run)
-		this.#ledger.noteStart(task, run, this.id, payload.steps)
+		this.#monitor.recordStart(task, run, this.id, payload.steps)
 		this.#begin(task, run, payload)
 		return this.#answer()
 	}
 
-	stop(order: {task: string; run_id: number; fencing_token: number}): OrderAnswer {
-		if (!this.#acceptToken(order.fencing_token)) return this.#refuse("fence")
-		const {task, run_id: run} = order
+	stop(command: {task: string; run_id: number; fencing_token: number}): CommandAnswer {
+		if (!this.#acceptToken(command.fencing_token)) return this.#refuse("fence")
+		const {task, run_id: run} = command
 		this.#highestRun.set(task, Math.max(run, this.#highestRun.get(task) ?? 0))
 		const present = this.#runs.get(task)
 		if (present?.run === run && !present.isStopping) {
 			present.isStopping = true
 			this.#clock.schedule(this.stopMs, () => {
-				this.#end(present, "stopped")
+				this.#endRun(present, "stopped")
 			})
 		}
 		return this.#answer()
 	}
 
-	async hold(order: {
+	async hold(command: {
 		fencing_token: number
 		ack_seq: number
 		until_ms?: number | undefined
 		wait_ms?: number | undefined
-	}): Promise<OrderAnswer> {
-		if (!this.#acceptToken(order.fencing_token)) return this.#refuse("fence")
-		this.#ends = this.#ends.filter(([position]) => position > order.ack_seq)
-		if (order.until_ms !== undefined) this.#renew(order.until_ms)
-		if (this.#ends.length === 0 && order.wait_ms !== undefined && order.wait_ms > 0)
-			await this.#waitForEnd(order.wait_ms)
+	}): Promise<CommandAnswer> {
+		if (!this.#acceptToken(command.fencing_token)) return this.#refuse("fence")
+		this.#ends = this.#ends.filter(([position]) => position > command.ack_seq)
+		if (command.until_ms !== undefined) this.#renew(command.until_ms)
+		if (this.#ends.length === 0 && command.wait_ms !== undefined && command.wait_ms > 0)
+			await this.#waitForEnd(command.wait_ms)
 		const running = [...this.#runs.values()].map(run => [
 			run.task,
 			run.run,
@@ -199,14 +199,14 @@
 			isStopping: false
 		}
 		this.#runs.set(task, entry)
-		this.#checkRoom()
+		this.#checkCapacity()
 		const members = this.#listMembers(entry)
 		if (members.length < payload.gang) return
 		for (const {worker, member} of members) {
 			member.workingSince = this.#clock.now()
 			worker.#clock.schedule(payload.workMs, () => {
 				if (worker.#runs.get(member.task) === member)
-					worker.#end(member, payload.fails ? "failed" : "done")
+					worker.#endRun(member, payload.fails ? "failed" : "done")
 			})
 		}
 	}
@@ -224,29 +224,29 @@
 		)
 	}
 
-	#checkRoom(): void {
-		const taken = {cpu: 0, gpu: 0}
+	#checkCapacity(): void {
+		const used = {cpu: 0, gpu: 0}
 		for (const {payload} of this.#runs.values()) {
-			taken.cpu += payload.cpu
-			taken.gpu += payload.gpu
+			used.cpu += payload.cpu
+			used.gpu += payload.gpu
 		}
-		if (taken.cpu > this.#capacity.cpuMillis || taken.gpu > this.#capacity.accelerators)
-			this.#ledger.broken.push(`${this.id} runs more than its capacity allows`)
+		if (used.cpu > this.#capacity.cpuMillis || used.gpu > this.#capacity.accelerators)
+			this.#monitor.violations.push(`${this.id} runs more than its capacity allows`)
 	}
 
-	#end(run: Run, how: string): void {
+	#endRun(run: Run, outcome: string): void {
 		if (this.#runs.get(run.task) !== run) return
 		this.#remove(run)
-		if (how === "done") this.#ledger.done.add(run.task)
-		this.#ends.push([++this.#position, run.task, run.run, how, ""])
+		if (outcome === "done") this.#monitor.done.add(run.task)
+		this.#ends.push([++this.#position, run.task, run.run, outcome, ""])
 		for (const wake of [...this.#waiters]) wake()
-		if (how === "done" || run.payload.gang === 1) return
-		for (const {worker, member} of this.#listMembers(run)) worker.#end(member, "broken")
+		if (outcome === "done" || run.payload.gang === 1) return
+		for (const {worker, member} of this.#listMembers(run)) worker.#endRun(member, "broken")
 	}
 
 	#remove(run: Run): void {
 		this.#runs.delete(run.task)
-		this.#ledger.noteEnd(run.task, this.id)
+		this.#monitor.recordEnd(run.task, this.id)
 	}
 
 	#renew(until: number): void {
@@ -254,14 +254,14 @@
 		this.#leaseUntil = until
 		this.#cancelLease()
 		this.#cancelLease = this.#clock.schedule(until - this.#clock.now(), () => {
-			this.#forgetEnds()
-			for (const run of [...this.#runs.values()]) this.#end(run, "lapsed")
+			this.#recordLostEnds()
+			for (const run of [...this.#runs.values()]) this.#endRun(run, "lapsed")
 		})
 	}
 
-	#forgetEnds(): void {
-		const done = this.#ends.filter(([, , , how]) => how === "done")
-		this.#ledger.forgetEnds(done.map(([, task]) => task))
+	#recordLostEnds(): void {
+		const lostEnds = this.#ends.filter(([, , , outcome]) => outcome === "done")
+		this.#monitor.recordLostEnds(lostEnds.map(([, task]) => task))
 	}
 
 	#computePercent({workingSince, payload}: Run): number {
@@ -288,11 +288,11 @@
 		})
 	}
 
-	#answer(fields: Readonly<Record<string, unknown>> = {}): OrderAnswer {
+	#answer(fields: Readonly<Record<string, unknown>> = {}): CommandAnswer {
 		return {status: 200, body: {clock_ms: this.#clock.now(), ...fields}}
 	}
 
-	#refuse(reason: string): OrderAnswer {
+	#refuse(reason: string): CommandAnswer {
 		return {status: 409, body: {clock_ms: this.#clock.now(), reason}}
 	}
 }
--- a/standins/in-process.ts
+++ b/standins/in-process.ts
@@ -34,7 +34,7 @@
 } from "../src/internal.js"
 import {generateKeyPairSync} from "node:crypto"
 import {EndpointCore} from "./endpoint/core.js"
-import {CalmPlan, type FaultPlan, Fate} from "./fault-plan.js"
+import {DefaultFaultPlan, type FaultPlan, Fate} from "./fault-plan.js"
 import {PausableClock} from "./pausable-clock.js"
 import {PlatformCore} from "./platform/core.js"
 import {StandInRefusal} from "./serve.js"
@@ -67,12 +67,12 @@
 	readonly #clock: Clock
 	readonly #policies: Policies | undefined
 	readonly #keys = generateKeyPairSync("ed25519")
-	readonly #asked = new Map<string, (reply: Reply) => void>()
+	readonly #pendingReplies = new Map<string, (reply: Reply) => void>()
 	readonly pastRuns: RunEntry[] = []
-	readonly #askedByPeers = new Map<string, (news: PeerStatus) => void>()
+	readonly #pendingPeerReplies = new Map<string, (status: PeerStatus) => void>()
 	plan: FaultPlan
 
-	constructor({clock, plan = new CalmPlan(), policies}: InProcessOptions) {
+	constructor({clock, plan = new DefaultFaultPlan(), policies}: InProcessOptions) {
 		this.#clock = clock
 		this.#policies = policies
 		this.plan = plan
@@ -91,7 +91,7 @@
 		)
 		const host: InProcessHost = {board, loop, clock, alive: true}
 		this.hosts.set(hostId, host)
-		this.#list({id: hostId, role: HostRole.daemon, zone})
+		this.#pinHost({id: hostId, role: HostRole.daemon, zone})
 		board.lifecycle.set("state", Lifecycle.serving)
 		loop.start()
 		return host
@@ -101,7 +101,7 @@
 		const incarnation = `${workerId}-${this.#clock.now()}`
 		const core = new WorkerCore({workerId, incarnation, capacity}, this.#clock)
 		this.workers.set(workerId, core)
-		this.#list({id: workerId, role: HostRole.worker, zone, rack})
+		this.#pinHost({id: workerId, role: HostRole.worker, zone, rack})
 		return core
 	}
 
@@ -113,7 +113,7 @@
 			this.#clock
 		)
 		this.endpoints.set(endpointId, core)
-		this.#list({id: endpointId, role: HostRole.endpoint, zone})
+		this.#pinHost({id: endpointId, role: HostRole.endpoint, zone})
 		return core
 	}
 
@@ -145,10 +145,10 @@
 
 	/** Lists the runs of all workers and endpoints, including those of earlier incarnations. */
 	listRuns(): RunEntry[] {
-		const now = [...this.workers.values(), ...this.endpoints.values()].flatMap(({runs}) => [
+		const currentRuns = [...this.workers.values(), ...this.endpoints.values()].flatMap(({runs}) => [
 			...runs
 		])
-		return [...this.pastRuns, ...now]
+		return [...this.pastRuns, ...currentRuns]
 	}
 
 	/** A killed host never steps again; a new one may be added under the same id. */
@@ -176,7 +176,7 @@
 		const host = this.hosts.get(hostId)
 		if (host === undefined) return
 		const id = `${hostId}-r${host.board.nextSequence()}`
-		this.#asked.set(id, onReply)
+		this.#pendingReplies.set(id, onReply)
 		host.board.requests.set(id, {...request, id, arrivedAt: this.#clock.now()})
 	}
 
@@ -197,7 +197,7 @@
 		}
 	}
 
-	#list({
+	#pinHost({
 		id,
 		role,
 		zone,
@@ -220,13 +220,13 @@
 		}
 		for (const [id, reply] of [...board.replies.entries()]) {
 			board.replies.take(id)
-			this.#asked.get(id)?.(reply)
-			this.#asked.delete(id)
+			this.#pendingReplies.get(id)?.(reply)
+			this.#pendingReplies.delete(id)
 		}
-		for (const [id, news] of [...board.peerReplies.entries()]) {
+		for (const [id, status] of [...board.peerReplies.entries()]) {
 			board.peerReplies.take(id)
-			this.#askedByPeers.get(id)?.(news)
-			this.#askedByPeers.delete(id)
+			this.#pendingPeerReplies.get(id)?.(status)
+			this.#pendingPeerReplies.delete(id)
 		}
 		for (const id of [...board.events.keys()]) board.events.take(id)
 	}
@@ -261,11 +261,11 @@
 	#execute(command: Command, onResult: (result: Result<unknown, CallError>) => void): void {
 		try {
 			if (command.kind === CommandKind.peerExchange) {
-				this.#askPeer(command.target, command.request, onResult)
+				this.#queryPeer(command.target, command.request, onResult)
 				return
 			}
 			if (command.kind === CommandKind.endpointCall) {
-				this.#findEndpoint(command.target).callThen(command.request, report => {
+				this.#findEndpoint(command.target).callWithCallback(command.request, report => {
 					onResult(ok(report))
 				})
 				return
@@ -303,23 +303,23 @@
 					command.request.incarnation
 				)
 			default:
-				return this.#performAtWorker(command)
+				return this.#performOnWorker(command)
 		}
 	}
 
 	/** A killed host never replies. */
-	#askPeer(
+	#queryPeer(
 		target: string,
-		question: PeerQuery,
+		peerQuery: PeerQuery,
 		onResult: (result: Result<unknown, CallError>) => void
 	): void {
 		const host = this.hosts.get(target)
 		if (host === undefined) return
 		const id = `${target}-p${host.board.nextSequence()}`
-		this.#askedByPeers.set(id, news => {
-			onResult(ok(news))
+		this.#pendingPeerReplies.set(id, status => {
+			onResult(ok(status))
 		})
-		host.board.peerRequests.set(id, {id, query: question, arrivedAt: this.#clock.now()})
+		host.board.peerRequests.set(id, {id, query: peerQuery, arrivedAt: this.#clock.now()})
 	}
 
 	#notifyPeer(target: string, notices: readonly JobNotice[]): null {
@@ -329,7 +329,7 @@
 		return null
 	}
 
-	#performAtWorker(command: Command): unknown {
+	#performOnWorker(command: Command): unknown {
 		const worker = this.workers.get(command.target)
 		if (worker === undefined) throw new StandInRefusal("no-such-worker")
 		switch (command.kind) {
--- a/standins/launcher.ts
+++ b/standins/launcher.ts
@@ -33,7 +33,7 @@
 				reject(new Error(`${name} did not start:\n${lines.slice(-20).join("\n")}`))
 			}, START_TIMEOUT_MS)
 			let listening = false
-			const note = (line: string): void => {
+			const handleLine = (line: string): void => {
 				lines.push(line)
 				const port = listening ? undefined : readPort(line)
 				if (port === undefined) return
@@ -43,8 +43,8 @@
 				this.#started.push(started)
 				resolve(started)
 			}
-			createInterface({input: child.stdout}).on("line", note)
-			createInterface({input: child.stderr}).on("line", note)
+			createInterface({input: child.stdout}).on("line", handleLine)
+			createInterface({input: child.stderr}).on("line", handleLine)
 			child.once("exit", code => {
 				if (!listening)
 					reject(new Error(`${name} exited with ${code ?? "a signal"}:\n${lines.join("\n")}`))
--- a/standins/pausable-clock.ts
+++ b/standins/pausable-clock.ts
@@ -4,7 +4,7 @@
 /** A clock that defers callbacks while it is paused, as a stopped process does; time itself goes on. */
 export class PausableClock implements Clock {
 	readonly #clock: Clock
-	readonly #held: (() => void)[] = []
+	readonly #deferredCallbacks: (() => void)[] = []
 	#paused = false
 
 	constructor(clock: Clock) {
@@ -34,7 +34,7 @@
 
 	/** Runs `callback` now, or once the clock is resumed. */
 	run(callback: () => void): void {
-		if (this.#paused) this.#held.push(callback)
+		if (this.#paused) this.#deferredCallbacks.push(callback)
 		else callback()
 	}
 
@@ -44,6 +44,6 @@
 
 	resume(): void {
 		this.#paused = false
-		for (const callback of this.#held.splice(0)) callback()
+		for (const callback of this.#deferredCallbacks.splice(0)) callback()
 	}
 }
--- a/standins/platform/core.ts
+++ b/standins/platform/core.ts
@@ -11,7 +11,7 @@
 interface ListedHost {
 	readonly record: HostRecord
 	/** Time of the last heartbeat; undefined for a pinned host. */
-	readonly heardAt: number | undefined
+	readonly lastHeartbeatAt: number | undefined
 }
 
 /** Addresses at which one viewer reaches a host. */
@@ -83,9 +83,9 @@
 		this.#listHost(record, undefined, now)
 	}
 
-	#listHost(record: HostRecord, heardAt: number | undefined, now: number): void {
+	#listHost(record: HostRecord, heartbeatAt: number | undefined, now: number): void {
 		const known = this.#hosts.get(record.id)
-		this.#hosts.set(record.id, {record, heardAt})
+		this.#hosts.set(record.id, {record, lastHeartbeatAt: heartbeatAt})
 		if (JSON.stringify(known?.record) !== JSON.stringify(record)) this.#recordChange(now)
 	}
 
@@ -109,21 +109,22 @@
 		const hosts = this.#readVisible(now)
 		const version = this.#listVersion
 		if (version === knownVersion) return {version}
-		return {version, hosts: viewer === undefined ? hosts : this.#viewHosts(viewer, hosts)}
+		return {version, hosts: viewer === undefined ? hosts : this.#applyView(viewer, hosts)}
 	}
 
-	#viewHosts(viewer: string, hosts: readonly HostRecord[]): readonly HostRecord[] {
+	#applyView(viewer: string, hosts: readonly HostRecord[]): readonly HostRecord[] {
 		const addresses = this.#views.get(viewer) ?? {}
 		return hosts.flatMap(record => {
-			const seen = addresses[record.id]
-			return seen === undefined ? [] : [{...record, ...seen}]
+			const ownAddresses = addresses[record.id]
+			return ownAddresses === undefined ? [] : [{...record, ...ownAddresses}]
 		})
 	}
 
 	#readVisible(now: number): readonly HostRecord[] {
 		for (const [id, host] of this.#hosts) {
-			const {heardAt} = host
-			if (heardAt !== undefined && now - heardAt > HEARTBEAT_TIMEOUT_MS) this.removeHost(id, now)
+			const {lastHeartbeatAt: heartbeatAt} = host
+			if (heartbeatAt !== undefined && now - heartbeatAt > HEARTBEAT_TIMEOUT_MS)
+				this.removeHost(id, now)
 		}
 		while (this.#changes[0] !== undefined && this.#changes[0].visibleAt <= now) {
 			this.#visible = this.#changes.shift()?.hosts ?? []
--- a/standins/proxy/connection.ts
+++ b/standins/proxy/connection.ts
@@ -73,7 +73,7 @@
 	}
 
 	#matchTraps(): void {
-		const trap = this.#link.traps.find(candidate => candidate.take(this.#request))
+		const trap = this.#link.traps.find(candidate => candidate.tryMatch(this.#request))
 		if (trap === undefined) return
 		if (trap.options.at === TrapPoint.answer) {
 			this.#answerTrap = trap
@@ -81,7 +81,7 @@
 		}
 		if (trap.options.action === TrapAction.reset) this.reset()
 		this.#heldForward = []
-		trap.record(() => {
+		trap.recordHit(() => {
 			const held = this.#heldForward ?? []
 			this.#heldForward = undefined
 			for (const chunk of held) this.#target.write(chunk)
@@ -94,7 +94,7 @@
 		this.#answerTrap = undefined
 		if (trap.options.action === TrapAction.reset) this.reset()
 		this.#heldBackward = []
-		trap.record(() => {
+		trap.recordHit(() => {
 			const held = this.#heldBackward ?? []
 			this.#heldBackward = undefined
 			for (const chunk of held) this.#client.write(chunk)
--- a/standins/proxy/link.ts
+++ b/standins/proxy/link.ts
@@ -57,12 +57,12 @@
 	}
 
 	/** Drops all further bytes of the open connections; new connections work. */
-	silenceOpen(): void {
+	silenceConnections(): void {
 		for (const connection of this.#connections) connection.silence()
 	}
 
 	/** Resets the open connections. */
-	resetOpen(): void {
+	resetConnections(): void {
 		for (const connection of [...this.#connections]) connection.reset()
 	}
 
@@ -74,6 +74,6 @@
 
 	close(): void {
 		this.#server?.close()
-		this.resetOpen()
+		this.resetConnections()
 	}
 }
--- a/standins/proxy/network.ts
+++ b/standins/proxy/network.ts
@@ -5,7 +5,7 @@
 export const CutDirection = {both: "both", aToB: "a-to-b", bToA: "b-to-a"} as const
 export type CutDirection = (typeof CutDirection)[keyof typeof CutDirection]
 
-export type NodeSet = ReadonlySet<string>
+export type ProcessNames = ReadonlySet<string>
 
 export class Network {
 	readonly #links = new Map<string, {link: Link; url: string}>()
@@ -24,14 +24,14 @@
 		return url
 	}
 
-	cut(a: NodeSet, b: NodeSet, direction: CutDirection): void {
+	cut(a: ProcessNames, b: ProcessNames, direction: CutDirection): void {
 		const aToB = direction !== CutDirection.bToA
 		const bToA = direction !== CutDirection.aToB
-		for (const link of this.#list(a, b)) {
+		for (const link of this.#listLinks(a, b)) {
 			link.cut.forward ||= aToB
 			link.cut.backward ||= bToA
 		}
-		for (const link of this.#list(b, a)) {
+		for (const link of this.#listLinks(b, a)) {
 			link.cut.forward ||= bToA
 			link.cut.backward ||= aToB
 		}
@@ -41,24 +41,25 @@
 		for (const {link} of this.#links.values()) link.heal()
 	}
 
-	silence(a: NodeSet, b: NodeSet): void {
-		for (const link of [...this.#list(a, b), ...this.#list(b, a)]) link.silenceOpen()
+	silence(a: ProcessNames, b: ProcessNames): void {
+		for (const link of [...this.#listLinks(a, b), ...this.#listLinks(b, a)])
+			link.silenceConnections()
 	}
 
-	reset(a: NodeSet, b: NodeSet): void {
-		for (const link of [...this.#list(a, b), ...this.#list(b, a)]) link.resetOpen()
+	reset(a: ProcessNames, b: ProcessNames): void {
+		for (const link of [...this.#listLinks(a, b), ...this.#listLinks(b, a)]) link.resetConnections()
 	}
 
 	/** Sets a trap on every link from one of `from` to one of `to`. */
-	addTrap(from: NodeSet, to: NodeSet, trap: Trap): void {
-		for (const link of this.#list(from, to)) link.traps.push(trap)
+	addTrap(from: ProcessNames, to: ProcessNames, trap: Trap): void {
+		for (const link of this.#listLinks(from, to)) link.traps.push(trap)
 	}
 
 	close(): void {
 		for (const {link} of this.#links.values()) link.close()
 	}
 
-	#list(from: NodeSet, to: NodeSet): Link[] {
+	#listLinks(from: ProcessNames, to: ProcessNames): Link[] {
 		return [...this.#links.values()]
 			.map(({link}) => link)
 			.filter(link => from.has(link.from) && to.has(link.to))
--- a/standins/proxy/trap.ts
+++ b/standins/proxy/trap.ts
@@ -22,12 +22,12 @@
 export class Trap {
 	readonly options: TrapOptions
 	readonly #releases: (() => void)[] = []
-	#left: number
+	#remaining: number
 	#hits = 0
 
 	constructor(options: TrapOptions) {
 		this.options = options
-		this.#left = options.times
+		this.#remaining = options.times
 	}
 
 	/** Requests that have reached the trap's point. */
@@ -36,23 +36,23 @@
 	}
 
 	/** True if the request is one to trap; at most `times` times. */
-	take(request: string): boolean {
+	tryMatch(request: string): boolean {
 		const {path, contains} = this.options
-		if (this.#left === 0 || !request.includes(`${path} HTTP/1.1\r\n`)) return false
+		if (this.#remaining === 0 || !request.includes(`${path} HTTP/1.1\r\n`)) return false
 		if (!request.includes(contains)) return false
-		this.#left--
+		this.#remaining--
 		return true
 	}
 
 	/** Records that a trapped request reached the trap's point; `release` forwards its bytes. */
-	record(release: () => void): void {
+	recordHit(release: () => void): void {
 		this.#hits++
 		this.#releases.push(release)
 	}
 
 	/** Forwards the held bytes and traps nothing more. */
 	release(): void {
-		this.#left = 0
+		this.#remaining = 0
 		for (const release of this.#releases.splice(0)) release()
 	}
 }
--- a/standins/scenario/stage.ts
+++ b/standins/scenario/stage.ts
@@ -2,7 +2,7 @@
 import {type RandomGenerator} from "pure-rand/types/RandomGenerator"
 import {uniformInt} from "pure-rand/distribution/uniformInt"
 import {xoroshiro128plus} from "pure-rand/generator/xoroshiro128plus"
-import {type NodeSet} from "../proxy/network.js"
+import {type ProcessNames} from "../proxy/network.js"
 import {type Trap} from "../proxy/trap.js"
 import {BundleAuthor} from "./bundle-author.js"
 import {Callers} from "./callers.js"
@@ -68,7 +68,7 @@
 	 * Resolves a pattern to processes. Beyond the patterns of `findOne` it knows a zone, `hosts:ZONE`, `workers:ZONE`,
 	 * `platform`, `callers`, and `others:ZONE` for the platform and all processes outside a zone.
 	 */
-	async findAll(pattern: string): Promise<NodeSet> {
+	async findAll(pattern: string): Promise<ProcessNames> {
 		const [kind = "", name = ""] = pattern.split(":")
 		if (pattern === PLATFORM || pattern === CALLERS) return new Set([pattern])
 		if (pattern.startsWith("@")) return new Set([this.#findBinding(pattern.slice(1))])
--- a/standins/worker/core.ts
+++ b/standins/worker/core.ts
@@ -57,7 +57,7 @@
 	resumeFrom: number
 	checkpointable: boolean
 	/** Time of the first stop request. */
-	stopAskedAt: number | undefined
+	stopRequestedAt: number | undefined
 	cancelTimer: () => void
 	run: RunEntry | undefined
 }
@@ -70,8 +70,8 @@
 	readonly #clock: Clock
 	readonly #tasks = new Map<string, Task>()
 	/** Task ids that can't be started any more: started, refused, stopped, released or expired ones. */
-	readonly #spent = new Set<string>()
-	readonly #started = new Set<string>()
+	readonly #blockedTaskIds = new Set<string>()
+	readonly #startedTaskIds = new Set<string>()
 	readonly #runs: RunEntry[] = []
 	readonly switches: WorkerSwitches = {
 		failAll: false,
@@ -99,15 +99,15 @@
 	renew(request: RenewRequest): WorkerStatus {
 		this.#checkEpoch(request.epoch)
 		if (request.generation < this.#generation) throw new StandInRefusal("stale-generation")
-		const news = request.epoch > this.#epoch || request.generation > this.#generation
+		const isNewTerm = request.epoch > this.#epoch || request.generation > this.#generation
 		if (request.generation > this.#generation) this.#options.onGeneration?.(request.generation)
 		this.#epoch = request.epoch
 		this.#generation = request.generation
 		const {permitUntilMs} = request
-		this.#permitUntilMs = news ? permitUntilMs : Math.max(this.#permitUntilMs, permitUntilMs)
+		this.#permitUntilMs = isNewTerm ? permitUntilMs : Math.max(this.#permitUntilMs, permitUntilMs)
 		this.#cancelLease()
 		this.#cancelLease = this.#clock.schedule(request.leaseMs, () => {
-			this.#lapse()
+			this.#expireLease()
 		})
 		const status = this.readStatus()
 		if (status.revision !== request.knownRevision) return status
@@ -116,7 +116,7 @@
 	}
 
 	readStatus(): WorkerStatus {
-		const tasks = [...this.#tasks.values()].map(task => this.#report(task))
+		const tasks = [...this.#tasks.values()].map(task => this.#buildReport(task))
 		return {
 			workerId: this.#options.workerId,
 			incarnation: this.#options.incarnation,
@@ -136,11 +136,11 @@
 	}
 
 	reserve(request: ReserveRequest): TaskReport {
-		this.#checkCaller(request)
+		this.#checkRequest(request)
 		const known = this.#tasks.get(request.taskId)
-		if (known !== undefined) return this.#report(known)
-		if (this.#spent.has(request.taskId)) throw new StandInRefusal("already-ran")
-		this.#checkRoom(request)
+		if (known !== undefined) return this.#buildReport(known)
+		if (this.#blockedTaskIds.has(request.taskId)) throw new StandInRefusal("already-ran")
+		this.#checkCapacity(request)
 		const task: Task = {
 			report: {
 				taskId: request.taskId,
@@ -156,11 +156,11 @@
 			runMs: 0,
 			resumeFrom: 0,
 			checkpointable: false,
-			stopAskedAt: undefined,
+			stopRequestedAt: undefined,
 			run: undefined,
 			cancelTimer: this.#clock.schedule(request.ttlMs, () => {
 				this.#tasks.delete(request.taskId)
-				this.#spent.add(request.taskId)
+				this.#blockedTaskIds.add(request.taskId)
 			})
 		}
 		this.#tasks.set(request.taskId, task)
@@ -168,31 +168,31 @@
 	}
 
 	start(request: StartRequest): TaskReport {
-		this.#checkCaller(request)
+		this.#checkRequest(request)
 		const task = this.#tasks.get(request.taskId)
-		if (task?.report.started === true) return this.#report(task)
-		if (this.#spent.has(request.taskId)) throw new StandInRefusal("already-ran")
+		if (task?.report.started === true) return this.#buildReport(task)
+		if (this.#blockedTaskIds.has(request.taskId)) throw new StandInRefusal("already-ran")
 		if (request.generation < this.#generation) throw new StandInRefusal("stale-generation")
 		if (this.#clock.now() >= this.#permitUntilMs) this.#refuseStart(request.taskId, "permit-lapsed")
 		if (task === undefined) return this.#refuseStart(request.taskId, "not-reserved")
-		this.#run(task, request)
-		return this.#report(task)
+		this.#runTask(task, request)
+		return this.#buildReport(task)
 	}
 
 	/** Stops the task and blocks its id; a running task may be asked for a checkpoint first. */
 	stop(request: StopRequest): TaskReport {
-		this.#checkCaller(request)
+		this.#checkRequest(request)
 		const {taskId, checkpointFirst} = request
-		this.#spent.add(taskId)
+		this.#blockedTaskIds.add(taskId)
 		const task = this.#tasks.get(taskId)
-		if (task === undefined) return buildBarredReport(taskId, this.#started.has(taskId))
+		if (task === undefined) return buildStoppedReport(taskId, this.#startedTaskIds.has(taskId))
 		if (task.report.state === TaskState.reserved) {
 			task.cancelTimer()
 			this.#tasks.delete(taskId)
 			return {...task.report, state: TaskState.stopped}
 		}
 		if (task.report.state === TaskState.running) this.#stopRunning(task, checkpointFirst)
-		return this.#report(task)
+		return this.#buildReport(task)
 	}
 
 	/** Deletes an ended task's report; its id stays blocked. */
@@ -200,7 +200,7 @@
 		const task = this.#tasks.get(taskId)
 		if (task === undefined || task.report.state === TaskState.running) return
 		task.cancelTimer()
-		this.#spent.add(taskId)
+		this.#blockedTaskIds.add(taskId)
 		this.#tasks.delete(taskId)
 	}
 
@@ -208,13 +208,19 @@
 	kill(): void {
 		this.#cancelLease()
 		for (const task of this.#tasks.values()) {
-			this.#end(task, TaskState.stopped, {error: "the worker was killed"})
+			this.#endTask(task, TaskState.stopped, {error: "the worker was killed"})
 			task.cancelTimer()
 		}
 	}
 
 	/** Refuses requests for another incarnation, whose state this one doesn't have. */
-	#checkCaller({epoch, incarnation}: {readonly epoch: number; readonly incarnation: string}): void {
+	#checkRequest({
+		epoch,
+		incarnation
+	}: {
+		readonly epoch: number
+		readonly incarnation: string
+	}): void {
 		this.#checkEpoch(epoch)
 		if (incarnation !== this.#options.incarnation) throw new StandInRefusal("other-incarnation")
 	}
@@ -223,29 +229,30 @@
 		if (epoch < this.#epoch) throw new StandInRefusal("stale-epoch", `${epoch} < ${this.#epoch}`)
 	}
 
-	#checkRoom({accelerators, shape}: ReserveRequest): void {
-		const taken = new Set<number>()
+	#checkCapacity({accelerators, shape}: ReserveRequest): void {
+		const usedAccelerators = new Set<number>()
 		let {cpus, memoryMb} = this.#options.capacity
 		for (const {report} of this.#tasks.values()) {
 			if (report.state !== TaskState.reserved && report.state !== TaskState.running) continue
-			for (const at of report.accelerators) taken.add(at)
+			for (const index of report.accelerators) usedAccelerators.add(index)
 			cpus -= report.cpus
 			memoryMb -= report.memoryMb
 		}
-		const free = (at: number) => at < this.#options.capacity.accelerators && !taken.has(at)
-		if (!accelerators.every(free) || cpus < shape.cpus || memoryMb < shape.memoryMb)
+		const isFree = (index: number) =>
+			index < this.#options.capacity.accelerators && !usedAccelerators.has(index)
+		if (!accelerators.every(isFree) || cpus < shape.cpus || memoryMb < shape.memoryMb)
 			throw new StandInRefusal("no-room")
 	}
 
 	#refuseStart(taskId: string, code: string): never {
-		this.#spent.add(taskId)
+		this.#blockedTaskIds.add(taskId)
 		throw new StandInRefusal(code)
 	}
 
-	#run(task: Task, request: StartRequest): void {
+	#runTask(task: Task, request: StartRequest): void {
 		task.cancelTimer()
-		this.#spent.add(request.taskId)
-		this.#started.add(request.taskId)
+		this.#blockedTaskIds.add(request.taskId)
+		this.#startedTaskIds.add(request.taskId)
 		const {runMs, answer} = readPayload(request.payload, request.declaredRunMs)
 		task.startedAt = this.#clock.now()
 		task.runMs = runMs * this.switches.runFactor
@@ -267,20 +274,24 @@
 		const remainingMs = this.switches.failAll ? 0 : task.runMs * (1 - task.resumeFrom)
 		task.cancelTimer = this.#clock.schedule(remainingMs, () => {
 			if (this.switches.failAll)
-				this.#end(task, TaskState.failed, {error: "failAll is set: this worker fails every task"})
-			else this.#end(task, TaskState.completed, {answer})
+				this.#endTask(task, TaskState.failed, {
+					error: "failAll is set: this worker fails every task"
+				})
+			else this.#endTask(task, TaskState.completed, {answer})
 		})
 	}
 
 	#stopRunning(task: Task, checkpointFirst: boolean): void {
-		task.stopAskedAt ??= this.#clock.now()
-		if (checkpointFirst && this.#clock.now() - task.stopAskedAt < this.switches.ignoreStopMs) return
-		const done = task.resumeFrom + (this.#clock.now() - task.startedAt) / Math.max(1, task.runMs)
-		const checkpoint = checkpointFirst && task.checkpointable ? Math.min(0.99, done) : undefined
-		this.#end(task, TaskState.stopped, checkpoint === undefined ? {} : {checkpoint})
+		task.stopRequestedAt ??= this.#clock.now()
+		if (checkpointFirst && this.#clock.now() - task.stopRequestedAt < this.switches.ignoreStopMs)
+			return
+		const progress =
+			task.resumeFrom + (this.#clock.now() - task.startedAt) / Math.max(1, task.runMs)
+		const checkpoint = checkpointFirst && task.checkpointable ? Math.min(0.99, progress) : undefined
+		this.#endTask(task, TaskState.stopped, checkpoint === undefined ? {} : {checkpoint})
 	}
 
-	#end(task: Task, state: TaskState, fields: Partial<TaskReport>): void {
+	#endTask(task: Task, state: TaskState, fields: Partial<TaskReport>): void {
 		if (task.report.state !== TaskState.running) return
 		task.cancelTimer()
 		task.report = {...task.report, ...fields, state, ranMs: this.#clock.now() - task.startedAt}
@@ -292,19 +303,19 @@
 	}
 
 	/** Stops all tasks and permits no start until the next renewal. */
-	#lapse(): void {
+	#expireLease(): void {
 		this.#permitUntilMs = 0
 		for (const task of this.#tasks.values())
-			this.#end(task, TaskState.stopped, {error: "the lease expired"})
+			this.#endTask(task, TaskState.stopped, {error: "the lease expired"})
 	}
 
-	#report(task: Task): TaskReport {
+	#buildReport(task: Task): TaskReport {
 		if (task.report.state !== TaskState.running) return task.report
 		return {...task.report, ranMs: this.#clock.now() - task.startedAt}
 	}
 }
 
-function buildBarredReport(taskId: string, started: boolean): TaskReport {
+function buildStoppedReport(taskId: string, started: boolean): TaskReport {
 	return {
 		taskId,
 		jobId: "",
