--- a/__tests__/demo-audit.test.ts
+++ b/__tests__/demo-audit.test.ts
@@ -1,6 +1,6 @@
 import {expect} from "chai"
 import {OutcomeKind} from "../src/internal.js"
-import {type DemoJob, countJobs, countStartsWithin, isSound} from "../scripts/demo-audit.js"
+import {type DemoJob, countJobs, countStartsWithin, isPassed} from "../scripts/demo-audit.js"
 import {type RunEntry} from "../standins/worker/core.js"
 
 function createJob(fields: Partial<DemoJob> = {}): DemoJob {
@@ -26,7 +26,7 @@
 	it("passes a job that ran once and whose outcome its caller received", () => {
 		const counts = countJobs([createJob()], [createRun()])
 		expect(counts).to.include({accepted: 1, completed: 1, doubled: 0, lost: 0})
-		expect(isSound(counts)).to.equal(true)
+		expect(isPassed(counts)).to.equal(true)
 	})
 
 	const faults: readonly [string, DemoJob, RunEntry[], object][] = [
@@ -47,20 +47,20 @@
 			{falseNotRun: 1}
 		]
 	]
-	for (const [what, job, runs, expected] of faults)
-		it(`counts ${what} as a fault`, () => {
+	for (const [description, job, runs, expected] of faults)
+		it(`counts ${description} as a fault`, () => {
 			const counts = countJobs([job], runs)
 			expect(counts).to.include(expected)
-			expect(isSound(counts)).to.equal(false)
+			expect(isPassed(counts)).to.equal(false)
 		})
 
 	it("lets a repeatable job run again", () => {
 		const runs = [createRun({end: "stopped"}), createRun({taskId: "job.2.0"})]
-		expect(isSound(countJobs([createJob({repeatable: true})], runs))).to.equal(true)
+		expect(isPassed(countJobs([createJob({repeatable: true})], runs))).to.equal(true)
 	})
 
 	it("does not pass an empty run", () => {
-		expect(isSound(countJobs([], []))).to.equal(false)
+		expect(isPassed(countJobs([], []))).to.equal(false)
 	})
 
 	it("counts starts on given workers from one moment until before another", () => {
--- a/bench/bundle-spread.ts
+++ b/bench/bundle-spread.ts
@@ -24,7 +24,7 @@
 
 	async run(): Promise<readonly BenchMetric[]> {
 		const metrics: BenchMetric[] = []
-		for (const hosts of SIZES) metrics.push(...describe(await measureSize(hosts)))
+		for (const hosts of SIZES) metrics.push(...buildMetrics(await measureSize(hosts)))
 		return metrics
 	}
 }
@@ -54,10 +54,10 @@
 	generation: number
 ): Promise<number[]> {
 	const daemons = [...rig.daemons.values()]
-	const asked = daemons[generation % daemons.length]
-	if (asked === undefined) throw new Error("no daemon has been started")
+	const receiver = daemons[generation % daemons.length]
+	if (receiver === undefined) throw new Error("no daemon has been started")
 	const sentAt = Date.now()
-	await rig.rollOut(createZoneContent(zones, TEAMS), asked.process)
+	await rig.rollOut(createZoneContent(zones, TEAMS), receiver.process)
 	await waitUntil(`generation ${generation} is adopted`, () =>
 		daemons.every(({process}) => findAdoption(process.lines, generation) !== undefined)
 	)
@@ -74,13 +74,19 @@
 	return undefined
 }
 
-function describe({hosts, tookMs}: Spread): BenchMetric[] {
-	const find = (fraction: number) =>
+function buildMetrics({hosts, tookMs}: Spread): BenchMetric[] {
+	const getQuantile = (fraction: number) =>
 		tookMs[Math.min(tookMs.length - 1, Math.floor(fraction * tookMs.length))] ?? Infinity
 	const base = {unit: "ms", baseline: null}
-	const p99 = find(0.99)
+	const p99 = getQuantile(0.99)
 	return [
-		{...base, metric: `adopted-p50-${hosts}-hosts`, value: find(0.5), target: null, met: true},
+		{
+			...base,
+			metric: `adopted-p50-${hosts}-hosts`,
+			value: getQuantile(0.5),
+			target: null,
+			met: true
+		},
 		{
 			...base,
 			metric: `adopted-p99-${hosts}-hosts`,
--- a/bench/completion.ts
+++ b/bench/completion.ts
@@ -36,10 +36,10 @@
 	readonly summary = "completion time by stream, each queue policy against fifo, on both loads"
 
 	run({seed, policy}: BenchOptions): Promise<readonly BenchMetric[]> {
-		const others = createPolicies()
+		const policies = createPolicies()
 			.queue.listNames()
 			.filter(name => name !== BASELINE && (policy === "" || policy === name))
-		return Promise.resolve(LOADS.flatMap(name => this.#measure(readLoad(name), seed, others)))
+		return Promise.resolve(LOADS.flatMap(name => this.#measure(readLoad(name), seed, policies)))
 	}
 
 	#measure(load: Load, seed: number, policies: readonly string[]): BenchMetric[] {
@@ -57,8 +57,8 @@
 	const {traces, startMs} = new LoadRunner(load, arrivals, {names: {queue}}).run()
 	const loadEndsAt = startMs + load.arrivalMinutes * MS_PER_MINUTE
 	return load.streams.map(({name}) => {
-		const mine = traces.filter(({arrival}) => arrival.stream.name === name)
-		return summarize(name, mine, startMs, loadEndsAt)
+		const streamTraces = traces.filter(({arrival}) => arrival.stream.name === name)
+		return summarize(name, streamTraces, startMs, loadEndsAt)
 	})
 }
 
@@ -78,7 +78,9 @@
 		doneUnderLoad: done.filter(({endedAtMs = 0}) => endedAtMs <= loadEndsAt).length,
 		done: done.length,
 		perMinute: computeRate(done, startMs),
-		latenciesMs: new Map(PERCENTILES.map(at => [at, histogram.getValueAtPercentile(at)]))
+		latenciesMs: new Map(
+			PERCENTILES.map(percentile => [percentile, histogram.getValueAtPercentile(percentile)])
+		)
 	}
 }
 
@@ -89,14 +91,24 @@
 	baseline: readonly StreamResult[]
 ): BenchMetric[] {
 	return results.flatMap((result, at) => {
-		const plain = baseline[at]
-		if (plain === undefined || result.submitted === 0) return []
+		const baselineResult = baseline[at]
+		if (baselineResult === undefined || result.submitted === 0) return []
 		const prefix = `${load} ${policy} ${result.stream}`
 		return [
-			...compareLatencies(prefix, result, plain),
-			buildMetric(`${prefix} done of ${result.submitted}`, result.done, "jobs", plain.done),
-			buildMetric(`${prefix} done under load`, result.doneUnderLoad, "jobs", plain.doneUnderLoad),
-			compareThroughput(prefix, result, plain)
+			...compareLatencies(prefix, result, baselineResult),
+			buildMetric(
+				`${prefix} done of ${result.submitted}`,
+				result.done,
+				"jobs",
+				baselineResult.done
+			),
+			buildMetric(
+				`${prefix} done under load`,
+				result.doneUnderLoad,
+				"jobs",
+				baselineResult.doneUnderLoad
+			),
+			compareThroughput(prefix, result, baselineResult)
 		]
 	})
 }
@@ -104,24 +116,35 @@
 function compareLatencies(
 	prefix: string,
 	result: StreamResult,
-	plain: StreamResult
+	baselineResult: StreamResult
 ): BenchMetric[] {
-	return PERCENTILES.map(at => {
-		const value = convertToSeconds(result.latenciesMs.get(at))
-		const base = convertToSeconds(plain.latenciesMs.get(at))
-		const bound = result.stream === ADDRESS_READ && at === TAIL_PERCENTILE
-		const target = bound ? roundTo(base * MAX_TAIL_RATIO) : null
-		return buildMetric(`${prefix} p${at}`, value, "s", base, target, value <= (target ?? value))
+	return PERCENTILES.map(percentile => {
+		const value = convertToSeconds(result.latenciesMs.get(percentile))
+		const baseline = convertToSeconds(baselineResult.latenciesMs.get(percentile))
+		const hasTarget = result.stream === ADDRESS_READ && percentile === TAIL_PERCENTILE
+		const target = hasTarget ? roundTo(baseline * MAX_TAIL_RATIO) : null
+		return buildMetric(
+			`${prefix} p${percentile}`,
+			value,
+			"s",
+			baseline,
+			target,
+			value <= (target ?? value)
+		)
 	})
 }
 
-function compareThroughput(prefix: string, result: StreamResult, plain: StreamResult): BenchMetric {
-	const bound = result.stream === OVERNIGHT_SORT
+function compareThroughput(
+	prefix: string,
+	result: StreamResult,
+	baselineResult: StreamResult
+): BenchMetric {
+	const hasTarget = result.stream === OVERNIGHT_SORT
 	const value = roundTo(result.perMinute)
-	const base = roundTo(plain.perMinute)
-	const target = bound ? roundTo(base * MIN_THROUGHPUT_RATIO) : null
+	const baseline = roundTo(baselineResult.perMinute)
+	const target = hasTarget ? roundTo(baseline * MIN_THROUGHPUT_RATIO) : null
 	const met = value >= (target ?? value)
-	return buildMetric(`${prefix} throughput`, value, "jobs/min", base, target, met)
+	return buildMetric(`${prefix} throughput`, value, "jobs/min", baseline, target, met)
 }
 
 function computeRate(done: readonly JobTrace[], startMs: number): number {
--- a/bench/daemon-rig.ts
+++ b/bench/daemon-rig.ts
@@ -62,7 +62,7 @@
 	readonly peerBytes: ByteCounter
 }
 
-export interface HostUse {
+export interface ProcessUsage {
 	readonly cpuMs: number
 	readonly rssMb: number
 }
@@ -188,12 +188,12 @@
 	}
 
 	async #relay(port: number, counter: ByteCounter): Promise<string> {
-		const server = createServer(near => {
-			const far = connect(port, LOOPBACK)
-			counter.add(near)
-			near.pipe(far).pipe(near)
-			near.on("error", () => far.destroy())
-			far.on("error", () => near.destroy())
+		const server = createServer(incoming => {
+			const outgoing = connect(port, LOOPBACK)
+			counter.add(incoming)
+			incoming.pipe(outgoing).pipe(incoming)
+			incoming.on("error", () => outgoing.destroy())
+			outgoing.on("error", () => incoming.destroy())
 		})
 		this.#closers.push(() => server.close())
 		return new Promise(resolve => {
@@ -224,7 +224,7 @@
 const CLOCK_TICK_MS = 10
 
 /** Reads the CPU time and the resident memory of a process from procfs. */
-export function readHostUse(pid: number): HostUse {
+export function readProcessUsage(pid: number): ProcessUsage {
 	const stat = readFileSync(`/proc/${pid}/stat`, "utf8")
 	const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ")
 	const ticks = Number(fields[11]) + Number(fields[12])
@@ -234,16 +234,16 @@
 }
 
 export async function waitUntil(
-	what: string,
+	description: string,
 	check: () => Promise<boolean> | boolean,
-	limitMs = 60000
+	timeoutMs = 60000
 ): Promise<void> {
-	const giveUpAt = performance.now() + limitMs
+	const giveUpAt = performance.now() + timeoutMs
 	while (performance.now() < giveUpAt) {
 		if (await check()) return
 		await pause(POLL_INTERVAL_MS)
 	}
-	throw new Error(`timed out after ${limitMs} ms waiting until ${what}`)
+	throw new Error(`timed out after ${timeoutMs} ms waiting until ${description}`)
 }
 
 export function pause(ms: number): Promise<void> {
--- a/bench/fragmentation.ts
+++ b/bench/fragmentation.ts
@@ -27,7 +27,7 @@
 		const name = policy === "" ? "best-fit" : policy
 		return Promise.resolve(
 			LOADS.flatMap(load =>
-				describeDay(
+				buildMetrics(
 					load,
 					runDay(name, load, seed, MOVES_PER_HOUR),
 					runDay(name, load, seed, 0),
@@ -56,39 +56,42 @@
 	return new PlacementDay(board, controllers).run(arrivals)
 }
 
-function describeDay(
+function buildMetrics(
 	load: number,
-	moving: DayFigures,
-	still: DayFigures,
-	plain: DayFigures
+	withMoves: DayFigures,
+	withoutMoves: DayFigures,
+	firstFit: DayFigures
 ): BenchMetric[] {
-	const describe = (
+	const buildMetric = (
 		metric: string,
 		unit: string,
 		read: (figures: DayFigures) => number,
 		target: number | null = null
 	) => {
-		const value = round(read(moving))
+		const value = round(read(withMoves))
 		const met = target === null || value >= target
 		return {
 			metric: `${metric}-load-${load}`,
 			value,
 			unit,
-			baseline: round(read(plain)),
+			baseline: round(read(firstFit)),
 			target,
 			met
 		}
 	}
-	const unmoved = {...describe("fit-unmoved", "ratio", ({fit}) => fit), value: round(still.fit)}
-	const moves = describe("moves-in-an-hour", "jobs", ({movesInHour}) => movesInHour)
+	const fitWithoutMoves = {
+		...buildMetric("fit-unmoved", "ratio", ({fit}) => fit),
+		value: round(withoutMoves.fit)
+	}
+	const moves = buildMetric("moves-in-an-hour", "jobs", ({movesInHour}) => movesInHour)
 	return [
-		describe("fit", "ratio", ({fit}) => fit, FIT_TARGET),
-		{...unmoved, target: FIT_TARGET, met: unmoved.value >= FIT_TARGET},
-		describe("use", "ratio", ({use}) => use),
-		describe("mean-wait", "min", ({meanWaitMs}) => meanWaitMs / MINUTE_MS),
-		describe("mean-wait-of-large", "min", ({meanLargeWaitMs}) => meanLargeWaitMs / MINUTE_MS),
-		describe("completed", "jobs", ({completed}) => completed),
-		describe("moves", "jobs", figures => figures.moves),
+		buildMetric("fit", "ratio", ({fit}) => fit, FIT_TARGET),
+		{...fitWithoutMoves, target: FIT_TARGET, met: fitWithoutMoves.value >= FIT_TARGET},
+		buildMetric("use", "ratio", ({use}) => use),
+		buildMetric("mean-wait", "min", ({meanWaitMs}) => meanWaitMs / MINUTE_MS),
+		buildMetric("mean-wait-of-large", "min", ({meanLargeWaitMs}) => meanLargeWaitMs / MINUTE_MS),
+		buildMetric("completed", "jobs", ({completed}) => completed),
+		buildMetric("moves", "jobs", figures => figures.moves),
 		{...moves, target: MOVES_PER_HOUR, met: moves.value <= MOVES_PER_HOUR}
 	]
 }
--- a/bench/host-cost.ts
+++ b/bench/host-cost.ts
@@ -9,7 +9,7 @@
 	DaemonRig,
 	createZoneContent,
 	pause,
-	readHostUse,
+	readProcessUsage,
 	waitUntil
 } from "./daemon-rig.js"
 
@@ -56,9 +56,9 @@
 		const costs: PointCost[] = []
 		for (const [workers, tasks] of POINTS) costs.push(await measurePoint(workers, tasks))
 		return [
-			describe("bare-node-rss", bareMb, "MB", null),
-			...costs.flatMap(cost => describePoint(cost, bareMb)),
-			...describeSlopes(costs)
+			buildMetric("bare-node-rss", bareMb, "MB", null),
+			...costs.flatMap(cost => buildPointMetrics(cost, bareMb)),
+			...buildSlopeMetrics(costs)
 		]
 	}
 }
@@ -103,8 +103,8 @@
 	if (holder === undefined || other === undefined) throw new Error("the zone is not held")
 	const read = () => ({
 		at: performance.now(),
-		holder: readHostUse(holder.process.child.pid ?? 0),
-		other: readHostUse(other.process.child.pid ?? 0),
+		holder: readProcessUsage(holder.process.child.pid ?? 0),
+		other: readProcessUsage(other.process.child.pid ?? 0),
 		platform: rig.platformBytes.count(),
 		workers: rig.workerBytes.count(),
 		peers: holder.peerBytes.count() + other.peerBytes.count()
@@ -113,7 +113,7 @@
 	await pause(WINDOW_MS)
 	const after = read()
 	const seconds = (after.at - before.at) / 1000
-	const describeRole = (role: "holder" | "other", bytes: number): RoleCost => ({
+	const computeRoleCost = (role: "holder" | "other", bytes: number): RoleCost => ({
 		cpuPercent: (after[role].cpuMs - before[role].cpuMs) / seconds / 10,
 		rssMb: after[role].rssMb,
 		kbPerSecond: bytes / seconds / 1000
@@ -122,21 +122,26 @@
 	const platform = after.platform - before.platform
 	// The platform's bytes are the sum for both daemons. Both take part in all peer traffic, so each counts all of it.
 	return {
-		holder: describeRole("holder", after.workers - before.workers + platform / 2 + peers),
-		other: describeRole("other", platform / 2 + peers)
+		holder: computeRoleCost("holder", after.workers - before.workers + platform / 2 + peers),
+		other: computeRoleCost("other", platform / 2 + peers)
 	}
 }
 
 function measureBareNode(): Promise<number> {
 	const child = spawn(process.execPath, ["-e", "setInterval(() => undefined, 1000)"])
 	return pause(SETTLE_MS / 6).then(() => {
-		const {rssMb} = readHostUse(child.pid ?? 0)
+		const {rssMb} = readProcessUsage(child.pid ?? 0)
 		child.kill("SIGKILL")
 		return rssMb
 	})
 }
 
-function describe(metric: string, value: number, unit: string, target: number | null): BenchMetric {
+function buildMetric(
+	metric: string,
+	value: number,
+	unit: string,
+	target: number | null
+): BenchMetric {
 	const rounded = Math.round(value * 1000) / 1000
 	return {
 		metric,
@@ -148,32 +153,45 @@
 	}
 }
 
-function describePoint({workers, tasks, holder, other}: PointCost, bareMb: number): BenchMetric[] {
-	const share = workers === SHARE_WORKERS && tasks === SHARE_TASKS
-	const describeRole = (role: string, cost: RoleCost): BenchMetric[] => {
+function buildPointMetrics(
+	{workers, tasks, holder, other}: PointCost,
+	bareMb: number
+): BenchMetric[] {
+	const isFullShare = workers === SHARE_WORKERS && tasks === SHARE_TASKS
+	const buildRoleMetrics = (role: string, cost: RoleCost): BenchMetric[] => {
 		const where = `${role}-${workers}-workers-${tasks}-tasks`
 		return [
-			describe(`cpu-${where}`, cost.cpuPercent, "% of a core", share ? CPU_TARGET_PERCENT : null),
-			describe(`rss-${where}`, cost.rssMb, "MB", share ? RSS_TARGET_MB : null),
-			describe(`rss-above-node-${where}`, cost.rssMb - bareMb, "MB", null),
-			describe(`bytes-${where}`, cost.kbPerSecond, "KB/s", share ? BYTES_TARGET_KB : null)
+			buildMetric(
+				`cpu-${where}`,
+				cost.cpuPercent,
+				"% of a core",
+				isFullShare ? CPU_TARGET_PERCENT : null
+			),
+			buildMetric(`rss-${where}`, cost.rssMb, "MB", isFullShare ? RSS_TARGET_MB : null),
+			buildMetric(`rss-above-node-${where}`, cost.rssMb - bareMb, "MB", null),
+			buildMetric(`bytes-${where}`, cost.kbPerSecond, "KB/s", isFullShare ? BYTES_TARGET_KB : null)
 		]
 	}
-	return [...describeRole("holder", holder), ...describeRole("other", other)]
+	return [...buildRoleMetrics("holder", holder), ...buildRoleMetrics("other", other)]
 }
 
-function describeSlopes(costs: readonly PointCost[]): BenchMetric[] {
+function buildSlopeMetrics(costs: readonly PointCost[]): BenchMetric[] {
 	const idle = costs.filter(({tasks}) => tasks === 0)
 	const full = costs.filter(({workers}) => workers === SHARE_WORKERS)
 	const compute = (points: readonly PointCost[], axis: "workers" | "tasks", key: keyof RoleCost) =>
 		computeSlope(points.map(point => [point[axis], point.holder[key]]))
 	return [
-		describe("cpu-per-worker", compute(idle, "workers", "cpuPercent"), "% of a core", null),
-		describe("bytes-per-worker", compute(idle, "workers", "kbPerSecond"), "KB/s", null),
-		describe("rss-per-worker", compute(idle, "workers", "rssMb"), "MB", null),
-		describe("cpu-per-100-tasks", 100 * compute(full, "tasks", "cpuPercent"), "% of a core", null),
-		describe("bytes-per-100-tasks", 100 * compute(full, "tasks", "kbPerSecond"), "KB/s", null),
-		describe("rss-per-100-tasks", 100 * compute(full, "tasks", "rssMb"), "MB", null)
+		buildMetric("cpu-per-worker", compute(idle, "workers", "cpuPercent"), "% of a core", null),
+		buildMetric("bytes-per-worker", compute(idle, "workers", "kbPerSecond"), "KB/s", null),
+		buildMetric("rss-per-worker", compute(idle, "workers", "rssMb"), "MB", null),
+		buildMetric(
+			"cpu-per-100-tasks",
+			100 * compute(full, "tasks", "cpuPercent"),
+			"% of a core",
+			null
+		),
+		buildMetric("bytes-per-100-tasks", 100 * compute(full, "tasks", "kbPerSecond"), "KB/s", null),
+		buildMetric("rss-per-100-tasks", 100 * compute(full, "tasks", "rssMb"), "MB", null)
 	]
 }
 
@@ -181,7 +199,7 @@
 function computeSlope(points: readonly (readonly [x: number, y: number])[]): number {
 	const meanX = points.reduce((sum, [x]) => sum + x, 0) / points.length
 	const meanY = points.reduce((sum, [, y]) => sum + y, 0) / points.length
-	const above = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0)
-	const below = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0)
-	return above / below
+	const numerator = points.reduce((sum, [x, y]) => sum + (x - meanX) * (y - meanY), 0)
+	const denominator = points.reduce((sum, [x]) => sum + (x - meanX) ** 2, 0)
+	return numerator / denominator
 }
--- a/bench/load-run.ts
+++ b/bench/load-run.ts
@@ -57,7 +57,7 @@
 	readonly #clock = new ManualClock()
 	readonly #cluster: InProcessCluster
 	readonly #traces: JobTrace[]
-	readonly #byJob = new Map<string, JobTrace>()
+	readonly #tracesByKey = new Map<string, JobTrace>()
 	readonly #zonesOut = new Set<string>()
 	#generation = 0
 
@@ -77,7 +77,7 @@
 
 	run(): LoadRun {
 		this.#buildCluster()
-		this.#followCommits()
+		this.#observeCommits()
 		this.#clock.advance(SETTLE_MS)
 		const startMs = this.#clock.now()
 		for (const trace of this.#traces)
@@ -86,7 +86,7 @@
 			})
 		for (const event of this.#load.events)
 			this.#clock.schedule(event.atMinute * MS_PER_MINUTE, () => {
-				this.#carryOut(event.kind, event.target)
+				this.#applyEvent(event.kind, event.target)
 			})
 		this.#clock.advance(this.#load.minutes * MS_PER_MINUTE)
 		return {
@@ -133,22 +133,22 @@
 	}
 
 	/** Wraps the platform's `commit` to record the jobs that each successful commit ends. */
-	#followCommits(): void {
+	#observeCommits(): void {
 		const {platform} = this.#cluster
 		const commit = platform.commit.bind(platform)
 		platform.commit = writes => {
 			const answer = commit(writes)
 			if (!answer.committed) return answer
 			for (const {key, value} of writes)
-				if (key.startsWith("job/") && typeof value === "string") this.#note(value)
+				if (key.startsWith("job/") && typeof value === "string") this.#recordEnd(value)
 			return answer
 		}
 	}
 
-	#note(row: string): void {
+	#recordEnd(row: string): void {
 		const record: JobRecord | undefined = decodeJobRecord(row)
 		if (record?.state !== JobState.ended) return
-		const trace = this.#byJob.get(record.key)
+		const trace = this.#tracesByKey.get(record.key)
 		if (trace === undefined) return
 		trace.endedAtMs = this.#clock.now()
 		trace.outcome = record.outcome
@@ -157,7 +157,7 @@
 
 	#submit(trace: JobTrace): void {
 		const {key, zone, stream, spec} = trace.arrival
-		this.#byJob.set(key, trace)
+		this.#tracesByKey.set(key, trace)
 		const identity = {workspace: stream.workspace, caller: "clerk", operator: false}
 		this.#cluster.ask(`${zone}-host`, {kind: RequestKind.submit, identity, key, spec}, reply => {
 			if (reply.kind === ReplyKind.job) trace.jobId = reply.job.id
@@ -165,7 +165,7 @@
 		})
 	}
 
-	#carryOut(kind: EventKind, target: string): void {
+	#applyEvent(kind: EventKind, target: string): void {
 		const worker = this.#cluster.workers.get(target)
 		switch (kind) {
 			case EventKind.zoneOut:
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,9 +7,9 @@
 const EXIT_USAGE = 2
 
 function formatMetric({metric, value, unit, baseline, target, met}: BenchMetric): string {
-	const against = baseline === null ? "" : `  baseline ${baseline}`
-	const bound = target === null ? "" : `  target ${target} ${met ? "met" : "MISSED"}`
-	return `${metric.padEnd(44)} ${value} ${unit}${against}${bound}`
+	const baselineText = baseline === null ? "" : `  baseline ${baseline}`
+	const targetText = target === null ? "" : `  target ${target} ${met ? "met" : "MISSED"}`
+	return `${metric.padEnd(44)} ${value} ${unit}${baselineText}${targetText}`
 }
 
 const {values, positionals} = parseArgs({
--- a/bench/placement-day.ts
+++ b/bench/placement-day.ts
@@ -64,18 +64,18 @@
 	let at = 0
 	while (at < DAY_MS) {
 		const burst = uniformFloat64(random) < BURST_SHARE / BURST_SIZE ? BURST_SIZE : 1
-		for (let nth = 0; nth < burst; nth++)
+		for (let index = 0; index < burst; index++)
 			arrivals.push({
 				at,
 				id: `job-${arrivals.length}`,
-				runMs: pickExponential(random, MEAN_RUN_MS),
+				runMs: drawExponential(random, MEAN_RUN_MS),
 				spec: {
-					shape: createShape({cpus: 1, memoryMb: 100, ...pickShape(random)}),
+					shape: createShape({cpus: 1, memoryMb: 100, ...drawShape(random)}),
 					repeatable: true,
 					checkpoint: uniformInt(random, 0, 1) === 1
 				}
 			})
-		at += burst * pickExponential(random, meanGapMs)
+		at += burst * drawExponential(random, meanGapMs)
 	}
 	return arrivals
 }
@@ -84,15 +84,15 @@
 	return members * accelerators
 }
 
-function pickExponential(random: RandomGenerator, mean: number): number {
+function drawExponential(random: RandomGenerator, mean: number): number {
 	return -Math.log(1 - uniformFloat64(random)) * mean
 }
 
-function pickShape(random: RandomGenerator): Partial<GangShape> {
-	let left = uniformFloat64(random)
+function drawShape(random: RandomGenerator): Partial<GangShape> {
+	let remaining = uniformFloat64(random)
 	for (const {share, shape} of SHAPES) {
-		left -= share
-		if (left < 0) return shape
+		remaining -= share
+		if (remaining < 0) return shape
 	}
 	return {accelerators: 1}
 }
@@ -133,8 +133,8 @@
 			this.#measure(next - this.#now)
 			this.#now = next
 			while (pending[0] !== undefined && pending[0].at <= next) this.#arrive(pending.shift())
-			this.#endDue()
-			wakeAt = this.#decide()
+			this.#endDueJobs()
+			wakeAt = this.#runControllers()
 		}
 		return this.#summarize()
 	}
@@ -152,7 +152,7 @@
 		return earliest
 	}
 
-	#endDue(): void {
+	#endDueJobs(): void {
 		for (const [id, {endsAt}] of [...this.#running]) {
 			if (endsAt > this.#now) continue
 			this.#running.delete(id)
@@ -162,31 +162,31 @@
 	}
 
 	/** Steps the controllers until no job starts or stops; returns when the next step is due. */
-	#decide(): number {
+	#runControllers(): number {
 		let wakeAt = Infinity
 		for (;;) {
 			for (const controller of this.#controllers)
 				wakeAt = Math.min(wakeAt, controller.step(this.#board, this.#now) ?? Infinity)
-			const stopped = this.#stopAsked()
-			if (!this.#startPlaced() && !stopped) break
+			const stopped = this.#stopRequestedJobs()
+			if (!this.#startPlacedJobs() && !stopped) break
 			wakeAt = Infinity
 		}
 		return wakeAt > this.#now ? wakeAt : Infinity
 	}
 
-	#startPlaced(): boolean {
+	#startPlacedJobs(): boolean {
 		const placements = [...this.#board.placements.values()]
 		for (const {jobId, members} of placements) {
 			this.#board.placements.take(jobId)
 			const record = this.#board.jobs.get(jobId)?.record
 			if (record === undefined) continue
 			runJob(this.#board, record, members, this.#now)
-			this.#noteStart(record)
+			this.#recordStart(record)
 		}
 		return placements.length > 0
 	}
 
-	#noteStart({id, spec}: JobRecord): void {
+	#recordStart({id, spec}: JobRecord): void {
 		const endsAt = this.#now + (this.#remaining.get(id) ?? 0)
 		this.#running.set(id, {startedAt: this.#now, endsAt})
 		const arrivedAt = this.#arrivedAt.get(id)
@@ -197,7 +197,7 @@
 	}
 
 	/** A stopped job resumes from its checkpoint, or starts over if it has none. */
-	#stopAsked(): boolean {
+	#stopRequestedJobs(): boolean {
 		const stops = [...this.#board.stops.values()]
 		for (const {jobId, checkpoint} of stops) {
 			this.#board.stops.delete(jobId)
@@ -232,14 +232,14 @@
 			meanLargeWaitMs: mean(this.#waits.filter(({isLarge}) => isLarge)),
 			completed: this.#completed,
 			moves: this.#movedAt.length,
-			movesInHour: countMost(this.#movedAt, HOUR_MS)
+			movesInHour: countMaxWithin(this.#movedAt, HOUR_MS)
 		}
 	}
 }
 
-function countMost(times: readonly number[], withinMs: number): number {
-	let most = 0
+function countMaxWithin(times: readonly number[], withinMs: number): number {
+	let max = 0
 	for (const from of times)
-		most = Math.max(most, times.filter(at => at >= from && at < from + withinMs).length)
-	return most
+		max = Math.max(max, times.filter(at => at >= from && at < from + withinMs).length)
+	return max
 }
--- a/bench/placement-scale.ts
+++ b/bench/placement-scale.ts
@@ -64,48 +64,48 @@
 		const name = policy === "" ? "best-fit" : policy
 		const measured = SIZES.map(workers => measureSize(workers, name, seed))
 		const baseline = SIZES.map(workers => measureSize(workers, "first-fit", seed))
-		const metrics = measured.flatMap((costs, at) => describeSize(costs, baseline[at]))
+		const metrics = measured.flatMap((costs, at) => buildSizeMetrics(costs, baseline[at]))
 		const large = SIZES.length - 1
 		metrics.push(
-			describeSlope("slope-urgent-p50", measured, baseline, large, ({urgent}) => urgent.p50),
-			describeSlope("slope-gang-p50", measured, baseline, large, ({gang}) => gang.p50)
+			buildSlopeMetric("slope-urgent-p50", measured, baseline, large, ({urgent}) => urgent.p50),
+			buildSlopeMetric("slope-gang-p50", measured, baseline, large, ({gang}) => gang.p50)
 		)
 		return Promise.resolve(metrics)
 	}
 }
 
-function describeSize(
+function buildSizeMetrics(
 	{workers, tasks, urgent, gang, largestGang}: SizeCosts,
 	baseline: SizeCosts | undefined
 ): BenchMetric[] {
 	const target = workers === SHARE_WORKERS ? STEP_P99_TARGET_MS : null
-	const describe = (
+	const buildMetric = (
 		kind: string,
 		value: number,
-		plain: number | undefined,
+		baselineValue: number | undefined,
 		bound: number | null
 	) => ({
 		metric: `${kind}-${workers}-workers`,
 		value: round(value),
 		unit: "ms",
-		baseline: plain === undefined ? null : round(plain),
+		baseline: baselineValue === undefined ? null : round(baselineValue),
 		target: bound,
 		met: bound === null || value < bound
 	})
 	return [
-		{...describe("tasks", tasks, undefined, null), unit: "tasks"},
-		describe("urgent-p50", urgent.p50, baseline?.urgent.p50, null),
-		describe("urgent-p99", urgent.p99, baseline?.urgent.p99, target),
-		describe("gang-p50", gang.p50, baseline?.gang.p50, null),
-		describe("gang-p99", gang.p99, baseline?.gang.p99, null),
+		{...buildMetric("tasks", tasks, undefined, null), unit: "tasks"},
+		buildMetric("urgent-p50", urgent.p50, baseline?.urgent.p50, null),
+		buildMetric("urgent-p99", urgent.p99, baseline?.urgent.p99, target),
+		buildMetric("gang-p50", gang.p50, baseline?.gang.p50, null),
+		buildMetric("gang-p99", gang.p99, baseline?.gang.p99, null),
 		...(largestGang === undefined
 			? []
-			: [describe("gang-128-p99", largestGang.p99, baseline?.largestGang?.p99, null)])
+			: [buildMetric("gang-128-p99", largestGang.p99, baseline?.largestGang?.p99, null)])
 	]
 }
 
 /** Computes the exponent of the cost over the number of workers; below 1, the cost grows more slowly than the zone. */
-function describeSlope(
+function buildSlopeMetric(
 	metric: string,
 	measured: readonly SizeCosts[],
 	baseline: readonly SizeCosts[],
@@ -119,8 +119,15 @@
 		return Math.log(read(to) / read(from)) / Math.log(to.workers / from.workers)
 	}
 	const value = round(compute(measured))
-	const plain = round(compute(baseline))
-	return {metric, value, unit: "exponent", baseline: plain, target: SLOPE_TARGET, met: value < 1}
+	const baselineValue = round(compute(baseline))
+	return {
+		metric,
+		value,
+		unit: "exponent",
+		baseline: baselineValue,
+		target: SLOPE_TARGET,
+		met: value < 1
+	}
 }
 
 function measureSize(workers: number, policyName: string, seed: number): SizeCosts {
@@ -135,11 +142,11 @@
 	queueUnfit(board)
 	const controller = new PlacementController(createPolicies())
 	controller.step(board, 0)
-	const driver = {board, controller, running, random}
+	const measurement = {board, controller, running, random}
 	const urgentSpec = {priority: PriorityClass.urgent, shape: createShape({})}
-	const urgent = measureDecisions(driver, "urgent", () => urgentSpec)
+	const urgent = measureDecisions(measurement, "urgent", () => urgentSpec)
 	const measureGang = (members: number) =>
-		measureDecisions(driver, `gang-${members}`, () => ({shape: createShape({members})}))
+		measureDecisions(measurement, `gang-${members}`, () => ({shape: createShape({members})}))
 	const gang = measureGang(GANG_MEMBERS)
 	const largestGang = workers > LARGEST_GANG_MEMBERS ? measureGang(LARGEST_GANG_MEMBERS) : undefined
 	return {workers, tasks: board.gangs.size, urgent, gang, largestGang}
@@ -154,7 +161,7 @@
 	}))
 }
 
-interface Driver {
+interface Measurement {
 	readonly board: Board
 	readonly controller: PlacementController
 	readonly running: string[]
@@ -163,7 +170,7 @@
 
 /** Before each decision another job ends; the controller handles that in a step of its own, which is not measured. */
 function measureDecisions(
-	{board, controller, running, random}: Driver,
+	{board, controller, running, random}: Measurement,
 	prefix: string,
 	createSpec: () => Partial<JobSpec>
 ): Cost {
@@ -184,14 +191,14 @@
 }
 
 /** Ends a running job and runs another of the same shape in its place, so that the load stays constant. */
-function replaceJob(board: Board, running: string[], at: number, id: string): void {
-	const endedId = running[at] ?? ""
+function replaceJob(board: Board, running: string[], index: number, id: string): void {
+	const endedId = running[index] ?? ""
 	const ended = board.jobs.get(endedId)?.record
 	const members = board.gangs.get(endedId)?.members ?? []
 	if (ended === undefined) return
 	endJob(board, endedId)
 	runJob(board, queueJob(board, id, ended.workspace, ended.spec), members, 0)
-	running[at] = id
+	running[index] = id
 }
 
 /** Runs `tasks` tasks, which leave capacity free, so that placement has a choice. */
--- a/bench/reclaim.ts
+++ b/bench/reclaim.ts
@@ -34,7 +34,7 @@
 const BORROWER_RUN_MS = 7200000
 const CLAIM_RUN_MS = 30000
 const STEP_MS = 10
-const LIMIT_MS = 3600000
+const TIMEOUT_MS = 3600000
 const RECLAIM_TARGET_MS = 10000
 const URGENT_TARGET_MS = 1000
 
@@ -71,7 +71,7 @@
 	},
 	{
 		name: "requests-ignored",
-		ignoreStopMs: LIMIT_MS,
+		ignoreStopMs: TIMEOUT_MS,
 		priority: PriorityClass.normal,
 		workspaces: WORKSPACES,
 		targetMs: null
@@ -96,14 +96,14 @@
 	#measure(reclaimCase: ReclaimCase, seed: number): BenchMetric[] {
 		const {name, targetMs} = reclaimCase
 		const measured = new ReclaimZone(reclaimCase, seed, true).measure(CLAIMS)
-		const plain = new ReclaimZone(reclaimCase, seed, false).measure(1)
-		const describe = (percentile: number, target: number | null): BenchMetric => {
+		const baselineHistogram = new ReclaimZone(reclaimCase, seed, false).measure(1)
+		const buildMetric = (percentile: number, target: number | null): BenchMetric => {
 			const value = measured.getValueAtPercentile(percentile)
-			const baseline = plain.getValueAtPercentile(percentile)
+			const baseline = baselineHistogram.getValueAtPercentile(percentile)
 			const met = target === null || value <= target
 			return {metric: `${name}-p${percentile}`, value, unit: "ms", baseline, target, met}
 		}
-		return [describe(50, null), describe(99, targetMs)]
+		return [buildMetric(50, null), buildMetric(99, targetMs)]
 	}
 }
 
@@ -124,22 +124,22 @@
 		}
 		this.#cluster.addHost("host-1", ZONE, pickControllers(this.#clock, withReclaim))
 		this.#clock.advance(5000)
-		for (let at = 0; at < BORROWERS; at++) this.#borrow(at)
+		for (let at = 0; at < BORROWERS; at++) this.#submitBorrower(at)
 		this.#clock.advance(30000)
 	}
 
 	/** Measures claims one after the other; each ends before the next. */
 	measure(claims: number): Histogram {
-		const histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: 2 * LIMIT_MS})
+		const histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: 2 * TIMEOUT_MS})
 		for (let at = 0; at < claims; at++) {
 			this.#clock.advance(uniformInt(this.#random, 0, 5000))
-			histogram.recordValue(this.#claim(at))
+			histogram.recordValue(this.#measureClaim(at))
 			this.#clock.advance(2 * CLAIM_RUN_MS)
 		}
 		return histogram
 	}
 
-	#borrow(at: number): void {
+	#submitBorrower(at: number): void {
 		const accelerators = 1 << uniformInt(this.#random, 2, 3)
 		this.#submit(`borrower-${at}`, "guest", BORROWER_RUN_MS, {
 			shape: createShape({accelerators}),
@@ -149,7 +149,7 @@
 		})
 	}
 
-	#claim(at: number): number {
+	#measureClaim(at: number): number {
 		const pick = uniformInt(this.#random, 0, GUARANTEED.length - 1)
 		const shape = createShape(GUARANTEED[pick] ?? {})
 		const workspaces = this.#case.workspaces
@@ -157,7 +157,7 @@
 		const startedAt = this.#clock.now()
 		const {priority} = this.#case
 		const id = this.#submit(`claim-${at}`, workspace, CLAIM_RUN_MS, {shape, priority})
-		while (this.#countRunning(id()) < shape.members && this.#clock.now() - startedAt < LIMIT_MS)
+		while (this.#countRunning(id()) < shape.members && this.#clock.now() - startedAt < TIMEOUT_MS)
 			this.#clock.advance(STEP_MS)
 		return Math.round(this.#clock.now() - startedAt)
 	}
--- a/bench/recovery.ts
+++ b/bench/recovery.ts
@@ -25,7 +25,7 @@
 			await waitUntil("a first job runs", () => countRuns(rig) === 1)
 			const killed = await measureRounds(rig, "SIGKILL")
 			const stopped = await measureRounds(rig, "SIGTERM")
-			return [...describe("killed", killed), ...describe("stopped", stopped)]
+			return [...buildMetrics("killed", killed), ...buildMetrics("stopped", stopped)]
 		} finally {
 			await rig.stop()
 		}
@@ -49,17 +49,17 @@
 	if (holder === undefined || other === undefined) throw new Error("the zone is not held")
 	const before = countRuns(rig)
 	const endedAt = performance.now()
-	const isStopped = rig.launcher.stop(holder.process, signal)
+	const exited = rig.launcher.stop(holder.process, signal)
 	await rig.submit(other.process, `${signal}-${round}`, SPEC)
 	await waitUntil("the next task starts", () => countRuns(rig) > before)
 	const tookMs = performance.now() - endedAt
-	await isStopped
-	await replace(rig, holder, other)
+	await exited
+	await restartDaemon(rig, holder, other)
 	return tookMs
 }
 
 /** Restarts the daemon and waits until it is ready to take the zone over from `other`. */
-async function replace(rig: DaemonRig, {hostId}: Daemon, other: Daemon): Promise<void> {
+async function restartDaemon(rig: DaemonRig, {hostId}: Daemon, other: Daemon): Promise<void> {
 	const {process} = await rig.startDaemon(hostId, ZONE)
 	await waitUntil("the new daemon has the bundle", () =>
 		process.lines.some(line => line.includes("bundle-adopted"))
@@ -71,15 +71,21 @@
 	return [...rig.workers.values()].reduce((sum, {runs}) => sum + runs.length, 0)
 }
 
-function describe(how: string, tookMs: readonly number[]): BenchMetric[] {
+function buildMetrics(label: string, tookMs: readonly number[]): BenchMetric[] {
 	const longest = tookMs.at(-1) ?? Infinity
 	const median = tookMs[Math.floor(tookMs.length / 2)] ?? Infinity
 	const base = {unit: "ms", baseline: null}
 	return [
-		{...base, metric: `next-start-${how}-p50`, value: Math.round(median), target: null, met: true},
 		{
 			...base,
-			metric: `next-start-${how}-longest-of-${tookMs.length}`,
+			metric: `next-start-${label}-p50`,
+			value: Math.round(median),
+			target: null,
+			met: true
+		},
+		{
+			...base,
+			metric: `next-start-${label}-longest-of-${tookMs.length}`,
 			value: Math.round(longest),
 			target: TARGET_MS,
 			met: longest <= TARGET_MS
--- a/bench/report.ts
+++ b/bench/report.ts
@@ -60,8 +60,8 @@
 
 /** Formats the bars of one metric on a scale of their own, because units differ between rows. */
 function formatRow({metric, value, unit, baseline, target, met}: BenchMetric, top: number): string {
-	const most = Math.max(value, baseline ?? 0, target ?? 0, Number.MIN_VALUE)
-	const scale = (amount: number) => Math.round((Math.max(0, amount) / most) * BAR_WIDTH_PX)
+	const max = Math.max(value, baseline ?? 0, target ?? 0, Number.MIN_VALUE)
+	const scale = (amount: number) => Math.round((Math.max(0, amount) / max) * BAR_WIDTH_PX)
 	const fill = met ? "#2a6f4e" : "#b3382c"
 	const text = `${value} ${unit}${target === null ? "" : met ? " (met)" : " (missed)"}`
 	const parts = [
--- a/bench/zone-board.ts
+++ b/bench/zone-board.ts
@@ -27,7 +27,7 @@
 /** One worker in this many has eight accelerators, so that 1,800 workers have 2,000 of them. */
 const WORKERS_PER_ACCELERATED = 7.2
 
-const PLAIN: WorkerCapacity = {accelerators: 0, cpus: 30, memoryMb: 128000}
+const CPU_ONLY: WorkerCapacity = {accelerators: 0, cpus: 30, memoryMb: 128000}
 const ACCELERATED: WorkerCapacity = {accelerators: 8, cpus: 130, memoryMb: 512000}
 
 export function createShape(shape: Partial<GangShape>): GangShape {
@@ -75,7 +75,7 @@
 /** Adds workers in racks of eight; those with accelerators share racks, as machines of one kind usually do. */
 export function addZoneWorkers(board: Board, count: number): void {
 	const accelerated = Math.ceil(count / WORKERS_PER_ACCELERATED)
-	for (let at = 0; at < count; at++) addWorker(board, at, at < accelerated ? ACCELERATED : PLAIN)
+	for (let at = 0; at < count; at++) addWorker(board, at, at < accelerated ? ACCELERATED : CPU_ONLY)
 }
 
 export function addWorker(board: Board, at: number, capacity: WorkerCapacity): void {
--- a/bench/zone-change.ts
+++ b/bench/zone-change.ts
@@ -29,13 +29,13 @@
 	run({seed, policy}: BenchOptions): Promise<readonly BenchMetric[]> {
 		const load = readLoad(LOAD)
 		const arrivals = buildArrivals(load, seed)
-		const whole = countUnits(load, runLoad({...load, events: []}, arrivals, {names: {}}))
+		const unchanged = countUnits(load, runLoad({...load, events: []}, arrivals, {names: {}}))
 		const inPlace = countUnits(load, runLoad(load, arrivals, IN_PLACE))
 		const chosen = POLICIES.filter(name => policy === "" || policy === name)
 		return Promise.resolve(
 			chosen.flatMap(name => {
 				const run = runLoad(load, arrivals, {names: {zoneChoice: name}})
-				return compare(name, countUnits(load, run), inPlace, whole)
+				return compare(name, countUnits(load, run), inPlace, unchanged)
 			})
 		)
 	}
@@ -65,13 +65,13 @@
 	policy: string,
 	counts: readonly UnitCount[],
 	inPlace: readonly UnitCount[],
-	whole: readonly UnitCount[]
+	unchanged: readonly UnitCount[]
 ): BenchMetric[] {
 	const metrics = counts.map(({stream, onTime}, at) =>
 		buildMetric(`${policy} ${stream} on time`, onTime, "units", inPlace[at]?.onTime ?? 0)
 	)
-	const share = roundTo(sumOnTime(counts) / sumOnTime(whole))
-	const base = roundTo(sumOnTime(inPlace) / sumOnTime(whole))
+	const share = roundTo(sumOnTime(counts) / sumOnTime(unchanged))
+	const base = roundTo(sumOnTime(inPlace) / sumOnTime(unchanged))
 	const name = `${policy} on time ÷ with no zone change`
 	return [...metrics, buildMetric(name, share, "ratio", base, MIN_SHARE, share >= MIN_SHARE)]
 }
--- a/scripts/demo-audit.ts
+++ b/scripts/demo-audit.ts
@@ -29,22 +29,24 @@
 }
 
 export function countJobs(jobs: readonly DemoJob[], runs: readonly RunEntry[]): DemoCounts {
-	const runsOf = groupByJob(runs)
-	const count = (matches: (job: DemoJob, own: readonly RunEntry[]) => boolean): number =>
-		jobs.filter(job => matches(job, runsOf.get(job.id) ?? [])).length
+	const runsByJob = groupByJob(runs)
+	const count = (matches: (job: DemoJob, jobRuns: readonly RunEntry[]) => boolean): number =>
+		jobs.filter(job => matches(job, runsByJob.get(job.id) ?? [])).length
 	return {
 		accepted: jobs.length,
 		completed: count(job => job.outcome?.kind === OutcomeKind.completed),
 		failed: count(job => job.outcome?.kind === OutcomeKind.failed),
 		notRun: count(job => job.outcome?.kind === OutcomeKind.notRun),
 		unknown: count(job => job.outcome?.kind === OutcomeKind.unknown),
-		doubled: count((job, own) => !job.repeatable && own.length > job.members),
+		doubled: count((job, jobRuns) => !job.repeatable && jobRuns.length > job.members),
 		lost: count(isLost),
 		wrongAnswers: count(
 			({outcome, expectedAnswer}) =>
 				outcome?.kind === OutcomeKind.completed && outcome.answer !== expectedAnswer
 		),
-		falseNotRun: count(({outcome}, own) => outcome?.kind === OutcomeKind.notRun && own.length > 0)
+		falseNotRun: count(
+			({outcome}, jobRuns) => outcome?.kind === OutcomeKind.notRun && jobRuns.length > 0
+		)
 	}
 }
 
@@ -54,10 +56,10 @@
 	return groups
 }
 
-function isLost(job: DemoJob, own: readonly RunEntry[]): boolean {
+function isLost(job: DemoJob, jobRuns: readonly RunEntry[]): boolean {
 	if (job.outcome === undefined) return true
 	if (job.outcome.kind !== OutcomeKind.completed) return false
-	return own.filter(({end}) => end === "completed").length < job.members
+	return jobRuns.filter(({end}) => end === "completed").length < job.members
 }
 
 /** Counts the runs that started on one of `workerIds` from `fromWallMs` until before `toWallMs`. */
@@ -90,7 +92,7 @@
 }
 
 /** True if at least one job was accepted, every accepted job has an outcome and no fault was counted. */
-export function isSound(counts: DemoCounts): boolean {
+export function isPassed(counts: DemoCounts): boolean {
 	const ended = counts.completed + counts.failed + counts.notRun + counts.unknown
 	const faults = counts.doubled + counts.lost + counts.wrongAnswers + counts.falseNotRun
 	return counts.accepted > 0 && faults === 0 && ended === counts.accepted
--- a/scripts/demo-callers.ts
+++ b/scripts/demo-callers.ts
@@ -8,7 +8,7 @@
 
 const SUBMIT_ATTEMPTS = 50
 const SUBMIT_RETRY_MS = 200
-const WAIT_SLICE_MS = 10000
+const LONG_POLL_MS = 10000
 const END_TIMEOUT_MS = 25000
 
 export interface Caller {
@@ -35,7 +35,7 @@
 ): Promise<DemoJob | undefined> {
 	for (let attempt = 0; attempt < SUBMIT_ATTEMPTS; attempt++) {
 		const url = urls[attempt % urls.length] ?? ""
-		const answer = await ask(url, "POST", "/v1/jobs", caller, spec, key)
+		const answer = await sendRequest(url, "POST", "/v1/jobs", caller, spec, key)
 		if (answer !== undefined && answer.status < 300) return createDemoJob(answer.body.id, spec)
 		if (answer !== undefined && !answer.body.askAgain) return undefined
 		await new Promise(resolve => setTimeout(resolve, SUBMIT_RETRY_MS))
@@ -53,8 +53,8 @@
 	for (let attempt = 0; performance.now() < giveUpAt; attempt++) {
 		const urls = listUrls()
 		const url = urls[attempt % urls.length] ?? ""
-		const path = `/v1/jobs/${job.id}?waitMs=${WAIT_SLICE_MS}`
-		const answer = await ask(url, "GET", path, caller)
+		const path = `/v1/jobs/${job.id}?waitMs=${LONG_POLL_MS}`
+		const answer = await sendRequest(url, "GET", path, caller)
 		if (answer?.status === 200 && answer.body.state === JobState.ended) {
 			job.outcome = answer.body.outcome
 			return
@@ -71,7 +71,7 @@
 	return {id, members, repeatable: spec.repeatable, expectedAnswer, outcome: undefined}
 }
 
-async function ask(
+async function sendRequest(
 	url: string,
 	method: "GET" | "POST",
 	path: string,
--- a/scripts/demo-rig.ts
+++ b/scripts/demo-rig.ts
@@ -101,7 +101,7 @@
 	}
 
 	/** Adds the hosts to the platform's host list, which a real platform maintains itself. */
-	async listDaemonsOnPlatform(): Promise<void> {
+	async registerDaemons(): Promise<void> {
 		for (const [zone, daemons] of this.daemons)
 			for (const {name, url} of daemons)
 				await post(`${this.#platformUrl}/control/pin-host`, {
@@ -139,8 +139,8 @@
 
 	/** Removes a host from `daemons`, sends it SIGTERM and resolves with its exit code. */
 	async stopDaemon(zone: string, daemon: StartedProcess): Promise<number | null> {
-		const left = (this.daemons.get(zone) ?? []).filter(one => one !== daemon)
-		this.daemons.set(zone, left)
+		const remaining = (this.daemons.get(zone) ?? []).filter(one => one !== daemon)
+		this.daemons.set(zone, remaining)
 		return this.#launcher.stop(daemon)
 	}
 
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -8,7 +8,7 @@
 	type DemoJob,
 	countJobs,
 	countStartsWithin,
-	isSound,
+	isPassed,
 	sumCounts
 } from "./demo-audit.js"
 import {type Caller, createDemoJob, loadJob, submitJob, waitForJob} from "./demo-callers.js"
@@ -89,13 +89,13 @@
 	async run(): Promise<{counts: DemoCounts; faults: number}> {
 		try {
 			await this.#start()
-			await this.#submitByTool()
+			await this.#submitWithTool()
 			await this.#runWave("First wave at every zone")
 			await this.#takeZoneOutAndIn()
-			await this.#replaceHosts()
-			await this.#look()
+			await this.#stopOneHostPerZone()
+			await this.#showStatus()
 			const counts = countJobs(this.#jobs, await this.#rig.collectRuns())
-			await this.#stopHosts()
+			await this.#stopRemainingHosts()
 			return {counts, faults: this.#faults}
 		} finally {
 			await this.#rig.close()
@@ -104,33 +104,33 @@
 
 	async #start(): Promise<void> {
 		const {name, bundle, rig} = this.#deployment
-		this.#say(`${name}: ${rig.zones.join(", ")}`)
-		const made = await this.#tool(["key", "generate", "--out", this.#rig.keyFile, "--json"], {
+		this.#print(`${name}: ${rig.zones.join(", ")}`)
+		const output = await this.#runTool(["key", "generate", "--out", this.#rig.keyFile, "--json"], {
 			quiet: true
 		})
-		const {publicKey} = JSON.parse(made) as {publicKey: string}
+		const {publicKey} = JSON.parse(output) as {publicKey: string}
 		await this.#rig.start(rig, publicKey)
-		await this.#rig.listDaemonsOnPlatform()
+		await this.#rig.registerDaemons()
 		const perZone = `${rig.daemonsPerZone} hosts, ${rig.workersPerZone} workers of 8 accelerators and ${rig.endpointsPerZone} endpoint in each zone`
-		this.#say(`${this.#rig.processCount} processes: the platform, and ${perZone}`)
+		this.#print(`${this.#rig.processCount} processes: the platform, and ${perZone}`)
 		const file = fileURLToPath(new URL(`../examples/${bundle}`, import.meta.url))
 		const signed = `${this.#rig.folder}/signed.json`
 		const key = ["--key", this.#rig.keyFile]
-		await this.#tool(["bundle", "check", file])
-		await this.#tool(["bundle", "sign", file, ...key, "--out", signed, "--note", "first bundle"])
-		await this.#tool(["bundle", "rollout", signed])
+		await this.#runTool(["bundle", "check", file])
+		await this.#runTool(["bundle", "sign", file, ...key, "--out", signed, "--note", "first bundle"])
+		await this.#runTool(["bundle", "rollout", signed])
 		await this.#rig.waitUntilReady()
 	}
 
 	/** Submits one job through the command-line tool; it is audited like the others. */
-	async #submitByTool(): Promise<void> {
+	async #submitWithTool(): Promise<void> {
 		const [caller] = this.#deployment.callers
 		const [name] = Object.keys(this.#deployment.wave)
 		if (caller === undefined || name === undefined) return
 		const file = fileURLToPath(new URL(`../examples/jobs/${name}.yaml`, import.meta.url))
 		const args = ["job", "submit", file, "--key", "first", "--wait"]
-		const shown = await this.#tool(args, {token: caller.token})
-		const id = shown.split("\n")[1]?.split(" ")[0] ?? ""
+		const output = await this.#runTool(args, {token: caller.token})
+		const id = output.split("\n")[1]?.split(" ")[0] ?? ""
 		const job = createDemoJob(id, loadJob(name))
 		this.#jobs.push(job)
 		await waitForJob(() => this.#rig.listDaemons().map(({url}) => url), caller, job)
@@ -143,13 +143,13 @@
 			([name, count]) => [name, Math.ceil(count / divisor)] as const
 		)
 		const perZone = wave.map(([name, count]) => `${count} × ${name}`)
-		this.#say(`${title}: ${perZone.join(", ")}`)
+		this.#print(`${title}: ${perZone.join(", ")}`)
 		const before = this.#jobs.length
 		const names = wave.flatMap(([name, count]) => Array.from({length: count}, () => name))
 		await Promise.all(rig.zones.map(zone => this.#submitAt(zone, names)))
 		const ended = this.#jobs.slice(before)
-		const told = ended.filter(({outcome}) => outcome !== undefined).length
-		this.#say(`  ${ended.length} accepted, ${told} outcomes received`)
+		const receivedCount = ended.filter(({outcome}) => outcome !== undefined).length
+		this.#print(`  ${ended.length} accepted, ${receivedCount} outcomes received`)
 	}
 
 	/** Submits one wave to the hosts of a zone, with the callers in turn, and waits for every job. */
@@ -167,7 +167,7 @@
 					`demo-${serial}`
 				)
 				if (job === undefined) {
-					this.#fail(`${name} ${serial} was refused`)
+					this.#reportFault(`${name} ${serial} was refused`)
 					return
 				}
 				this.#jobs.push(job)
@@ -187,75 +187,77 @@
 	async #takeZoneOutAndIn(): Promise<void> {
 		const {zoneOut} = this.#deployment
 		const key = ["--key", this.#rig.keyFile, "--retry"]
-		await this.#tool(["zone", "out", zoneOut, ...key])
+		await this.#runTool(["zone", "out", zoneOut, ...key])
 		const graceEndsAt = Date.now() + ZONE_OUT_GRACE_MS
 		await this.#runWave(`Wave at every zone while ${zoneOut} is out of service`)
 		await waitUntilWallTime(graceEndsAt)
 		await this.#runWave(`Half a wave, ${ZONE_OUT_GRACE_MS} ms later`, 2)
 		const inAt = Date.now()
 		const ids = this.#rig.backEndIds.get(zoneOut) ?? new Set()
-		const late = countStartsWithin(await this.#rig.collectRuns(), ids, graceEndsAt, inAt)
-		if (late > 0) this.#fail(`${late} tasks started in ${zoneOut} while it was out of service`)
-		else this.#say(`  no task started in ${zoneOut} while it was out of service`)
-		await this.#tool(["zone", "in", zoneOut, ...key])
+		const lateStarts = countStartsWithin(await this.#rig.collectRuns(), ids, graceEndsAt, inAt)
+		if (lateStarts > 0)
+			this.#reportFault(`${lateStarts} tasks started in ${zoneOut} while it was out of service`)
+		else this.#print(`  no task started in ${zoneOut} while it was out of service`)
+		await this.#runTool(["zone", "in", zoneOut, ...key])
 		await this.#runWave(`${zoneOut} is back in service`)
-		const back = countStartsWithin(await this.#rig.collectRuns(), ids, inAt, Infinity)
-		if (back === 0) this.#fail(`no task started in ${zoneOut} after it returned to service`)
-		else this.#say(`  ${back} tasks started in ${zoneOut} again`)
+		const newStarts = countStartsWithin(await this.#rig.collectRuns(), ids, inAt, Infinity)
+		if (newStarts === 0)
+			this.#reportFault(`no task started in ${zoneOut} after it returned to service`)
+		else this.#print(`  ${newStarts} tasks started in ${zoneOut} again`)
 	}
 
 	/** Stops one host of each zone during a wave; the zone's other host takes over. */
-	async #replaceHosts(): Promise<void> {
+	async #stopOneHostPerZone(): Promise<void> {
 		const wave = this.#runWave("One host of each zone is stopped (SIGTERM) during a wave")
 		const stops = this.#deployment.rig.zones.map(async zone => {
 			const [first] = this.#rig.daemons.get(zone) ?? []
-			if (first !== undefined) this.#noteExit(first.name, await this.#rig.stopDaemon(zone, first))
+			if (first !== undefined) this.#checkExit(first.name, await this.#rig.stopDaemon(zone, first))
 		})
 		await Promise.all([wave, ...stops])
 	}
 
-	async #look(): Promise<void> {
-		await this.#tool(["zone", "status"])
-		await this.#tool(["worker", "list"])
-		await this.#tool(["bundle", "history"])
+	async #showStatus(): Promise<void> {
+		await this.#runTool(["zone", "status"])
+		await this.#runTool(["worker", "list"])
+		await this.#runTool(["bundle", "history"])
 	}
 
-	async #stopHosts(): Promise<void> {
-		this.#say("The remaining hosts are stopped (SIGTERM)")
+	async #stopRemainingHosts(): Promise<void> {
+		this.#print("The remaining hosts are stopped (SIGTERM)")
 		await Promise.all(
 			this.#deployment.rig.zones.flatMap(zone =>
 				(this.#rig.daemons.get(zone) ?? []).map(async daemon => {
-					this.#noteExit(daemon.name, await this.#rig.stopDaemon(zone, daemon))
+					this.#checkExit(daemon.name, await this.#rig.stopDaemon(zone, daemon))
 				})
 			)
 		)
 	}
 
-	#noteExit(name: string, code: number | null): void {
-		if (code === 0) this.#say(`  ${name} stopped gracefully`)
-		else this.#fail(`${name} exited with ${code ?? "a signal"}`)
+	#checkExit(name: string, code: number | null): void {
+		if (code === 0) this.#print(`  ${name} stopped gracefully`)
+		else this.#reportFault(`${name} exited with ${code ?? "a signal"}`)
 	}
 
 	/** Runs the command-line tool and prints the command line and, unless `quiet`, its output. */
-	async #tool(
+	async #runTool(
 		args: readonly string[],
 		{quiet = false, token = OPERATOR_TOKEN} = {}
 	): Promise<string> {
 		const {code, stdout, stderr} = await this.#rig.runTool(args, token)
-		const shown = args.map(arg => arg.replace(/^.*\//, ""))
-		this.#say(`$ cardamomhook ${shown.join(" ")}`)
+		const shownArgs = args.map(arg => arg.replace(/^.*\//, ""))
+		this.#print(`$ cardamomhook ${shownArgs.join(" ")}`)
 		const text = `${stdout}${stderr}`.trimEnd()
-		if (!quiet) for (const line of text.split("\n")) this.#say(`    ${line}`)
-		if (code !== 0) this.#fail(`the tool ended with exit code ${code}`)
+		if (!quiet) for (const line of text.split("\n")) this.#print(`    ${line}`)
+		if (code !== 0) this.#reportFault(`the tool ended with exit code ${code}`)
 		return stdout
 	}
 
-	#fail(what: string): void {
+	#reportFault(message: string): void {
 		this.#faults++
-		this.#say(`  FAULT: ${what}`)
+		this.#print(`  FAULT: ${message}`)
 	}
 
-	#say(text: string): void {
+	#print(text: string): void {
 		const seconds = ((performance.now() - this.#startedAt) / 1000).toFixed(1).padStart(5)
 		console.log(`${seconds} s  ${text}`)
 	}
@@ -274,9 +276,9 @@
 	}
 	const counts = sumCounts(results.map(result => result.counts))
 	const faults = results.reduce((sum, result) => sum + result.faults, 0)
-	const good = faults === 0 && isSound(counts)
-	console.log(JSON.stringify({demo: good ? "ok" : "failed", ...counts, faults}))
-	return good
+	const passed = faults === 0 && isPassed(counts)
+	console.log(JSON.stringify({demo: passed ? "ok" : "failed", ...counts, faults}))
+	return passed
 }
 
 process.exitCode = (await runAll()) ? 0 : 1
--- a/scripts/scenario.ts
+++ b/scripts/scenario.ts
@@ -19,7 +19,7 @@
 let failed = 0
 for (const path of positionals) {
 	const scenario = loadScenario(path)
-	for (let at = 0; at < Number(values.times); at++) {
+	for (let run = 0; run < Number(values.times); run++) {
 		const seed = Number(values.seed)
 		console.log(`${path}: ${scenario.title} (seed ${seed})`)
 		const {findings, hostLogs} = await runScenario(scenario, {
