Rename names of tests and fixtures

Cause: engineers who join read figurative or private names without knowing what they mean. Conclusion: one word for each concept over all parts.

--- a/__tests__/api.test.ts
+++ b/__tests__/api.test.ts
@@ -48,7 +48,7 @@
 		const callers = {...workspace!.callers, other: hashText(OTHER_TOKEN)}
 		await cluster.rollOut({...content, workspaces: [{...workspace!, callers}]})
 		await waitFor("the host is ready", async () => {
-			const answer = await cluster.submit(cluster.anyDaemon(), "first", READ)
+			const answer = await cluster.submit(cluster.pickDaemon(), "first", READ)
 			return answer.status < 300
 		})
 	})
@@ -58,7 +58,7 @@
 	})
 
 	function attempt<T>({method, path, token, body, headers}: Attempt): Promise<Answer<T>> {
-		return cluster.call<T>(cluster.anyDaemon(), method, path, token, body, headers)
+		return cluster.call<T>(cluster.pickDaemon(), method, path, token, body, headers)
 	}
 
 	const submit = {method: "POST", path: "/v1/jobs", token: CALLER_TOKEN} as const
@@ -150,7 +150,7 @@
 
 	it("counts every refusal by its reason", async () => {
 		await attempt<Problem>({method: "GET", path: "/v2"})
-		const {body} = await request(`${cluster.anyDaemon().url}/metrics`)
+		const {body} = await request(`${cluster.pickDaemon().url}/metrics`)
 		const text = await body.text()
 		for (const reason of Object.values(ReasonCode))
 			expect(text).to.include(`cardamomhook_api_problems_total{reason="${reason}"}`)
@@ -159,7 +159,7 @@
 	})
 
 	it("shows a job to its own caller and to nobody else", async () => {
-		const {body} = await cluster.submit(cluster.anyDaemon(), "mine", READ)
+		const {body} = await cluster.submit(cluster.pickDaemon(), "mine", READ)
 		const path = `/v1/jobs/${body.id}`
 		const mine = await attempt<JobView>({method: "GET", path, token: CALLER_TOKEN})
 		expect(mine.body.id).to.equal(body.id)
@@ -202,7 +202,7 @@
 	})
 
 	it("closes a connection whose headers or body do not arrive in time", async () => {
-		const host = cluster.anyDaemon()
+		const host = cluster.pickDaemon()
 		const starts = ["GET /healthz HTTP/1.1\r\n", "POST /v1/jobs HTTP/1.1\r\nHost: x\r\n"]
 		const bodyPending = `${starts[1]}Content-Length: 100\r\nAuthorization: Bearer ${CALLER_TOKEN}\r\nIdempotency-Key: slow\r\n\r\n{`
 		const closed = [starts[0], bodyPending].map(
--- a/__tests__/backfill.test.ts
+++ b/__tests__/backfill.test.ts
@@ -50,9 +50,9 @@
 		})
 		const pass = new ReservingBackfillPolicy().begin(context)
 		pass.reserve(gang, fleet)
-		const inTimeMs = 10000 / BACKFILL_MARGIN
-		expect(listUsable(pass, createJob("short", 1, 1, inTimeMs), fleet)).to.equal("worker-2")
-		expect(listUsable(pass, createJob("long", 1, 1, inTimeMs + 1), fleet)).to.equal("")
+		const maxRunMs = 10000 / BACKFILL_MARGIN
+		expect(listUsable(pass, createJob("short", 1, 1, maxRunMs), fleet)).to.equal("worker-2")
+		expect(listUsable(pass, createJob("long", 1, 1, maxRunMs + 1), fleet)).to.equal("")
 	})
 
 	it("reserves nothing for a gang that never fits", () => {
--- a/__tests__/cli.test.ts
+++ b/__tests__/cli.test.ts
@@ -133,7 +133,7 @@
 
 	before(async () => {
 		cluster = await createCluster({zones: ZONES, daemonsPerZone: 1, workersPerZone: 1})
-		key = cluster.storeSigningKey()
+		key = cluster.writeSigningKey()
 		expectCode(await runAsOperator("bundle", "rollout", await sign("first.json")), ExitCode.ok)
 		await waitFor("the first read completes", async () => {
 			const read = await runAsCaller("job", "submit", path("read.yaml"), "--key", "first", "--wait")
--- a/__tests__/defragment.test.ts
+++ b/__tests__/defragment.test.ts
@@ -4,15 +4,15 @@
 import {type TestZone, createGuaranteedZone} from "./fixtures/zone.js"
 
 const HOUR_MS = 3600000
-const HALF = [0, 1, 2, 3]
+const HALF_WORKER = [0, 1, 2, 3]
 
-interface SplitOptions {
+interface FragmentedZoneOptions {
 	readonly movesPerHour?: number
 	readonly repeatable?: boolean
 }
 
 /** Builds a zone of four workers, each half occupied by a long job, and two queued jobs that need a whole worker. */
-function createSplitZone({movesPerHour, repeatable = true}: SplitOptions): {
+function createFragmentedZone({movesPerHour, repeatable = true}: FragmentedZoneOptions): {
 	readonly zone: TestZone
 	countWhole: () => number
 } {
@@ -40,30 +40,30 @@
 		const fleet = createFleet(1)
 		expect(computeFitShare(fleet)).to.equal(1)
 		for (const at of [0, 1, 2, 3, 4, 5, 6])
-			occupy(fleet, [{workerId: `r0w${at}`, accelerators: HALF}])
+			occupy(fleet, [{workerId: `r0w${at}`, accelerators: HALF_WORKER}])
 		expect(computeFitShare(fleet)).to.be.closeTo(32 / 36, 0.001)
 	})
 
 	it("frees whole workers by moving work that can be checkpointed and repeated", () => {
-		const {zone, countWhole} = createSplitZone({movesPerHour: 10})
+		const {zone, countWhole} = createFragmentedZone({movesPerHour: 10})
 		zone.clock.advance(HOUR_MS)
 		expect(countWhole()).to.equal(2)
 	})
 
 	it("moves nothing unless the bundle sets a bound on moves per hour", () => {
-		const {zone, countWhole} = createSplitZone({})
+		const {zone, countWhole} = createFragmentedZone({})
 		zone.clock.advance(HOUR_MS)
 		expect(countWhole()).to.equal(0)
 	})
 
 	it("moves nothing that may not be repeated", () => {
-		const {zone, countWhole} = createSplitZone({movesPerHour: 10, repeatable: false})
+		const {zone, countWhole} = createFragmentedZone({movesPerHour: 10, repeatable: false})
 		zone.clock.advance(HOUR_MS)
 		expect(countWhole()).to.equal(0)
 	})
 
 	it("keeps to the bound on moves per hour", () => {
-		const {zone, countWhole} = createSplitZone({movesPerHour: 1})
+		const {zone, countWhole} = createFragmentedZone({movesPerHour: 1})
 		zone.clock.advance(HOUR_MS)
 		expect(countWhole()).to.equal(1)
 	})
--- a/__tests__/guarantee.test.ts
+++ b/__tests__/guarantee.test.ts
@@ -77,8 +77,8 @@
 		)
 		const [workspace] = content.workspaces
 		const shape = createShape({cpus: 31})
-		const greedy = {...workspace!, guarantees: [{zone: ZONE, shape, count: 1}]}
-		expect(checkGuarantees({...content, workspaces: [greedy]}).isErr()).to.equal(true)
+		const oversized = {...workspace!, guarantees: [{zone: ZONE, shape, count: 1}]}
+		expect(checkGuarantees({...content, workspaces: [oversized]}).isErr()).to.equal(true)
 	})
 
 	it("refuses a guarantee in a zone that the bundle does not list", () => {
@@ -150,15 +150,15 @@
 	let now = 0
 	keeper.sync(units, fleet, now)
 
-	function run(step: ModelStep, nth: number): void {
+	function run(step: ModelStep, index: number): void {
 		now += 1000
 		if (step.kind === "end") end(jobs.splice(step.pick % Math.max(1, jobs.length), 1))
-		else if (step.kind === "place") place(step, `job-${nth}`)
-		else claim(step, `job-${nth}`)
+		else if (step.kind === "place") place(step, `job-${index}`)
+		else claim(step, `job-${index}`)
 		keeper.sync(units, fleet, now)
 	}
 
-	function describeTask(step: ModelStep, jobId: string): FleetTask {
+	function createTask(step: ModelStep, jobId: string): FleetTask {
 		const {workspace, stoppable, cpus} = step
 		return createFleetTask({jobId, workspace, stoppable, cpus, startedAt: now})
 	}
@@ -167,7 +167,7 @@
 		const {members, accelerators, cpus, adjacency, workspace} = step
 		const shape = createShape({members, accelerators, cpus, adjacency})
 		const request = {jobId, workspace, shape, failedOn: []}
-		const task = describeTask(step, jobId)
+		const task = createTask(step, jobId)
 		const placed = keeper.place(new BestFitPlacementPolicy(), request, task, fleet, now)
 		if (placed.isOk()) start(placed.value, task)
 	}
@@ -181,7 +181,7 @@
 		if (choice === undefined) return
 		end(choice.victims)
 		for (const id of choice.victims) jobs.splice(jobs.indexOf(id), 1)
-		start(choice.members, describeTask(step, jobId))
+		start(choice.members, createTask(step, jobId))
 	}
 
 	function start(
@@ -203,10 +203,14 @@
 }
 
 /** Checks the guarantee placements without using the packing code that chose them. */
-function expectHomesGood(homes: GuaranteePlacements, fleet: FleetIndex, units: number): void {
-	const taken = new Set<string>()
-	expect(homes.list).to.have.length(units)
-	for (const {unit, members} of homes.list) {
+function expectValidPlacements(
+	placements: GuaranteePlacements,
+	fleet: FleetIndex,
+	units: number
+): void {
+	const assigned = new Set<string>()
+	expect(placements.list).to.have.length(units)
+	for (const {unit, members} of placements.list) {
 		expect(members, `placement of ${unit.id}`).to.have.length(unit.shape.members)
 		const racks = new Set(members.map(({workerId}) => fleet.get(workerId)?.rack))
 		if (unit.shape.adjacency === Adjacency.rack) expect(racks.size).to.equal(1)
@@ -214,8 +218,8 @@
 			expect(accelerators).to.have.length(unit.shape.accelerators)
 			expect((accelerators[0] ?? 0) % unit.shape.accelerators).to.equal(0)
 			for (const at of accelerators) {
-				expect(taken.has(`${workerId}/${at}`)).to.equal(false)
-				taken.add(`${workerId}/${at}`)
+				expect(assigned.has(`${workerId}/${at}`)).to.equal(false)
+				assigned.add(`${workerId}/${at}`)
 				for (const task of fleet.get(workerId)!.tasks)
 					if (task.accelerators.includes(at) && !task.stoppable)
 						expect(task.workspace).to.equal(unit.workspace)
@@ -224,8 +228,8 @@
 	}
 	for (const worker of fleet.values()) {
 		expect(worker.freeCpus).to.be.at.least(0)
-		const held = worker.tasks.flatMap(({accelerators}) => accelerators)
-		expect(new Set(held).size).to.equal(held.length)
+		const occupied = worker.tasks.flatMap(({accelerators}) => accelerators)
+		expect(new Set(occupied).size).to.equal(occupied.length)
 	}
 }
 
@@ -233,9 +237,9 @@
 	it("exist for every shape after gangs are placed, ended and reclaimed", () => {
 		const property = fc.property(fc.array(stepArbitrary, {minLength: 1, maxLength: 60}), steps => {
 			const model = createModel()
-			for (const [nth, step] of steps.entries()) {
-				model.run(step, nth)
-				expectHomesGood(model.keeper.placements, model.fleet, model.units.length)
+			for (const [index, step] of steps.entries()) {
+				model.run(step, index)
+				expectValidPlacements(model.keeper.placements, model.fleet, model.units.length)
 			}
 		})
 		fc.assert(property, RUNS)
--- a/__tests__/model.test.ts
+++ b/__tests__/model.test.ts
@@ -7,7 +7,7 @@
 const STEPS_MAX = 60
 
 /** Sequences that once failed, each with the fault that it showed. */
-const KEPT: readonly {
+const REGRESSIONS: readonly {
 	readonly shows: string
 	readonly seed: number
 	readonly steps: readonly Step[]
@@ -62,7 +62,7 @@
 }
 
 describe("model: random faults interleaved with requests", () => {
-	for (const {shows, seed, steps} of KEPT) {
+	for (const {shows, seed, steps} of REGRESSIONS) {
 		it(`no longer fails: ${shows}`, () => {
 			const run = new ModelRun(seed)
 			for (const step of steps) {
--- a/__tests__/permits.test.ts
+++ b/__tests__/permits.test.ts
@@ -54,7 +54,7 @@
 		if (isPlatformCommand(command)) return at >= trial.cutPlatformAt
 		return command.kind === CommandKind.peerExchange && at >= trial.cutPeersAt
 	}
-	plan.delayOf = (_, {kind}) =>
+	plan.getDelayMs = (_, {kind}) =>
 		delayedKinds.includes(kind) ? computeDelay(trial.seed, sequence++, trial.maxDelayMs) : 1
 	const holder = findHolder("zone-a")!
 	const frozen = cluster.hosts.get(holder.settings.hostId)!
@@ -160,7 +160,7 @@
 		const {clock, plan, cluster, rollOut, submit, findHolder} = createRig()
 		const holder = findHolder("zone-a")!
 		const outAt = clock.now() + 500
-		plan.delayOf = (_, {kind}) => (kind === CommandKind.workerStart ? 5000 : 1)
+		plan.getDelayMs = (_, {kind}) => (kind === CommandKind.workerStart ? 5000 : 1)
 		submit(holder.settings.hostId, "k", {payload: JSON.stringify({runMs: 50})})
 		clock.advance(outAt - clock.now())
 		expect(holder.gangs.values().next().value?.stage, "the start command is in flight").to.equal(
@@ -176,7 +176,7 @@
 	it("date a peer's evidence to before its answer was sent", () => {
 		const {clock, plan, rollOut, findHolder} = createRig({zones: ["zone-a", "zone-b"]})
 		const holder = findHolder("zone-a")!
-		plan.delayOf = (_, {kind}) => (kind === CommandKind.peerExchange ? 900 : 1)
+		plan.getDelayMs = (_, {kind}) => (kind === CommandKind.peerExchange ? 900 : 1)
 		plan.isCut = (hostId, command) => hostId.startsWith("zone-a") && isPlatformCommand(command)
 		clock.advance(7300)
 		const outAt = clock.now()
--- a/__tests__/placement.test.ts
+++ b/__tests__/placement.test.ts
@@ -102,16 +102,16 @@
 		expect(listWorkers(policy.place(request, fleet))).to.deep.equal(["failed"])
 	})
 
-	for (const named of [policy, new FirstFitPlacementPolicy()])
-		it(`waits for other workers rather than reuse one the job failed on (${named.name})`, () => {
+	for (const variant of [policy, new FirstFitPlacementPolicy()])
+		it(`waits for other workers rather than reuse one the job failed on (${variant.name})`, () => {
 			const fleet = createMixedFleet([
 				createFleetWorker({id: "failed"}),
 				createFleetWorker({id: "full"}, [0, 1, 2, 3, 4, 5, 6, 7])
 			])
 			const request = createRequest({}, {failedOn: ["failed"]})
-			expect(named.place(request, fleet)).to.equal(undefined)
+			expect(variant.place(request, fleet)).to.equal(undefined)
 			fleet.delete("full")
-			expect(listWorkers(named.place(request, fleet))).to.deep.equal(["failed"])
+			expect(listWorkers(variant.place(request, fleet))).to.deep.equal(["failed"])
 		})
 
 	it("places work without accelerators on a worker without accelerators", () => {
@@ -184,12 +184,12 @@
 				if (deleted) fleet.delete(change.id)
 				else fleet.set(createFleetWorker({...change, accelerators: 4}))
 			}
-			const anew = createMixedFleet([...fleet.values()])
-			expect(describeIndex(fleet)).to.deep.equal(describeIndex(anew))
+			const rebuilt = createMixedFleet([...fleet.values()])
+			expect(summarizeIndex(fleet)).to.deep.equal(summarizeIndex(rebuilt))
 		})
 		fc.assert(property, RUNS)
 
-		function describeIndex(fleet: FleetIndex) {
+		function summarizeIndex(fleet: FleetIndex) {
 			return {
 				buckets: fleet
 					.listBuckets(shape)
--- a/__tests__/queue.test.ts
+++ b/__tests__/queue.test.ts
@@ -14,7 +14,7 @@
 import {WORKSPACE, createBundleContent} from "./fixtures/cluster.js"
 import {createEntry, createQueueContext, createSpec} from "./fixtures/jobs.js"
 
-function createWaiting(id: string, priority: PriorityClass, seenAt: number, workspace = "posta") {
+function createQueuedJob(id: string, priority: PriorityClass, seenAt: number, workspace = "posta") {
 	return createEntry(id, {workspace, spec: createSpec({priority})}, {seenAt})
 }
 
@@ -28,28 +28,28 @@
 const {urgent, normal, batch} = PriorityClass
 
 describe("the order of the queue", () => {
-	const mixed = [
-		createWaiting("sort", batch, 0),
-		createWaiting("match", normal, 1),
-		createWaiting("read-2", urgent, 3),
-		createWaiting("read-1", urgent, 2)
+	const mixedJobs = [
+		createQueuedJob("sort", batch, 0),
+		createQueuedJob("match", normal, 1),
+		createQueuedJob("read-2", urgent, 3),
+		createQueuedJob("read-1", urgent, 2)
 	]
 
 	it("is by time of acceptance alone in the baseline", () => {
-		expect(listOrder(new FifoQueuePolicy(), mixed)).to.equal("sort match read-1 read-2")
+		expect(listOrder(new FifoQueuePolicy(), mixedJobs)).to.equal("sort match read-1 read-2")
 	})
 
 	for (const policy of [new PriorityQueuePolicy(), new FairShareQueuePolicy()]) {
 		it(`puts urgent work first and keeps the order of acceptance within a class: ${policy.name}`, () => {
-			expect(listOrder(policy, mixed)).to.equal("read-1 read-2 match sort")
+			expect(listOrder(policy, mixedJobs)).to.equal("read-1 read-2 match sort")
 		})
 	}
 
 	it("lets batch work that has waited long go before newer normal work, never before urgent", () => {
 		const jobs = [
-			createWaiting("match", normal, QUEUE_AGE_PROMOTION_MS),
-			createWaiting("read", urgent, QUEUE_AGE_PROMOTION_MS),
-			createWaiting("sort", batch, 0)
+			createQueuedJob("match", normal, QUEUE_AGE_PROMOTION_MS),
+			createQueuedJob("read", urgent, QUEUE_AGE_PROMOTION_MS),
+			createQueuedJob("sort", batch, 0)
 		]
 		expect(listOrder(new FairShareQueuePolicy(), jobs, QUEUE_AGE_PROMOTION_MS)).to.equal(
 			"read sort match"
@@ -58,7 +58,7 @@
 
 	it("gives workspaces turns by the weight of their guarantees and what they already use", () => {
 		const jobs = ["a1", "a2", "a3", "b1", "b2"].map((id, at) =>
-			createWaiting(id, normal, at, id.charAt(0))
+			createQueuedJob(id, normal, at, id.charAt(0))
 		)
 		const workspaces = new Map([
 			["a", {used: 0, accelerators: 0, weight: 2}],
@@ -66,12 +66,15 @@
 		])
 		const ordered = new FairShareQueuePolicy().order(jobs, createQueueContext({workspaces}))
 		expect(ordered.map(({record}) => record.id).join(" ")).to.equal("a1 a2 a3 b1 b2")
-		const even = new Map([
+		const equalWeights = new Map([
 			["a", {used: 0, accelerators: 0, weight: 1}],
 			["b", {used: 0, accelerators: 0, weight: 1}]
 		])
-		const turns = new FairShareQueuePolicy().order(jobs, createQueueContext({workspaces: even}))
-		expect(turns.map(({record}) => record.id).join(" ")).to.equal("a1 b1 a2 b2 a3")
+		const alternating = new FairShareQueuePolicy().order(
+			jobs,
+			createQueueContext({workspaces: equalWeights})
+		)
+		expect(alternating.map(({record}) => record.id).join(" ")).to.equal("a1 b1 a2 b2 a3")
 	})
 })
 
@@ -83,17 +86,17 @@
 		board.bundle.set("current", {bundle, evidenceAt: 0})
 		const builder = new QueueContextBuilder()
 		const shape = {...createSpec().shape, accelerators: 4}
-		const read = () => builder.build(board, 0).workspaces.get(WORKSPACE)!
-		const idle = read()
+		const readUsage = () => builder.build(board, 0).workspaces.get(WORKSPACE)!
+		const idle = readUsage()
 		board.jobs.set("job-1", createEntry("job-1", {spec: createSpec({shape})}))
 		board.placements.set("job-1", {jobId: "job-1", members: [], decidedAt: 0})
-		expect(read()).to.include({used: 4, accelerators: 4})
+		expect(readUsage()).to.include({used: 4, accelerators: 4})
 		board.gangs.set("job-1", createRecoveredGang("job-1", {epoch: 1, attempt: 1, members: []}, 0))
 		board.placements.take("job-1")
-		expect(read()).to.include({used: 4, accelerators: 4})
+		expect(readUsage()).to.include({used: 4, accelerators: 4})
 		board.jobs.delete("job-1")
 		board.gangs.delete("job-1")
-		expect(read()).to.deep.equal(idle)
+		expect(readUsage()).to.deep.equal(idle)
 		expect(idle).to.include({used: 0, accelerators: 0})
 	})
 })
--- a/__tests__/reclaim.test.ts
+++ b/__tests__/reclaim.test.ts
@@ -7,12 +7,12 @@
 const RECLAIM_BOUND_MS = 10000
 /** Required bound on the start of urgent work. */
 const URGENT_BOUND_MS = 1000
-const START_LIMIT_MS = 5000
+const START_TIMEOUT_MS = 5000
 
 const RACK_PAIR = {members: 2, accelerators: 8, adjacency: "rack"} as const
 
 /** Loses every request to one worker. */
-class CutOffPlan extends DefaultFaultPlan {
+class CutOffFaultPlan extends DefaultFaultPlan {
 	readonly #target: string
 	constructor(target: string) {
 		super()
@@ -29,7 +29,7 @@
 		zone.submit(`borrower-${id}`, {workspace: "posta", shape: {accelerators: 8}, ...fields})
 	)
 	const areRunning = () => jobs.every(id => zone.listRunning(id).length === 1)
-	expect(zone.advanceUntil(areRunning, START_LIMIT_MS)).to.be.below(Infinity)
+	expect(zone.advanceUntil(areRunning, START_TIMEOUT_MS)).to.be.below(Infinity)
 	return jobs
 }
 
@@ -53,8 +53,8 @@
 			expect(record).to.include({state: JobState.queued, attempts: 0})
 			expect(record.checkpoint).to.be.above(0.09)
 		}
-		const areBack = () => stopped.every(id => zone.listRunning(id).length === 1)
-		expect(zone.advanceUntil(areBack, 60000)).to.be.below(Infinity)
+		const areRestarted = () => stopped.every(id => zone.listRunning(id).length === 1)
+		expect(zone.advanceUntil(areRestarted, 60000)).to.be.below(Infinity)
 	})
 
 	it("stops borrowers that ignore the checkpoint request, without a checkpoint", () => {
@@ -87,9 +87,9 @@
 		startBorrowers(zone, {checkpoint: true, repeatable: true})
 		const claim = zone.submit("claim", {workspace: "kerala", shape: single})
 		const isHeld = () => zone.host.board.holds.has(claim)
-		expect(zone.advanceUntil(isHeld, START_LIMIT_MS)).to.be.below(Infinity)
+		expect(zone.advanceUntil(isHeld, START_TIMEOUT_MS)).to.be.below(Infinity)
 		const cutOff = zone.host.board.holds.get(claim)!.members[0]!.workerId
-		zone.cluster.plan = new CutOffPlan(cutOff)
+		zone.cluster.plan = new CutOffFaultPlan(cutOff)
 		const isRunning = () => zone.listRunning(claim).some(id => id !== cutOff)
 		expect(zone.advanceUntil(isRunning, 2 * RECLAIM_BOUND_MS)).to.be.below(Infinity)
 	})
@@ -124,7 +124,7 @@
 		const jobs = [1, 2].map(nth =>
 			zone.submit(`hard-${nth}`, {workspace: "posta", shape: {accelerators: 8}})
 		)
-		zone.clock.advance(START_LIMIT_MS)
+		zone.clock.advance(START_TIMEOUT_MS)
 		expect(jobs.map(id => zone.listRunning(id).length).sort()).to.deep.equal([0, 1])
 		const waiting = jobs.find(id => zone.listRunning(id).length === 0)!
 		expect(zone.host.board.waiting.get(waiting)?.reason).to.equal(ReasonCode.guaranteeAtRisk)
@@ -139,9 +139,9 @@
 		})
 		const job = zone.submit("hard", {workspace: "posta", shape: {accelerators: 4}})
 		const isRunning = () => zone.listRunning(job).length === 1
-		expect(zone.advanceUntil(isRunning, START_LIMIT_MS)).to.be.below(Infinity)
+		expect(zone.advanceUntil(isRunning, START_TIMEOUT_MS)).to.be.below(Infinity)
 		const next = zone.submit("next", {workspace: "posta", shape: {accelerators: 1}})
-		zone.clock.advance(START_LIMIT_MS)
+		zone.clock.advance(START_TIMEOUT_MS)
 		expect(zone.host.board.waiting.get(next)?.reason).to.equal(ReasonCode.guaranteeAtRisk)
 	})
 })
@@ -158,7 +158,7 @@
 			})
 		)
 		const areRunning = () => jobs.every(id => zone.listRunning(id).length === 1)
-		expect(zone.advanceUntil(areRunning, START_LIMIT_MS)).to.be.below(Infinity)
+		expect(zone.advanceUntil(areRunning, START_TIMEOUT_MS)).to.be.below(Infinity)
 		const urgent = zone.submit("urgent", {
 			workspace: "kerala",
 			shape: {accelerators: 2},
@@ -176,7 +176,7 @@
 		const zone = createGuaranteedZone({guarantees: {kerala: [], posta: []}})
 		const spec = {shape: {accelerators: 8}, priority: PriorityClass.urgent, checkpoint: true}
 		const jobs = [1, 2, 3].map(nth => zone.submit(`urgent-${nth}`, {workspace: "posta", ...spec}))
-		zone.clock.advance(3 * START_LIMIT_MS)
+		zone.clock.advance(3 * START_TIMEOUT_MS)
 		expect(jobs.map(id => zone.listRunning(id).length)).to.deep.equal([1, 1, 0])
 	})
 })
--- a/__tests__/shutdown.test.ts
+++ b/__tests__/shutdown.test.ts
@@ -73,7 +73,7 @@
 		expect(accepted.length).to.be.greaterThan(10)
 		for (const {id} of accepted)
 			await waitFor(`${id} ends`, async () => {
-				const {body} = await cluster.wait(cluster.anyDaemon(), id)
+				const {body} = await cluster.wait(cluster.pickDaemon(), id)
 				if (body.state !== JobState.ended) return false
 				expect(body.outcome?.kind, JSON.stringify(body)).to.equal(OutcomeKind.completed)
 				return true
--- a/__tests__/whole-path.test.ts
+++ b/__tests__/whole-path.test.ts
@@ -19,7 +19,7 @@
 	async function submitWhenReady(key: string, spec: object): Promise<JobView> {
 		let view: JobView | undefined
 		await waitFor("the job is accepted", async () => {
-			const answer = await cluster.submit(cluster.anyDaemon(), key, spec)
+			const answer = await cluster.submit(cluster.pickDaemon(), key, spec)
 			if (answer.status === 201) view = answer.body
 			return answer.status === 201
 		})
@@ -30,7 +30,7 @@
 		const shape = {members: 2, accelerators: 4, adjacency: "rack"}
 		const payload = JSON.stringify({runMs: 200, answer: "sorted"})
 		const job = await submitWhenReady("gang-1", {service: "parcel-sort", shape, payload})
-		const ended = await cluster.wait(cluster.anyDaemon(), job.id)
+		const ended = await cluster.wait(cluster.pickDaemon(), job.id)
 		expect(ended.body.state).to.equal(JobState.ended)
 		expect(ended.body.outcome).to.include({
 			kind: OutcomeKind.completed,
@@ -52,14 +52,14 @@
 			payload
 		}
 		const job = await submitWhenReady("read-1", spec)
-		const ended = await cluster.wait(cluster.anyDaemon(), job.id)
+		const ended = await cluster.wait(cluster.pickDaemon(), job.id)
 		expect(ended.body.outcome).to.include({kind: OutcomeKind.completed, answer: "12 Moi Avenue"})
 		for (const host of cluster.daemons.values()) {
 			const again = await cluster.submit(host, "read-1", spec)
 			expect(again.status).to.equal(200)
 			expect(again.body.id).to.equal(job.id)
 		}
-		const conflict = await cluster.submit(cluster.anyDaemon(), "read-1", {
+		const conflict = await cluster.submit(cluster.pickDaemon(), "read-1", {
 			...spec,
 			payload: "other"
 		})
