Reword comments and test titles of controllers and domain tests

Cause: some comments were vaguer than the code below them, and some titles were riddles or claimed more than the test shows. The note that answers to state polls are counted is back. Conclusion: the comments say what the code does.

--- a/__tests__/domain-failover.test.ts
+++ b/__tests__/domain-failover.test.ts
@@ -75,7 +75,7 @@
 
 describe("a change of the domain's holder", () => {
 	for (const {name, maxMs, cause} of FAULTS)
-		it(`costs no running work, and bounded time, where the holder is ${name}`, async () => {
+		it(`loses no running work and starts new work in bounded time if the holder is ${name}`, async () => {
 			const took: number[] = []
 			for (const offsetMs of OFFSETS) {
 				const {first, second, fleet, ...domain} = await createBusyDomain(offsetMs)
--- a/__tests__/domain-hosts.test.ts
+++ b/__tests__/domain-hosts.test.ts
@@ -176,7 +176,7 @@
 		expect(fleet.monitor.starts).to.have.length(4)
 	})
 
-	it("refuses a key that was not confirmed recently, well before the bound", async () => {
+	it("refuses a key that was not confirmed within revokeMs", async () => {
 		const {first, plan, ask, advance} = await createServingDomain()
 		plan.isLost = (_, call) => call.target === STORE_TARGET
 		await advance(5000)
--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -94,7 +94,7 @@
 		expect(fleet.monitor.starts).to.have.length(2)
 	})
 
-	it("stops a cancelled job, and says that it was cancelled", async () => {
+	it("stops a cancelled job and reports it as cancelled", async () => {
 		const {first, fleet, submit, ask, advance, readState} = await createServingDomain()
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, workMs: 20000}))
 		await advance(500)
@@ -104,7 +104,7 @@
 		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("cancelled")
 	})
 
-	it("starts nothing on a worker that is draining, nor in a zone that is out", async () => {
+	it("starts nothing on a draining worker or in a zone that is out of service", async () => {
 		const {first, fleet, submit, advance} = await createServingDomain()
 		fleet.register("w1", "draining")
 		fleet.store.putRow("op", "evacuate/zone-b", {})
@@ -116,7 +116,7 @@
 		expect([...used]).to.deep.equal(["w2"])
 	})
 
-	it("moves work off a worker that leaves, unless it ends before", async () => {
+	it("moves work off a worker that leaves, unless it ends in time", async () => {
 		const {first, fleet, submit, advance} = await createServingDomain({workers: 1})
 		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 6000}))
 		await submit(first, `${BATCH}${ID_B}`, createJob({workMs: 2500}))
@@ -192,7 +192,7 @@
 		expect(fleet.monitor.starts.map(({run}) => run)).to.deep.equal([2])
 	})
 
-	it("starts work again only after the lease of a worker that is out of reach", async () => {
+	it("starts work of an unreachable worker elsewhere only after its lease has expired", async () => {
 		const {first, fleet, plan, submit, advance, advanceUntil} = await createServingDomain()
 		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 30000}))
 		await advance(500)
@@ -203,7 +203,7 @@
 		expect(fleet.monitor.violations).to.deep.equal([])
 	})
 
-	it("gives work again soon to a worker that has lost one answer", async () => {
+	it("treats a worker as reachable again soon after one lost answer", async () => {
 		const {first, plan, advance, advanceUntil} = await createServingDomain({workers: 1})
 		const readFailures = () => first.board.nodes.get("w1")?.failures
 		let lost = 0
--- a/__tests__/permits.test.ts
+++ b/__tests__/permits.test.ts
@@ -120,7 +120,7 @@
 		fc.assert(property, {seed: 11, numRuns: 1000})
 	})
 
-	it("let nothing start in a zone later than the permit after it was taken out", function () {
+	it("let nothing start in a zone once a permit's duration has passed since it was taken out", function () {
 		this.timeout(180000)
 		let starts = 0
 		const at = fc.integer({min: 0, max: TAKE_OUT_AT_MS + 3000})
@@ -156,7 +156,7 @@
 		expect(worker.readStatus().generation).to.equal(2)
 	})
 
-	it("refuse a start that was on its way for too long, though the holder goes on renewing", () => {
+	it("prevent a start that was delayed for too long, even if the holder keeps renewing", () => {
 		const {clock, plan, cluster, rollOut, submit, findHolder} = createRig()
 		const holder = findHolder("zone-a")!
 		const outAt = clock.now() + 500
--- a/__tests__/rehome.test.ts
+++ b/__tests__/rehome.test.ts
@@ -78,7 +78,7 @@
 	}
 }
 
-describe("queued work of a zone that is taken out", () => {
+describe("work of a zone that is taken out", () => {
 	for (const kind of Object.values(JobKind)) {
 		it(`runs in a zone in service and never twice: ${kind}`, () => {
 			const {clock, cluster, submit, takeOut, readRecord, countRuns} = createTwoZones()
@@ -106,7 +106,7 @@
 		expect(readRecord(second)).to.include({zone: "zone-a", state: JobState.queued})
 	})
 
-	it("takes running work along from its checkpoint where the bundle says so", () => {
+	it("continues in another zone from its checkpoint if the bundle says so", () => {
 		const {clock, submit, takeOut, readRecord} = createTwoZones()
 		const moved = submit("moved", createWork(JobKind.task, {checkpoint: true}))
 		clock.advance(10000)
@@ -118,7 +118,7 @@
 		expect(readRecord(moved).outcome?.kind).to.equal(OutcomeKind.completed)
 	})
 
-	it("leaves running work that may not run again where it is", () => {
+	it("finishes where it runs if it may not run again", () => {
 		const {clock, submit, takeOut, readRecord, countRuns} = createTwoZones()
 		const jobId = submit("sort", createWork(JobKind.task))
 		clock.advance(10000)
@@ -137,7 +137,7 @@
 		expect(result._unsafeUnwrapErr().reason).to.equal(ReasonCode.alreadyClaimed)
 	})
 
-	it("takes the active row along and keeps the time waited", () => {
+	it("moves the active row too and keeps the time waited", () => {
 		const record = applyTransition(createRehome(), createRecord("job"), 1, "w")._unsafeUnwrap()
 		expect(record).to.include({zone: "zone-b", movedFrom: "zone-a", waitedMs: 70})
 		const writes = buildActiveWrites(createRehome(), record)
--- a/__tests__/renewals.test.ts
+++ b/__tests__/renewals.test.ts
@@ -2,8 +2,8 @@
 import {CommandKind} from "../src/internal.js"
 import {createRig} from "./fixtures/in-process.js"
 
-describe("renewals and host lists that bring only what changed", () => {
-	it("leave out tasks that the holder knows, and bring them once one changed", () => {
+describe("renewals and host lists that contain only what changed", () => {
+	it("leave out tasks that the holder knows, and include them once one changed", () => {
 		const {clock, cluster, submit, findHolder} = createRig()
 		const holder = findHolder("zone-a")!
 		const worker = cluster.workers.get("zone-a-worker")!
@@ -29,7 +29,7 @@
 		expect(holder.ended.size).to.equal(1)
 	})
 
-	it("bring every task to a holder that has just taken the zone", () => {
+	it("include every task for a holder that has just taken over the zone", () => {
 		const {clock, cluster, submit, findHolder} = createRig()
 		const old = findHolder("zone-a")!.settings.hostId
 		submit(old, "k", {payload: JSON.stringify({runMs: 60000})})
@@ -41,7 +41,7 @@
 		expect([...holder.workers.get("zone-a-worker")!.tasks.values()]).to.have.length(1)
 	})
 
-	it("bring the host list only where it has another version", () => {
+	it("include the host list only if its version changed", () => {
 		const {clock, cluster, plan, findHolder} = createRig()
 		const holder = findHolder("zone-a")!
 		const versions: number[] = []
--- a/__tests__/worker-contract.test.ts
+++ b/__tests__/worker-contract.test.ts
@@ -20,7 +20,7 @@
 	}
 }
 
-describe("what the scheduler relies on workers for", () => {
+describe("a worker that keeps the contract with the scheduler", () => {
 	it("refuses every call of an earlier holder", () => {
 		const {worker} = createWorker()
 		worker.renew(createRenewal())
--- a/__tests__/worker-restart.test.ts
+++ b/__tests__/worker-restart.test.ts
@@ -3,7 +3,7 @@
 import {CLERK, createRig, readJob} from "./fixtures/in-process.js"
 
 describe("a worker that restarts under a running task", () => {
-	it("does not make a cancelled job that ran end as not run", () => {
+	it("ends a cancelled job that ran as failed, never as not run", () => {
 		const {clock, cluster, ask, submit, wait, findHolder} = createRig()
 		const {hostId} = findHolder("zone-a")!.settings
 		const job = submit(hostId, "k", {payload: JSON.stringify({runMs: 60000})})
--- a/src/controllers/node-drain.ts
+++ b/src/controllers/node-drain.ts
@@ -40,7 +40,7 @@
 	}
 }
 
-/** Reports whether the run must be stopped now; its worker leaves at `leavesAt` at the earliest. */
+/** Returns whether the run must be stopped now; its worker leaves at `leavesAt` at the earliest. */
 function isMoveDue(ref: TaskRef, leavesAt: number, stopMs: number, now: number): boolean {
 	const {checkpoints, longRunning} = ref.spec
 	const endsAt = longRunning ? Infinity : now + estimateRemaining(ref, now)
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -1,7 +1,7 @@
 /**
  * Renews the leases of a domain's workers by one long poll per worker, which is answered early when a run ends. Each
- * answer lists running and ended runs; ends are acknowledged once they are durable. While this host can't prove its
- * term, its calls renew nothing, so a successor knows when every lease has expired.
+ * answer lists running and ended runs; ends are acknowledged once they are durable. While this host's term is not
+ * confirmed, its calls renew nothing, so a successor knows when every lease has expired.
  */
 import {
 	type Board,
@@ -111,7 +111,7 @@
 
 	#renew(board: Board, node: NodeEntry, now: number): void {
 		const {id, address} = node.registration
-		// The lease of a worker that does not answer is not renewed, so its runs expire eventually.
+		// The lease of a worker that does not answer is not renewed: it must expire before its runs can start elsewhere.
 		const isRenewed =
 			isTermConfirmed(board, now) && node.incarnation !== undefined && node.failures === 0
 		const acknowledged = this.#findAcknowledged(board, node)
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -72,7 +72,7 @@
 
 const MS_PER_S = 1000
 
-/** Time beyond the limit of a stop for which capacity is held for tasks before they are placed again. */
+/** Time beyond `stopMs` for which capacity is held for tasks before they are placed again. */
 const HOLD_MARGIN_MS = 400
 
 interface CapacityHold {
@@ -96,7 +96,7 @@
 	readonly #queue: RunQueuePolicy
 	/** Capacity held for tasks until the preempted runs have ended, by the first task's id, in order of decision. */
 	readonly #holds = new Map<string, CapacityHold>()
-	/** Groups whose held capacity was not freed in time, by the first task's id. They may not wait for a run to end. */
+	/** Groups whose held capacity was not freed in time, by the first task's id: they don't wait for runs about to end. */
 	readonly #overdue = new Set<string>()
 	readonly #clock: Clock
 	#roundAt = 0
@@ -142,7 +142,7 @@
 		return Math.min(waitUntil, this.#delayedUntil, now + Math.max(0, dueInMs))
 	}
 
-	/** Places all tasks that fit and returns the number of steps with tasks that still wait. */
+	/** Places all tasks that fit and returns the number of steps of which a group found no capacity. */
 	#placeAll(board: Board, catalog: CatalogEntry, now: number): number {
 		const active = [...board.workflows.values()].filter(isSchedulable)
 		const guaranteed = findGuaranteed(catalog.catalog, active)
@@ -220,7 +220,7 @@
 		}
 	}
 
-	/** Returns true if no task of the step waits any more. */
+	/** Places the step's waiting groups that hold no capacity yet. Returns false if one of them found none. */
 	#placeStep(
 		board: Board,
 		ready: ReadyStep,
@@ -259,7 +259,7 @@
 		return true
 	}
 
-	/** Withholds the capacity where a waiting group is forecast to fit soonest from all later steps. */
+	/** Withholds from all later steps the capacity where a waiting group is forecast to fit soonest. */
 	#withhold(unit: PlacementUnit, nodes: readonly NodeCapacity[]): void {
 		if (this.#withheldGroups >= WITHHELD_GROUPS_MAX) return
 		const slots = this.#policy.forecast(unit, nodes)
@@ -323,7 +323,7 @@
 	}
 }
 
-/** Work that is already late may not preempt, unless it is guaranteed. */
+/** Only guaranteed work, and work of priority 0 that is expected to complete in time, may preempt. */
 function computeLossMax({rank, workflow, punctuality}: ReadyStep): number {
 	if (rank === GUARANTEED_RANK) return Infinity
 	return workflow.record.priority === 0 && punctuality === Punctuality.onTime ? URGENT_LOSS_MAX : -1
--- a/src/controllers/workflow-intake.ts
+++ b/src/controllers/workflow-intake.ts
@@ -378,7 +378,7 @@
 	now: number
 ): void {
 	const {request, workflowId, action, queue, workspace, catalogVersion, evidenceAgeMs} = operation
-	// Callers poll states all the time, so these answers are logged only at debug level.
+	// Callers poll states all the time, so these answers are counted, but logged only at debug level.
 	const level = action === WorkflowAction.get ? EventLevel.debug : EventLevel.info
 	board.record(level, "request-answered", {
 		workflow: workflowId,
