Rename locals of the API test and the linter's configuration

Change: locals by hand, inside their functions, then the formatter. Conclusion: the same word for the same concept.

--- a/__tests__/api.test.ts
+++ b/__tests__/api.test.ts
@@ -173,11 +173,11 @@
 		const path = `/v1/jobs/${body.id}`
 		const mine = await attempt<JobView>({method: "GET", path, token: CALLER_TOKEN})
 		expect(mine.body.id).to.equal(body.id)
-		for (const question of [
+		for (const otherRequest of [
 			{method: "GET", path, token: OTHER_TOKEN},
 			{method: "POST", path: `${path}/cancel`, token: OTHER_TOKEN}
 		] as const) {
-			const answer = await attempt<Problem>(question)
+			const answer = await attempt<Problem>(otherRequest)
 			expect(answer.body.reason).to.equal(ReasonCode.notFound)
 		}
 		const list = await attempt<{jobs: JobView[]}>({
@@ -189,8 +189,8 @@
 	})
 
 	it("refuses an inconsistent bundle with the path of each fault, and changes nothing", async () => {
-		const question = {method: "GET", path: "/v1/bundle", token: OPERATOR_TOKEN} as const
-		const before = await attempt<BundleView>(question)
+		const bundleRequest = {method: "GET", path: "/v1/bundle", token: OPERATOR_TOKEN} as const
+		const before = await attempt<BundleView>(bundleRequest)
 		const content = createBundleContent()
 		const [workspace] = content.workspaces
 		const shape = {members: 1, accelerators: 1, adjacency: "any", cpus: 1, memoryMb: 0} as const
@@ -207,7 +207,7 @@
 		expect(detail).to.include("workspaces.1.name")
 		expect(detail).to.include("workspaces.0.guarantees.0.zone: expected one of zone-a")
 		expect(detail).to.include("policies.queue: expected one of fifo")
-		const after = await attempt<BundleView>(question)
+		const after = await attempt<BundleView>(bundleRequest)
 		expect(after.body.generation).to.equal(before.body.generation)
 	})
 
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint"
 
 // The layering of docs/DESIGN.md: decision modules import no adapter, wire type or socket library.
-const WIRE = [
+const ADAPTER_LIBRARIES = [
 	"undici",
 	"hono",
 	"hono/*",
@@ -15,7 +15,7 @@
 	"pino",
 	"prom-client"
 ]
-const OUTER = [
+const OUTER_MODULES = [
 	"**/adapters/**",
 	"**/gen/**",
 	"**/standins/**",
@@ -53,7 +53,7 @@
 	{
 		files: ["src/controllers/**/*.ts"],
 		rules: forbidImports({
-			group: [...WIRE, ...OUTER],
+			group: [...ADAPTER_LIBRARIES, ...OUTER_MODULES],
 			message: "Controllers may use only the board, not adapters or socket libraries."
 		})
 	},
@@ -61,7 +61,7 @@
 		files: ["src/core/**/*.ts", "src/policies/**/*.ts", "src/types/**/*.ts", "src/utils/**/*.ts"],
 		rules: forbidImports(
 			{
-				group: [...WIRE, ...OUTER],
+				group: [...ADAPTER_LIBRARIES, ...OUTER_MODULES],
 				message: "Decision modules must not import adapters or socket libraries."
 			},
 			{
