Rename locals of the controllers from admission to ledger

Where the new name equals the property (isHeldHere, outcome), the property is written in shorthand. Conclusion: the same word for the same concept.

--- a/__tests__/adoption.test.ts
+++ b/__tests__/adoption.test.ts
@@ -48,8 +48,8 @@
 		["no host has answered", createView({}), PERMIT_MS - 1, Force.pending],
 		["no earlier permit is left", createView({a: 1}, ["b"]), PERMIT_MS, Force.permitsRanOut]
 	]
-	for (const [what, view, elapsedMs, expected] of cases)
-		it(`is ${expected} where ${what}`, () => {
+	for (const [condition, view, elapsedMs, expected] of cases)
+		it(`is ${expected} where ${condition}`, () => {
 			const zones = checkZones(view, 2, permits, elapsedMs)
 			expect(zones.map(({force}) => force)).to.deep.equal([expected])
 			const code = expected === Force.pending ? ExitCode.notAdopted : ExitCode.ok
--- a/__tests__/calls.test.ts
+++ b/__tests__/calls.test.ts
@@ -74,7 +74,7 @@
 
 	it("uses a slot again as soon as its call has ended, before the endpoint is polled", () => {
 		const {clock, endpoint, submit} = createZone(1)
-		for (let at = 0; at < 60; at++) submit(`short-${at}`, createCallSpec(95))
+		for (let index = 0; index < 60; index++) submit(`short-${index}`, createCallSpec(95))
 		clock.advance(4000)
 		expect(endpoint.runs).to.have.lengthOf(60)
 	})
--- a/__tests__/gang-claims.test.ts
+++ b/__tests__/gang-claims.test.ts
@@ -63,7 +63,7 @@
 		expect(first).to.not.equal("")
 		// The first gang loses its worker while its claim is in flight; a second gang replaces it.
 		cluster.restartWorker(first)
-		for (let at = 0; at < 200; at++) {
+		for (let index = 0; index < 200; index++) {
 			clock.advance(50)
 			const [row] = cluster.platform.read([formatJobKey(jobId)])
 			const claimed =
--- a/__tests__/limits.test.ts
+++ b/__tests__/limits.test.ts
@@ -110,8 +110,8 @@
 describe("bounded queues", () => {
 	it("shed the lowest class first, and within a class the latest job", () => {
 		const {urgent, normal, batch} = PriorityClass
-		const jobs = [batch, batch, normal, urgent].map((priority, at) =>
-			createEntry(`${priority}-${at}`, {spec: createSpec({priority})}, {seenAt: at})
+		const jobs = [batch, batch, normal, urgent].map((priority, index) =>
+			createEntry(`${priority}-${index}`, {spec: createSpec({priority})}, {seenAt: index})
 		)
 		const overflow = listOverflow(jobs, createContent({maxQueued: 2}))
 		expect(overflow.map(({record}) => record.id)).to.deep.equal(["batch-1", "batch-0"])
@@ -122,8 +122,8 @@
 		const other = HOSTS.find(host => host !== holder.settings.hostId)!
 		submit("running", createTask(8))
 		clock.advance(2000)
-		for (let at = 0; at < 10; at++)
-			submit(`batch-${at}`, createTask(8, {priority: PriorityClass.batch}), other)
+		for (let index = 0; index < 10; index++)
+			submit(`batch-${index}`, createTask(8, {priority: PriorityClass.batch}), other)
 		clock.advance(3000)
 		submit("urgent", createTask(8, {priority: PriorityClass.urgent}))
 		clock.advance(3000)
--- a/__tests__/shutdown.test.ts
+++ b/__tests__/shutdown.test.ts
@@ -60,8 +60,10 @@
 		const accepted: JobView[] = []
 		const load = {isOn: true}
 		const submitting = (async () => {
-			for (let at = 0; load.isOn; at++)
-				accepted.push(await submitAnywhere(cluster, `job-${at}`, at % 2 === 0 ? "task" : "call"))
+			for (let index = 0; load.isOn; index++)
+				accepted.push(
+					await submitAnywhere(cluster, `job-${index}`, index % 2 === 0 ? "task" : "call")
+				)
 		})()
 		for (const [hostId, old] of [...cluster.daemons]) {
 			const stopped = cluster.launcher.stop(old)
@@ -103,9 +105,9 @@
 /** Submits until the host no longer answers; returns every answer that isn't an acceptance. */
 async function collectRefusals(cluster: Cluster, host: StartedProcess): Promise<Problem[]> {
 	const refusals: Problem[] = []
-	for (let at = 0; ; at++) {
+	for (let index = 0; ; index++) {
 		const spec = {service: "parcel-sort", payload: JSON.stringify({runMs: 1})}
-		const answer = await cluster.submit(host, `late-${at}`, spec).catch(() => undefined)
+		const answer = await cluster.submit(host, `late-${index}`, spec).catch(() => undefined)
 		if (answer === undefined) return refusals
 		if (answer.status >= 300) refusals.push(answer.body as Problem)
 	}
--- a/__tests__/write-window.test.ts
+++ b/__tests__/write-window.test.ts
@@ -66,12 +66,12 @@
 		fillWindow(window, rehome)
 		while (window.inFlight > 0) window.recordLoss(0, 2000)
 		expect(window.size).to.equal(WRITE_WINDOW_MAX / 2)
-		for (let at = 0; at < 20; at++) {
+		for (let index = 0; index < 20; index++) {
 			window.recordSent()
-			window.recordLoss(3000 + at, 3000 + at)
+			window.recordLoss(3000 + index, 3000 + index)
 		}
 		expect(window.size).to.equal(WRITE_WINDOW_MIN)
-		for (let at = 0; at < 10000; at++) {
+		for (let index = 0; index < 10000; index++) {
 			window.recordSent()
 			window.recordAnswer()
 		}
@@ -83,15 +83,15 @@
 		const plan = new LimitedTablePlan(clock, 300)
 		const cluster = new InProcessCluster({clock, plan})
 		cluster.installBundle(1, createBundleContent())
-		for (let at = 0; at < 4; at++) cluster.addEndpoint(`endpoint-${at}`, "zone-a", 8)
+		for (let index = 0; index < 4; index++) cluster.addEndpoint(`endpoint-${index}`, "zone-a", 8)
 		cluster.addHost("host-1", "zone-a")
 		clock.advance(5000)
 		const replies: Reply[] = []
 		const identity = {workspace: WORKSPACE, caller: "clerk", operator: false}
 		const spec = createSpec({kind: JobKind.call, payload: JSON.stringify({runMs: 10})})
-		for (let at = 0; at < 900; at++)
-			clock.schedule(at * 2, () => {
-				const request = {kind: RequestKind.submit, identity, key: `key-${at}`, spec} as const
+		for (let index = 0; index < 900; index++)
+			clock.schedule(index * 2, () => {
+				const request = {kind: RequestKind.submit, identity, key: `key-${index}`, spec} as const
 				cluster.ask("host-1", request, reply => replies.push(reply))
 			})
 		clock.advance(60000)
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -158,11 +158,11 @@
 	 */
 	#findObservedAt(
 		known: AuthorityEntry | undefined,
-		isMine: boolean,
+		isHeldHere: boolean,
 		isUnchanged: boolean,
 		now: number
 	): number {
-		if (isMine) return known?.isHeldHere === true ? known.observedAt : this.#takeOverSentAt
+		if (isHeldHere) return known?.isHeldHere === true ? known.observedAt : this.#takeOverSentAt
 		return isUnchanged && known !== undefined ? known.observedAt : now
 	}
 
@@ -247,9 +247,9 @@
 		const holderVersion = holderRow?.version ?? 0
 		const isUnchanged =
 			known?.leaseVersion === leaseVersion && known.holderVersion === holderVersion
-		const isMine =
+		const isHeldHere =
 			value.holder === hostId && (known?.isHeldHere === true || known?.epoch === value.epoch - 1)
-		if (known?.isHeldHere === true && !isMine)
+		if (known?.isHeldHere === true && !isHeldHere)
 			board.record(EventLevel.warn, "zone-lost", {zone, epoch: known.epoch})
 		const entry = {
 			zone,
@@ -258,14 +258,14 @@
 			epoch: value.epoch,
 			holderVersion,
 			leaseVersion,
-			observedAt: this.#findObservedAt(known, isMine, isUnchanged, now),
-			isHeldHere: isMine
+			observedAt: this.#findObservedAt(known, isHeldHere, isUnchanged, now),
+			isHeldHere
 		}
 		board.authority.set(zone, entry)
-		const isFree = !isMine && now >= computeFreeAt(board.settings, entry)
+		const isFree = !isHeldHere && now >= computeFreeAt(board.settings, entry)
 		this.#seenFreeAt = isFree ? (this.#seenFreeAt ?? now) : undefined
 		// A renewal whose answer was lost has changed the lease row; renew at once with the new version.
-		if (isMine && !isUnchanged) this.#nextAt = now
+		if (isHeldHere && !isUnchanged) this.#nextAt = now
 	}
 }
 
@@ -276,8 +276,8 @@
 }
 
 /** Interval at which a holder renews its lease and other hosts read it. */
-function computeInterval({domain}: HostSettings, isMine: boolean): number {
-	return domain !== undefined && isMine ? DOMAIN_RENEW_INTERVAL_MS : HOLDER_RENEW_INTERVAL_MS
+function computeInterval({domain}: HostSettings, isHeldHere: boolean): number {
+	return domain !== undefined && isHeldHere ? DOMAIN_RENEW_INTERVAL_MS : HOLDER_RENEW_INTERVAL_MS
 }
 
 /** Time that a small host waits so that a larger one can take the domain first; 0 for others. */
--- a/src/controllers/bundle-history.ts
+++ b/src/controllers/bundle-history.ts
@@ -38,7 +38,7 @@
 
 	#readFrom(board: Board, request: BundleHistoryRequest, newest: number, now: number): void {
 		const count = Math.min(newest, request.limit)
-		const keys = Array.from({length: count}, (_, at) => formatBundleHistoryKey(newest - at))
+		const keys = Array.from({length: count}, (_, index) => formatBundleHistoryKey(newest - index))
 		this.#read(board, request, keys, now)
 	}
 
--- a/src/controllers/gang.ts
+++ b/src/controllers/gang.ts
@@ -368,8 +368,8 @@
 			board.gangs.delete(gang.jobId)
 			return
 		}
-		const end = computeOutcome(job.record, gang)
-		if (end === undefined && !gang.claimed) {
+		const outcome = computeOutcome(job.record, gang)
+		if (outcome === undefined && !gang.claimed) {
 			// No claim was committed, so the job's row still says queued.
 			issueReleases(board, this.name, gang, now)
 			board.gangs.delete(gang.jobId)
@@ -378,11 +378,11 @@
 		}
 		board.gangs.set(gang.jobId, {...gang, settling: true})
 		const base = {jobId: gang.jobId, owner: this.name, giveUpAt: undefined}
-		if (end !== undefined) {
+		if (outcome !== undefined) {
 			board.requestTransition({
 				...base,
 				kind: TransitionKind.end,
-				outcome: end,
+				outcome,
 				onlyIfQueued: false
 			})
 			return
--- a/src/controllers/ledger.ts
+++ b/src/controllers/ledger.ts
@@ -91,8 +91,8 @@
 				this.#giveUp(board, work)
 				continue
 			}
-			const owner = this.#inFlightJobs.get(jobId)
-			if (owner !== undefined && owner !== id) continue
+			const inFlightId = this.#inFlightJobs.get(jobId)
+			if (inFlightId !== undefined && inFlightId !== id) continue
 			if (work.retryAt > now || !this.#window.isOpenFor(work.transition)) {
 				const retryAt = work.retryAt > now ? work.retryAt : Infinity
 				const wakeAt = Math.min(retryAt, giveUpAt ?? Infinity)
