Rename locals of controllers and domain tests

Change: locals and parameters by hand, inside their functions, then the formatter. Before and after: destructurings such as {failedOn: avoid} are now {failedOn}; otherwise no token differs but names. Conclusion: a local has the name of its property where nothing stands against it.

--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -63,8 +63,8 @@
 		await advance(500)
 		await submit(first, `${URGENT}${ID_B}`, createJob({count: 1, gpu: 4}))
 		await advance(700)
-		const isUrgent = fleet.monitor.starts.some(({task}) => task.startsWith(ID_B))
-		expect(isUrgent).to.equal(true)
+		const isUrgentStarted = fleet.monitor.starts.some(({task}) => task.startsWith(ID_B))
+		expect(isUrgentStarted).to.equal(true)
 		const running = [...fleet.workers.values()].flatMap(worker => worker.running)
 		expect(running.filter(task => task.startsWith(ID_A))).to.have.length(12)
 	})
@@ -144,7 +144,7 @@
 		const objectiveMs = 1.5 * workMs + 400
 		const acceptedAt = new Map<string, number>()
 		const completedAt = new Map<string, number>()
-		const pass = async (ms: number) => {
+		const advanceAndRecord = async (ms: number) => {
 			for (let passed = 0; passed < ms; passed += 50) {
 				await advance(50)
 				for (const task of fleet.monitor.done)
@@ -157,9 +157,9 @@
 			const path = `${URGENT}${id}`
 			await ask(first, {action: WorkflowAction.submit, path, spec, key: OTHER_KEY})
 			acceptedAt.set(id, clock.now())
-			await pass(600)
+			await advanceAndRecord(600)
 		}
-		await pass(10000)
+		await advanceAndRecord(10000)
 		const inTime = [...acceptedAt].filter(
 			([id, time]) => (completedAt.get(`${id}.0.0.0`) ?? Infinity) - time <= objectiveMs
 		)
--- a/__tests__/permits.test.ts
+++ b/__tests__/permits.test.ts
@@ -124,7 +124,7 @@
 		this.timeout(180000)
 		let starts = 0
 		const at = fc.integer({min: 0, max: TAKE_OUT_AT_MS + 3000})
-		const trial = fc.record({
+		const trialArbitrary = fc.record({
 			seed: fc.integer({min: 1, max: 1e9}),
 			cutPlatformAt: at,
 			cutPeersAt: at,
@@ -132,8 +132,8 @@
 			freezeMs: fc.integer({min: 0, max: 8000}),
 			maxDelayMs: fc.integer({min: 1, max: 6000})
 		})
-		const property = fc.property(trial, given => {
-			const outcome = runTrial(given)
+		const property = fc.property(trialArbitrary, trial => {
+			const outcome = runTrial(trial)
 			starts += outcome.starts
 			expect(outcome.latestMs).to.be.lessThan(START_PERMIT_MS)
 		})
@@ -159,10 +159,10 @@
 	it("prevent a start that was delayed for too long, even if the holder keeps renewing", () => {
 		const {clock, plan, cluster, rollOut, submit, findHolder} = createRig()
 		const holder = findHolder("zone-a")!
-		const outAt = clock.now() + 500
+		const takeOutAt = clock.now() + 500
 		plan.getDelayMs = (_, {kind}) => (kind === CommandKind.workerStart ? 5000 : 1)
 		submit(holder.settings.hostId, "k", {payload: JSON.stringify({runMs: 50})})
-		clock.advance(outAt - clock.now())
+		clock.advance(takeOutAt - clock.now())
 		expect(holder.gangs.values().next().value?.stage, "the start command is in flight").to.equal(
 			"starting"
 		)
@@ -179,12 +179,12 @@
 		plan.getDelayMs = (_, {kind}) => (kind === CommandKind.peerExchange ? 900 : 1)
 		plan.isCut = (hostId, command) => hostId.startsWith("zone-a") && isPlatformCommand(command)
 		clock.advance(7300)
-		const outAt = clock.now()
+		const takeOutAt = clock.now()
 		rollOut(["zone-a"])
 		for (let at = 0; at < 4000; at += 10) {
 			clock.advance(10)
 			const {bundle, evidenceAt} = holder.bundle.get("current")!
-			if (bundle.generation === 1) expect(evidenceAt).to.be.at.most(outAt)
+			if (bundle.generation === 1) expect(evidenceAt).to.be.at.most(takeOutAt)
 		}
 	})
 
--- a/__tests__/run-placement.test.ts
+++ b/__tests__/run-placement.test.ts
@@ -86,28 +86,28 @@
 	const gang = {count: 2, gpu: 8, gang: true, tightly_coupled: true}
 
 	it("takes one rack for a tightly coupled gang", () => {
-		const rooms = [createNode("a1", "a"), createNode("b1", "b"), createNode("b2", "b")]
-		expect(chooseNodes(createUnit(createRefs("one", gang)), rooms)).to.deep.equal(["b1", "b2"])
+		const nodes = [createNode("a1", "a"), createNode("b1", "b"), createNode("b2", "b")]
+		expect(chooseNodes(createUnit(createRefs("one", gang)), nodes)).to.deep.equal(["b1", "b2"])
 	})
 
 	it("spreads a gang where one rack would cost more work than the gang is worth", () => {
-		const rooms = [
+		const nodes = [
 			createFullNode("a1", "a", {loss: LOSS_MAX}),
 			createFullNode("a2", "a", {loss: LOSS_MAX}),
 			createNode("b1", "b", {isSuspect: true}),
 			createNode("c1", "c", {isSuspect: true})
 		]
-		expect(chooseNodes(createUnit(createRefs("one", gang)), rooms)).to.deep.equal(["b1", "c1"])
+		expect(chooseNodes(createUnit(createRefs("one", gang)), nodes)).to.deep.equal(["b1", "c1"])
 	})
 
 	it("stops the run whose loss is least", () => {
-		const rooms = [
+		const nodes = [
 			createFullNode("a1", "a", {loss: 500}),
 			createFullNode("a2", "a", {loss: 100}),
 			createFullNode("a3", "a", {loss: 300})
 		]
 		const unit = createUnit(createRefs("one", {count: 1, gpu: 8}))
-		expect(chooseNodes(unit, rooms)).to.deep.equal(["a2"])
+		expect(chooseNodes(unit, nodes)).to.deep.equal(["a2"])
 	})
 
 	it("treats capacity as not free until the run on it has ended", () => {
@@ -117,12 +117,12 @@
 	})
 
 	it("stops no run of the same or a higher rank, and no protected run", () => {
-		const rooms = [
+		const nodes = [
 			createFullNode("a1", "a", {rank: 1}),
 			createFullNode("a2", "a", {isProtected: true})
 		]
 		const unit = createUnit(createRefs("one", {count: 1, gpu: 8}))
-		expect(chooseNodes(unit, rooms)).to.equal(undefined)
+		expect(chooseNodes(unit, nodes)).to.equal(undefined)
 	})
 
 	it("places a small task on the worker with the least capacity left over", () => {
@@ -134,12 +134,12 @@
 	})
 
 	it("forecasts where a task fits soonest", () => {
-		const rooms = [
+		const nodes = [
 			createFullNode("a1", "a", {remainingMs: 9000}),
 			createFullNode("a2", "a", {remainingMs: 2000})
 		]
 		const unit = createUnit(createRefs("one", {count: 1, gpu: 8}), {lossMax: -1})
-		const slots = new PackedRunPlacement().forecast(unit, rooms)
+		const slots = new PackedRunPlacement().forecast(unit, nodes)
 		expect(slots?.map(({capacity: node}) => node.id)).to.deep.equal(["a2"])
 	})
 })
--- a/src/controllers/peer.ts
+++ b/src/controllers/peer.ts
@@ -81,30 +81,28 @@
 			this.#fetchAt = result.isOk() ? now : now + RETRY_BASE_MS
 		}
 		if (result.isErr() || result.value.hostId !== peerId) return
-		const peerStatus = result.value
+		const status = result.value
 		const known = board.peers.get(peerId)
-		if (known !== undefined && known.status.generation > peerStatus.generation) return
+		if (known !== undefined && known.status.generation > status.generation) return
 		const evidenceAt =
-			peerStatus.evidenceAgeMs === undefined
-				? undefined
-				: command.issuedAt - peerStatus.evidenceAgeMs
-		board.peers.set(peerId, {status: peerStatus, observedAt: command.issuedAt, evidenceAt})
+			status.evidenceAgeMs === undefined ? undefined : command.issuedAt - status.evidenceAgeMs
+		board.peers.set(peerId, {status, observedAt: command.issuedAt, evidenceAt})
 	}
 
 	#reply(board: Board, id: string, now: number): void {
 		const request = board.peerRequests.take(id)
 		if (request === undefined) return
-		const {query: peerQuery} = request
-		board.peerReplies.set(id, buildPeerStatus(board, peerQuery.wantsBundle, now))
-		this.#recordQuery(board, peerQuery, now)
+		const {query} = request
+		board.peerReplies.set(id, buildPeerStatus(board, query.wantsBundle, now))
+		this.#recordQuery(board, query, now)
 	}
 
 	/** A peer's query carries its status too, but no evidence: it may have been delayed for any time. */
 	#recordQuery(board: Board, status: PeerStatus, now: number): void {
 		const known = board.peers.get(status.hostId)
 		if (known !== undefined && known.status.generation > status.generation) return
-		const same = known?.status.generation === status.generation
-		const evidenceAt = same ? known.evidenceAt : undefined
+		const isSame = known?.status.generation === status.generation
+		const evidenceAt = isSame ? known.evidenceAt : undefined
 		board.peers.set(status.hostId, {
 			status: {...status, bundle: undefined, evidenceAgeMs: undefined},
 			observedAt: now,
@@ -118,11 +116,9 @@
 	 */
 	#fetchIfBehind(board: Board, now: number): number {
 		const generation = board.bundle.get("current")?.bundle.generation ?? 0
-		const ahead = [...board.peers.values()].filter(
-			({status: peerStatus}) => peerStatus.generation > generation
-		)
+		const ahead = [...board.peers.values()].filter(({status}) => status.generation > generation)
 		if (this.#fetching || ahead.length === 0) return Infinity
-		if (ahead.some(({status: peerStatus}) => peerStatus.bundle !== undefined)) return Infinity
+		if (ahead.some(({status}) => status.bundle !== undefined)) return Infinity
 		if (now < this.#fetchAt) return this.#fetchAt
 		const chosen = ahead[this.#fetchCount++ % ahead.length]
 		const peer = board.hosts.get(chosen?.status.hostId ?? "")
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -159,15 +159,16 @@
 
 	/** Writes the fleet and the guarantee placements to the board for the controllers that read them. */
 	#publish(board: Board): void {
-		const {placements: homes} = this.#keeper
-		if (homes !== this.#publishedGuarantees) {
-			const ids = new Set(homes.list.map(({unit}) => unit.id))
+		const {placements} = this.#keeper
+		if (placements !== this.#publishedGuarantees) {
+			const ids = new Set(placements.list.map(({unit}) => unit.id))
 			for (const id of [...board.guaranteePlacements.keys()])
 				if (!ids.has(id)) board.guaranteePlacements.delete(id)
-			for (const placement of homes.list)
+			for (const placement of placements.list)
 				board.guaranteePlacements.set(placement.unit.id, placement)
-			if (homes.count !== this.#publishedGuarantees?.count) recordGuaranteePlacements(board, homes)
-			this.#publishedGuarantees = homes
+			if (placements.count !== this.#publishedGuarantees?.count)
+				recordGuaranteePlacements(board, placements)
+			this.#publishedGuarantees = placements
 		}
 		const {version} = this.#fleet.index
 		if (version === this.#publishedFleetVersion) return
@@ -199,7 +200,7 @@
 }
 
 /** Formats what placement depends on: if one job can't be placed, no other job with the same key can. */
-function formatPlacementKey({record, failedOn: avoid}: JobEntry): string {
+function formatPlacementKey({record, failedOn}: JobEntry): string {
 	const {workspace, spec} = record
 	const {members, accelerators, adjacency, cpus, memoryMb} = spec.shape
 	const stoppable = spec.repeatable || spec.checkpoint
@@ -213,7 +214,7 @@
 		adjacency,
 		cpus,
 		memoryMb,
-		avoid
+		failedOn
 	])
 }
 
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -173,12 +173,12 @@
 		const health = board.health.get(id) ?? INITIAL_HEALTH
 		const failedWorkflows = [...new Set([...health.failedWorkflows, workflowId])]
 		const isQuarantined = failedWorkflows.length >= NODE_FAILURES_MAX
-		const quarantineEndsAt = isQuarantined ? now + NODE_QUARANTINE_MS : health.quarantinedUntil
+		const quarantinedUntil = isQuarantined ? now + NODE_QUARANTINE_MS : health.quarantinedUntil
 		board.health.set(id, {
 			...health,
 			failedWorkflows,
 			suspectUntil: now + NODE_QUARANTINE_MS,
-			quarantinedUntil: quarantineEndsAt
+			quarantinedUntil
 		})
 		if (isQuarantined)
 			board.record(EventLevel.info, "worker-closed", {worker: id, failed: failedWorkflows.length})
@@ -221,13 +221,13 @@
 	}
 
 	#acknowledge(board: Board): void {
-		for (const [id, {incarnation, unsaved, lastPosition: takenIn}] of this.#ends) {
+		for (const [id, {incarnation, unsaved, lastPosition}] of this.#ends) {
 			while (
 				unsaved[0] !== undefined &&
 				isSaved(unsaved[0].ref.workflow, unsaved[0].ref.occurrence, unsaved[0].revision)
 			)
 				unsaved.shift()
-			const position = unsaved[0] === undefined ? takenIn : unsaved[0].position - 1
+			const position = unsaved[0] === undefined ? lastPosition : unsaved[0].position - 1
 			const known = board.acknowledgements.get(id)
 			if (known?.incarnation === incarnation && known.position === position) continue
 			if (position > 0) board.acknowledgements.set(id, {incarnation, position})
--- a/src/controllers/workflow-intake.ts
+++ b/src/controllers/workflow-intake.ts
@@ -170,8 +170,8 @@
 
 	#send(board: Board, operation: IntakeOperation, now: number): void {
 		operation.retryAt = undefined
-		const left = computeGiveUpAt(operation) - now
-		const timeoutMs = Math.max(1, Math.min(INTAKE_CALL_TIMEOUT_MS, left))
+		const remainingMs = computeGiveUpAt(operation) - now
+		const timeoutMs = Math.max(1, Math.min(INTAKE_CALL_TIMEOUT_MS, remainingMs))
 		const {id} = operation.request
 		if (operation.action === WorkflowAction.submit) {
 			const writes = this.#buildRows(operation)
