Rename locals of policies, utilities and the tool's tests

Change: locals by hand, inside their functions, then the formatter. Before and after: no token of the code differs but names; the type check passes. Conclusion: the same word for the same concept.

--- a/__tests__/cli.test.ts
+++ b/__tests__/cli.test.ts
@@ -65,8 +65,8 @@
 			/bad\.key: not an Ed25519/
 		]
 	]
-	for (const [what, args, message] of refusals)
-		it(`refuses ${what}`, async () => {
+	for (const [label, args, message] of refusals)
+		it(`refuses ${label}`, async () => {
 			const result = await runTool(args, [], "")
 			expectCode(result, ExitCode.usage)
 			expect(result.stderr).to.match(message)
--- a/src/policies/placement-best-fit.ts
+++ b/src/policies/placement-best-fit.ts
@@ -45,20 +45,20 @@
 	#pick(
 		request: PlacementRequest,
 		fleet: FleetIndex,
-		avoid: readonly string[]
+		excluded: readonly string[]
 	): readonly MemberChoice[] | undefined {
 		if (request.shape.adjacency === Adjacency.rack && request.shape.members > 1)
-			return this.#pickRack(request, fleet, avoid)
+			return this.#pickRack(request, fleet, excluded)
 		return (
-			this.#pickAnywhere(request, fleet, avoid, BUCKET_MISSES_MAX) ??
-			this.#pickAnywhere(request, fleet, avoid, Infinity)
+			this.#pickAnywhere(request, fleet, excluded, BUCKET_MISSES_MAX) ??
+			this.#pickAnywhere(request, fleet, excluded, Infinity)
 		)
 	}
 
 	#pickAnywhere(
 		request: PlacementRequest,
 		fleet: FleetIndex,
-		avoid: readonly string[],
+		excluded: readonly string[],
 		missesMax: number
 	): readonly MemberChoice[] | undefined {
 		const {shape} = request
@@ -66,7 +66,7 @@
 		for (const bucket of fleet.listBuckets(shape)) {
 			let misses = 0
 			for (const worker of bucket.workers.values()) {
-				const choice = this.#fit(request, worker, avoid)
+				const choice = this.#fit(request, worker, excluded)
 				if (choice !== undefined) chosen.push(choice)
 				else if (++misses >= missesMax) break
 				if (chosen.length === shape.members) return chosen
@@ -78,12 +78,12 @@
 	#pickRack(
 		request: PlacementRequest,
 		fleet: FleetIndex,
-		avoid: readonly string[]
+		excluded: readonly string[]
 	): readonly MemberChoice[] | undefined {
 		let best: RackChoice | undefined
 		let compared = 0
 		for (const rack of fleet.listRacks(request.shape)) {
-			const choice = this.#pickInRack(request, rack, avoid)
+			const choice = this.#pickInRack(request, rack, excluded)
 			if (choice === undefined) continue
 			if (best === undefined || choice.waste < best.waste) best = choice
 			if (++compared === RACKS_COMPARED) break
@@ -94,14 +94,14 @@
 	#pickInRack(
 		request: PlacementRequest,
 		rack: FleetRack,
-		avoid: readonly string[]
+		excluded: readonly string[]
 	): RackChoice | undefined {
 		const {shape} = request
 		const workers = [...rack.workers.values()].sort((a, b) => compareFullness(a, b, shape))
 		const members: MemberChoice[] = []
 		let waste = 0
 		for (const worker of workers) {
-			const choice = this.#fit(request, worker, avoid)
+			const choice = this.#fit(request, worker, excluded)
 			if (choice === undefined) continue
 			members.push(choice)
 			waste += countFree(worker.free) - shape.accelerators
@@ -113,9 +113,9 @@
 	#fit(
 		{shape, restrict}: PlacementRequest,
 		worker: FleetWorker,
-		avoid: readonly string[]
+		excluded: readonly string[]
 	): MemberChoice | undefined {
-		if (avoid.includes(worker.id)) return undefined
+		if (excluded.includes(worker.id)) return undefined
 		const candidate = restrict === undefined ? worker : restrict(worker)
 		if (!isMemberFitting(candidate, shape)) return undefined
 		return buildChoice(candidate, shape, findTightestBlock(candidate.free, shape.accelerators))
--- a/src/policies/placement.ts
+++ b/src/policies/placement.ts
@@ -34,11 +34,11 @@
  * job that did not wait for other workers would spend all its attempts there.
  */
 export function mayUseFailedWorkers(
-	{shape, failedOn: avoid}: PlacementRequest,
+	{shape, failedOn}: PlacementRequest,
 	fleet: FleetIndex
 ): boolean {
-	if (avoid.length === 0) return false
-	const others = [...fleet.values()].filter(({id, usable}) => usable && !avoid.includes(id))
+	if (failedOn.length === 0) return false
+	const others = [...fleet.values()].filter(({id, usable}) => usable && !failedOn.includes(id))
 	return !isEverFitting(shape, others)
 }
 
@@ -47,11 +47,11 @@
 	readonly name = "first-fit"
 
 	place(request: PlacementRequest, fleet: FleetIndex): readonly MemberChoice[] | undefined {
-		const {shape, failedOn: avoid, restrict} = request
+		const {shape, failedOn, restrict} = request
 		const workers = [...fleet.values()]
 		const candidates = restrict === undefined ? workers : workers.map(restrict)
 		const fitting = candidates.filter(worker => isMemberFitting(worker, shape))
-		const preferred = fitting.filter(worker => !avoid.includes(worker.id))
+		const preferred = fitting.filter(worker => !failedOn.includes(worker.id))
 		const picked = this.#pick(preferred, shape)
 		if (picked !== undefined || !mayUseFailedWorkers(request, fleet)) return picked
 		return this.#pick(fitting, shape)
--- a/src/policies/reclaim.ts
+++ b/src/policies/reclaim.ts
@@ -69,10 +69,14 @@
 				task.workspace === this.#workspace &&
 				task.accelerators.every(at => this.#placements.findOwner(worker.id, at) === this.#workspace)
 		)
-		const count = (resource: "cpus" | "memoryMb") =>
+		const computeUnused = (resource: "cpus" | "memoryMb") =>
 			blocks.reduce((sum, {unit}) => sum + unit.shape[resource], 0) -
 			own.reduce((sum, task) => sum + task[resource], 0)
-		return blocks.length > 0 && count("cpus") >= shape.cpus && count("memoryMb") >= shape.memoryMb
+		return (
+			blocks.length > 0 &&
+			computeUnused("cpus") >= shape.cpus &&
+			computeUnused("memoryMb") >= shape.memoryMb
+		)
 	}
 }
 
--- a/src/policies/run-placement.ts
+++ b/src/policies/run-placement.ts
@@ -94,8 +94,8 @@
 
 	forecast(unit: PlacementUnit, nodes: readonly NodeCapacity[]): readonly Slot[] | undefined {
 		const slots = nodes
-			.filter(room => isEligible(room, unit.spec))
-			.flatMap(room => listSlots(room, unit, () => listByExpectedEnd(room)))
+			.filter(node => isEligible(node, unit.spec))
+			.flatMap(node => listSlots(node, unit, () => listByExpectedEnd(node)))
 		return this.#chooseNear(unit, slots)
 	}
 
@@ -208,9 +208,9 @@
 
 const MS_PER_S = 1000
 
-function compareSlots(a: Slot, b: Slot, {failedOn: avoid}: PlacementUnit): number {
+function compareSlots(a: Slot, b: Slot, {failedOn}: PlacementUnit): number {
 	return (
-		Number(avoid.has(a.capacity.id)) - Number(avoid.has(b.capacity.id)) ||
+		Number(failedOn.has(a.capacity.id)) - Number(failedOn.has(b.capacity.id)) ||
 		Number(a.capacity.isSuspect) - Number(b.capacity.isSuspect) ||
 		a.loss - b.loss ||
 		Number(b.isFree) - Number(a.isFree) ||
@@ -274,10 +274,7 @@
 /** Loss that is accepted to avoid waiting for a run to end, in core-seconds. */
 const WAIT_PENALTY = 10
 
-function computeCost(
-	{loss, capacity: node, isFree}: Slot,
-	{failedOn: avoid}: PlacementUnit
-): number {
-	const penalty = node.isSuspect || avoid.has(node.id) ? SUSPECT_PENALTY : 0
+function computeCost({loss, capacity: node, isFree}: Slot, {failedOn}: PlacementUnit): number {
+	const penalty = node.isSuspect || failedOn.has(node.id) ? SUSPECT_PENALTY : 0
 	return loss + penalty + (isFree ? 0 : WAIT_PENALTY)
 }
--- a/src/policies/zone-choice-load.ts
+++ b/src/policies/zone-choice-load.ts
@@ -32,9 +32,9 @@
 	const inService = content.zones.filter(zone => zone.inService)
 	if (spec.kind === JobKind.call || spec.shape.accelerators === 0) return inService
 	const guarantees = content.workspaces.find(({name}) => name === workspace)?.guarantees ?? []
-	const homes = new Set(guarantees.map(({zone}) => zone))
-	const atHome = inService.filter(({name}) => homes.has(name))
-	return atHome.length > 0 ? atHome : inService
+	const guaranteedZones = new Set(guarantees.map(({zone}) => zone))
+	const guaranteed = inService.filter(({name}) => guaranteedZones.has(name))
+	return guaranteed.length > 0 ? guaranteed : inService
 }
 
 function findQueued({ownZone, ownQueued, peers}: ZoneChoiceContext, zone: string): number {
--- a/src/utils/decode.ts
+++ b/src/utils/decode.ts
@@ -96,21 +96,21 @@
 
 /** Checks a value against a schema; the error names each invalid path. */
 export function checkValue<T>(
-	what: string,
+	label: string,
 	schema: z.ZodType<T>,
 	value: unknown
 ): Result<T, MalformedError> {
 	const parsed = schema.safeParse(value)
 	if (parsed.success) return ok(parsed.data)
-	const why = parsed.error.issues
+	const detail = parsed.error.issues
 		.map(issue => `${issue.path.join(".") || "(top)"}: ${issue.message}`)
 		.join("; ")
-	return err(new MalformedError(what, why))
+	return err(new MalformedError(label, detail))
 }
 
 /** Decodes JSON and checks it against a schema. */
 export function decodeJson<T>(
-	what: string,
+	label: string,
 	schema: z.ZodType<T>,
 	text: string
 ): Result<T, MalformedError> {
@@ -118,9 +118,9 @@
 	try {
 		value = JSON.parse(text)
 	} catch (error) {
-		return err(new MalformedError(what, error instanceof Error ? error.message : "not JSON"))
+		return err(new MalformedError(label, error instanceof Error ? error.message : "not JSON"))
 	}
-	return checkValue(what, schema, value)
+	return checkValue(label, schema, value)
 }
 
 export function decodeSignedBundle(text: string): Result<SignedBundle, MalformedError> {
--- a/src/utils/ledger.ts
+++ b/src/utils/ledger.ts
@@ -74,9 +74,9 @@
 		case TransitionKind.end:
 			return [{key, ifVersion: ANY_VERSION, value: null}]
 		case TransitionKind.rehome: {
-			const left = formatActiveKey(record.movedFrom ?? "", record.id)
+			const oldKey = formatActiveKey(record.movedFrom ?? "", record.id)
 			return [
-				{key: left, ifVersion: ANY_VERSION, value: null},
+				{key: oldKey, ifVersion: ANY_VERSION, value: null},
 				{key, ifVersion: ANY_VERSION, value: record.id}
 			]
 		}
--- a/src/utils/replies.ts
+++ b/src/utils/replies.ts
@@ -42,11 +42,11 @@
 		generation: current?.bundle.generation ?? 0,
 		ageMs: 0
 	}
-	const others = [...board.peers.values()].map(({status: peer, observedAt: receivedAt}) => ({
+	const others = [...board.peers.values()].map(({status: peer, observedAt}) => ({
 		hostId: peer.hostId,
 		zone: peer.zone,
 		generation: peer.generation,
-		ageMs: Math.round(now - receivedAt)
+		ageMs: Math.round(now - observedAt)
 	}))
 	return {
 		generation: own.generation,
