Rename locals of stand-ins, scripts, benches and fixtures

Before and after: no token of the code differs but names; the type check passes. Conclusion: the same word for the same concept.

--- a/bench/bundle-spread.ts
+++ b/bench/bundle-spread.ts
@@ -33,9 +33,12 @@
 	const rig = new DaemonRig()
 	try {
 		await rig.startPlatform()
-		const zones = Array.from({length: Math.ceil(hosts / HOSTS_PER_ZONE)}, (_, at) => `zone-${at}`)
-		for (let at = 0; at < hosts; at++)
-			await rig.startDaemon(`host-${at}`, zones[at % zones.length] ?? "")
+		const zones = Array.from(
+			{length: Math.ceil(hosts / HOSTS_PER_ZONE)},
+			(_, index) => `zone-${index}`
+		)
+		for (let index = 0; index < hosts; index++)
+			await rig.startDaemon(`host-${index}`, zones[index % zones.length] ?? "")
 		const tookMs: number[] = []
 		for (let round = 0; round <= ROUNDS; round++) {
 			const took = await measureRound(rig, zones, round + 1)
--- a/bench/daemon-rig.ts
+++ b/bench/daemon-rig.ts
@@ -87,12 +87,12 @@
 	}
 
 	async addWorkers(zone: string, count: number): Promise<void> {
-		for (let at = 0; at < count; at++) {
-			const id = `${zone}-worker-${at}`
+		for (let index = 0; index < count; index++) {
+			const id = `${zone}-worker-${index}`
 			const core = new WorkerCore({workerId: id, incarnation: id, capacity: CAPACITY}, this.clock)
 			const address = await this.#serve(createWorkerApp(core, new FaultSwitch()), this.workerBytes)
 			this.workers.set(id, core)
-			const rack = `${zone}-rack-${Math.floor(at / WORKERS_PER_RACK)}`
+			const rack = `${zone}-rack-${Math.floor(index / WORKERS_PER_RACK)}`
 			this.pin({id, role: HostRole.worker, zone, rack, address})
 		}
 	}
@@ -206,10 +206,10 @@
 
 export function createZoneContent(zones: readonly string[], workspaces = 1): BundleContent {
 	return bundleContentSchema.parse({
-		workspaces: Array.from({length: workspaces}, (_, at) => ({
-			name: `team-${at}`,
+		workspaces: Array.from({length: workspaces}, (_, index) => ({
+			name: `team-${index}`,
 			maxQueued: 100000,
-			callers: {clerk: hashText(at === 0 ? CALLER_TOKEN : `token-${at}`)}
+			callers: {clerk: hashText(index === 0 ? CALLER_TOKEN : `token-${index}`)}
 		})),
 		zones: zones.map(name => ({name, region: `region-${name}`})),
 		policies: {placement: "best-fit"}
--- a/bench/host-cost.ts
+++ b/bench/host-cost.ts
@@ -69,7 +69,7 @@
 		await rig.startPlatform()
 		await rig.addWorkers(ZONE, workers)
 		const daemons = [await rig.startDaemon("host-1", ZONE), await rig.startDaemon("host-2", ZONE)]
-		const zones = Array.from({length: ZONES}, (_, at) => (at === 0 ? ZONE : `zone-${at}`))
+		const zones = Array.from({length: ZONES}, (_, index) => (index === 0 ? ZONE : `zone-${index}`))
 		const [first] = daemons
 		if (first === undefined) throw new Error("no daemon has been started")
 		await rig.rollOut(createZoneContent(zones, TEAMS), first.process)
@@ -84,8 +84,8 @@
 
 async function startTasks(rig: DaemonRig, {process}: Daemon, tasks: number): Promise<void> {
 	const gangs = Math.ceil(tasks / GANG_MEMBERS)
-	for (let at = 0; at < gangs; at++)
-		await rig.submit(process, `gang-${at}`, {
+	for (let index = 0; index < gangs; index++)
+		await rig.submit(process, `gang-${index}`, {
 			service: "turn-plan",
 			shape: {members: GANG_MEMBERS, accelerators: 0, adjacency: "any", cpus: 1, memoryMb: 100},
 			declaredRunMs: DAY_MS,
--- a/bench/load-run.ts
+++ b/bench/load-run.ts
@@ -100,12 +100,12 @@
 	#buildCluster(): void {
 		this.#installBundle()
 		for (const zone of this.#load.zones) {
-			for (let at = 0; at < zone.workers; at++) {
-				const rack = `${zone.name}-rack-${Math.floor(at / this.#load.workersPerRack)}`
-				this.#cluster.addWorker(`${zone.name}-worker-${at}`, zone.name, rack, this.#load.worker)
+			for (let index = 0; index < zone.workers; index++) {
+				const rack = `${zone.name}-rack-${Math.floor(index / this.#load.workersPerRack)}`
+				this.#cluster.addWorker(`${zone.name}-worker-${index}`, zone.name, rack, this.#load.worker)
 			}
-			for (let at = 0; at < zone.endpoints; at++)
-				this.#cluster.addEndpoint(`${zone.name}-endpoint-${at}`, zone.name, zone.slots)
+			for (let index = 0; index < zone.endpoints; index++)
+				this.#cluster.addEndpoint(`${zone.name}-endpoint-${index}`, zone.name, zone.slots)
 			this.#cluster.addHost(`${zone.name}-host`, zone.name, this.#createControllers())
 		}
 	}
--- a/bench/placement-day.ts
+++ b/bench/placement-day.ts
@@ -22,7 +22,7 @@
 export const DAY_MS = 24 * HOUR_MS
 
 export interface Arrival {
-	readonly at: number
+	readonly atMs: number
 	readonly id: string
 	readonly runMs: number
 	readonly spec: Partial<JobSpec>
@@ -61,12 +61,12 @@
 	const meanWidth = SHAPES.reduce((sum, {share, shape}) => sum + share * computeWidth(shape), 0)
 	const meanGapMs = (meanWidth * MEAN_RUN_MS) / (accelerators * load)
 	const arrivals: Arrival[] = []
-	let at = 0
-	while (at < DAY_MS) {
+	let atMs = 0
+	while (atMs < DAY_MS) {
 		const burst = uniformFloat64(random) < BURST_SHARE / BURST_SIZE ? BURST_SIZE : 1
 		for (let index = 0; index < burst; index++)
 			arrivals.push({
-				at,
+				atMs,
 				id: `job-${arrivals.length}`,
 				runMs: drawExponential(random, MEAN_RUN_MS),
 				spec: {
@@ -75,7 +75,7 @@
 					checkpoint: uniformInt(random, 0, 1) === 1
 				}
 			})
-		at += burst * drawExponential(random, meanGapMs)
+		atMs += burst * drawExponential(random, meanGapMs)
 	}
 	return arrivals
 }
@@ -128,11 +128,11 @@
 		const pending = [...arrivals]
 		let wakeAt = Infinity
 		while (this.#now < DAY_MS) {
-			const nextArrival = pending[0]?.at ?? Infinity
+			const nextArrival = pending[0]?.atMs ?? Infinity
 			const next = Math.min(nextArrival, this.#findNextEnd(), wakeAt, DAY_MS)
 			this.#measure(next - this.#now)
 			this.#now = next
-			while (pending[0] !== undefined && pending[0].at <= next) this.#arrive(pending.shift())
+			while (pending[0] !== undefined && pending[0].atMs <= next) this.#arrive(pending.shift())
 			this.#endDueJobs()
 			wakeAt = this.#runControllers()
 		}
--- a/bench/placement-scale.ts
+++ b/bench/placement-scale.ts
@@ -64,7 +64,7 @@
 		const name = policy === "" ? "best-fit" : policy
 		const measured = SIZES.map(workers => measureSize(workers, name, seed))
 		const baseline = SIZES.map(workers => measureSize(workers, "first-fit", seed))
-		const metrics = measured.flatMap((costs, at) => buildSizeMetrics(costs, baseline[at]))
+		const metrics = measured.flatMap((costs, index) => buildSizeMetrics(costs, baseline[index]))
 		const large = SIZES.length - 1
 		metrics.push(
 			buildSlopeMetric("slope-urgent-p50", measured, baseline, large, ({urgent}) => urgent.p50),
@@ -155,8 +155,8 @@
 /** Creates one zone's share of the workspaces, each with one guaranteed shape. */
 function createWorkspaces() {
 	const shape = createShape({accelerators: 4, cpus: 8})
-	return Array.from({length: TEAMS}, (_, at) => ({
-		name: `team-${at}`,
+	return Array.from({length: TEAMS}, (_, index) => ({
+		name: `team-${index}`,
 		guarantees: [{zone: ZONE, shape, count: 1}]
 	}))
 }
@@ -175,15 +175,20 @@
 	createSpec: () => Partial<JobSpec>
 ): Cost {
 	const histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: 60 * 1000 * NS_PER_MS})
-	for (let at = 0; at < WARM_UP + DECISIONS; at++) {
-		replaceJob(board, running, uniformInt(random, 0, running.length - 1), `${prefix}-again-${at}`)
+	for (let index = 0; index < WARM_UP + DECISIONS; index++) {
+		replaceJob(
+			board,
+			running,
+			uniformInt(random, 0, running.length - 1),
+			`${prefix}-again-${index}`
+		)
 		controller.step(board, 0)
-		const record = queueJob(board, `${prefix}-${at}`, "posta", createSpec())
+		const record = queueJob(board, `${prefix}-${index}`, "posta", createSpec())
 		const startedAt = process.hrtime.bigint()
 		controller.step(board, 0)
 		const tookNs = Number(process.hrtime.bigint() - startedAt)
 		if (!board.placements.has(record.id)) throw new Error(`${record.id} was not placed`)
-		if (at >= WARM_UP) histogram.recordValue(tookNs)
+		if (index >= WARM_UP) histogram.recordValue(tookNs)
 		board.placements.take(record.id)
 		board.jobs.delete(record.id)
 	}
@@ -207,11 +212,11 @@
 	const tracker = new FleetTracker()
 	tracker.sync(board, 0)
 	const placed: (() => string)[] = []
-	for (let at = 0; at < tasks; at++) {
-		const accelerators = at % TASKS_PER_ACCELERATED === 0 ? 1 << uniformInt(random, 0, 2) : 0
+	for (let index = 0; index < tasks; index++) {
+		const accelerators = index % TASKS_PER_ACCELERATED === 0 ? 1 << uniformInt(random, 0, 2) : 0
 		const shape = createShape({accelerators})
 		const spec = {shape, repeatable: accelerators > 0}
-		const record = queueJob(board, `run-${at}`, "posta", spec)
+		const record = queueJob(board, `run-${index}`, "posta", spec)
 		const request = {jobId: record.id, workspace: "posta", shape, failedOn: []}
 		const members = policy.place(request, tracker.index)
 		if (members === undefined) {
@@ -228,9 +233,9 @@
 }
 
 function queueUnfit(board: Board): void {
-	for (let at = 0; at < QUEUED_UNFIT; at++) {
-		const shape = createShape({members: 1 + (at % 10), accelerators: 8, cpus: 131})
-		queueJob(board, `unfit-${at}`, "posta", {shape})
+	for (let index = 0; index < QUEUED_UNFIT; index++) {
+		const shape = createShape({members: 1 + (index % 10), accelerators: 8, cpus: 131})
+		queueJob(board, `unfit-${index}`, "posta", {shape})
 	}
 }
 
--- a/bench/reclaim.ts
+++ b/bench/reclaim.ts
@@ -117,31 +117,31 @@
 		this.#case = reclaimCase
 		this.#random = xoroshiro128plus(seed)
 		this.#cluster.installBundle(1, createContent())
-		for (let at = 0; at < WORKERS; at++) {
-			const rack = `rack-${Math.floor(at / WORKERS_PER_RACK)}`
-			const worker = this.#cluster.addWorker(`w${at}`, ZONE, rack, CAPACITY)
+		for (let index = 0; index < WORKERS; index++) {
+			const rack = `rack-${Math.floor(index / WORKERS_PER_RACK)}`
+			const worker = this.#cluster.addWorker(`w${index}`, ZONE, rack, CAPACITY)
 			worker.switches.ignoreStopMs = reclaimCase.ignoreStopMs
 		}
 		this.#cluster.addHost("host-1", ZONE, pickControllers(this.#clock, withReclaim))
 		this.#clock.advance(5000)
-		for (let at = 0; at < BORROWERS; at++) this.#submitBorrower(at)
+		for (let index = 0; index < BORROWERS; index++) this.#submitBorrower(index)
 		this.#clock.advance(30000)
 	}
 
 	/** Measures claims one after the other; each ends before the next. */
 	measure(claims: number): Histogram {
 		const histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: 2 * TIMEOUT_MS})
-		for (let at = 0; at < claims; at++) {
+		for (let index = 0; index < claims; index++) {
 			this.#clock.advance(uniformInt(this.#random, 0, 5000))
-			histogram.recordValue(this.#measureClaim(at))
+			histogram.recordValue(this.#measureClaim(index))
 			this.#clock.advance(2 * CLAIM_RUN_MS)
 		}
 		return histogram
 	}
 
-	#submitBorrower(at: number): void {
+	#submitBorrower(index: number): void {
 		const accelerators = 1 << uniformInt(this.#random, 2, 3)
-		this.#submit(`borrower-${at}`, "guest", BORROWER_RUN_MS, {
+		this.#submit(`borrower-${index}`, "guest", BORROWER_RUN_MS, {
 			shape: createShape({accelerators}),
 			priority: PriorityClass.batch,
 			repeatable: true,
@@ -149,14 +149,14 @@
 		})
 	}
 
-	#measureClaim(at: number): number {
+	#measureClaim(index: number): number {
 		const pick = uniformInt(this.#random, 0, GUARANTEED.length - 1)
 		const shape = createShape(GUARANTEED[pick] ?? {})
 		const workspaces = this.#case.workspaces
-		const workspace = workspaces[at % workspaces.length] ?? ""
+		const workspace = workspaces[index % workspaces.length] ?? ""
 		const startedAt = this.#clock.now()
 		const {priority} = this.#case
-		const id = this.#submit(`claim-${at}`, workspace, CLAIM_RUN_MS, {shape, priority})
+		const id = this.#submit(`claim-${index}`, workspace, CLAIM_RUN_MS, {shape, priority})
 		while (this.#countRunning(id()) < shape.members && this.#clock.now() - startedAt < TIMEOUT_MS)
 			this.#clock.advance(STEP_MS)
 		return Math.round(this.#clock.now() - startedAt)
--- a/bench/zone-board.ts
+++ b/bench/zone-board.ts
@@ -147,17 +147,17 @@
 		claimed: true,
 		settling: false,
 		checkpointFirst: false,
-		members: members.map((member, at) => ({
+		members: members.map((member, index) => ({
 			...member,
-			taskId: `${record.id}.${at}`,
+			taskId: `${record.id}.${index}`,
 			state: MemberState.started,
 			ran: RanState.yes,
 			calledAt: now
 		}))
 	})
-	for (const [at, member] of members.entries()) {
+	for (const [index, member] of members.entries()) {
 		const {cpus, memoryMb} = record.spec.shape
-		const taskId = `${record.id}.${at}`
+		const taskId = `${record.id}.${index}`
 		const state = {state: TaskState.running, started: true, ranMs: 0}
 		const task = {...state, taskId, jobId: record.id}
 		reportTask(board, member.workerId, {...task, accelerators: member.accelerators, cpus, memoryMb})
--- a/scripts/demo-rig.ts
+++ b/scripts/demo-rig.ts
@@ -46,12 +46,12 @@
 		this.daemons.set(zone, [])
 		this.backEndIds.set(zone, new Set())
 		const starts: Promise<void>[] = []
-		for (let at = 1; at <= options.workersPerZone; at++)
-			starts.push(this.#startWorker(zone, `${zone}-worker-${at}`, options))
-		for (let at = 1; at <= options.endpointsPerZone; at++)
-			starts.push(this.#startEndpoint(zone, `${zone}-endpoint-${at}`))
-		for (let at = 1; at <= options.daemonsPerZone; at++)
-			starts.push(this.#startDaemon(zone, `${zone}-host-${at}`, publicKey))
+		for (let number = 1; number <= options.workersPerZone; number++)
+			starts.push(this.#startWorker(zone, `${zone}-worker-${number}`, options))
+		for (let number = 1; number <= options.endpointsPerZone; number++)
+			starts.push(this.#startEndpoint(zone, `${zone}-endpoint-${number}`))
+		for (let number = 1; number <= options.daemonsPerZone; number++)
+			starts.push(this.#startDaemon(zone, `${zone}-host-${number}`, publicKey))
 		await Promise.all(starts)
 	}
 
--- a/standins/platform/core.ts
+++ b/standins/platform/core.ts
@@ -83,9 +83,9 @@
 		this.#listHost(record, undefined, now)
 	}
 
-	#listHost(record: HostRecord, heartbeatAt: number | undefined, now: number): void {
+	#listHost(record: HostRecord, lastHeartbeatAt: number | undefined, now: number): void {
 		const known = this.#hosts.get(record.id)
-		this.#hosts.set(record.id, {record, lastHeartbeatAt: heartbeatAt})
+		this.#hosts.set(record.id, {record, lastHeartbeatAt})
 		if (JSON.stringify(known?.record) !== JSON.stringify(record)) this.#recordChange(now)
 	}
 
@@ -122,8 +122,8 @@
 
 	#readVisible(now: number): readonly HostRecord[] {
 		for (const [id, host] of this.#hosts) {
-			const {lastHeartbeatAt: heartbeatAt} = host
-			if (heartbeatAt !== undefined && now - heartbeatAt > HEARTBEAT_TIMEOUT_MS)
+			const {lastHeartbeatAt} = host
+			if (lastHeartbeatAt !== undefined && now - lastHeartbeatAt > HEARTBEAT_TIMEOUT_MS)
 				this.removeHost(id, now)
 		}
 		while (this.#changes[0] !== undefined && this.#changes[0].visibleAt <= now) {
--- a/standins/scenario/expectations.ts
+++ b/standins/scenario/expectations.ts
@@ -193,7 +193,7 @@
 	): string[] {
 		return context.rig
 			.find(node)
-			.incarnations.filter(({wasAskedToStop: wasAsked, exitCode}) => wasAsked && exitCode !== code)
+			.incarnations.filter(({wasAskedToStop, exitCode}) => wasAskedToStop && exitCode !== code)
 			.map(({exitCode}) => `${node} exited with ${exitCode ?? "a signal"}, expected ${code}`)
 	}
 }
--- a/standins/scenario/invariants.ts
+++ b/standins/scenario/invariants.ts
@@ -116,9 +116,8 @@
 function checkHostGenerations(context: ScenarioContext): string[] {
 	const highest = new Map<string, number>()
 	const findings: string[] = []
-	for (const {host, incarnationNumber: incarnation, generation} of context.operators
-		.reportedGenerations) {
-		const name = `${host} (incarnation ${incarnation})`
+	for (const {host, incarnationNumber, generation} of context.operators.reportedGenerations) {
+		const name = `${host} (incarnation ${incarnationNumber})`
 		const before = highest.get(name) ?? 0
 		if (generation < before)
 			findings.push(`${name} went from generation ${before} to ${generation}`)
--- a/standins/scenario/journal.ts
+++ b/standins/scenario/journal.ts
@@ -44,9 +44,11 @@
 
 /** Collects the bundle generations that each incarnation of each worker saw, in order. */
 export function collectGenerations(nodes: Iterable<Node>): GenerationEntry[][] {
-	const entries = [...nodes].flatMap(node => node.incarnations.map(life => ({node, life})))
-	return entries.map(({node, life}) =>
-		readJournal(life.process.lines).flatMap(({generation, wallMs}) =>
+	const entries = [...nodes].flatMap(node =>
+		node.incarnations.map(incarnation => ({node, incarnation}))
+	)
+	return entries.map(({node, incarnation}) =>
+		readJournal(incarnation.process.lines).flatMap(({generation, wallMs}) =>
 			generation === undefined ? [] : [{node: node.name, generation, wallMs: wallMs ?? 0}]
 		)
 	)
--- a/standins/scenario/operators.ts
+++ b/standins/scenario/operators.ts
@@ -48,9 +48,9 @@
 	}
 
 	/** The generation that this incarnation of the host reported last; 0 if none. */
-	findReportedGeneration({name, incarnations: started}: Node): number {
+	findReportedGeneration({name, incarnations}: Node): number {
 		const last = this.reportedGenerations.findLast(
-			({host, incarnationNumber: incarnation}) => host === name && incarnation === started.length
+			({host, incarnationNumber}) => host === name && incarnationNumber === incarnations.length
 		)
 		return last?.generation ?? 0
 	}
@@ -77,12 +77,14 @@
 	async race(states: readonly BundleState[], hosts: readonly string[]): Promise<void> {
 		const generation = (this.current?.generation ?? 0) + 1
 		const answers = await Promise.all(
-			states.map((state, at) => this.#put(hosts[at] ?? "", this.#author.sign(generation, state)))
+			states.map((state, index) =>
+				this.#put(hosts[index] ?? "", this.#author.sign(generation, state))
+			)
 		)
 		const acceptedWallMs = Date.now()
-		for (const [at, answer] of answers.entries()) {
+		for (const [index, answer] of answers.entries()) {
 			this.raceStatuses.push(answer?.status ?? 0)
-			const state = states[at]
+			const state = states[index]
 			if (answer?.status === 200 && state !== undefined)
 				this.rollouts.push({generation, state, acceptedWallMs})
 		}
@@ -107,7 +109,7 @@
 	}
 
 	async #recordGeneration(host: string): Promise<void> {
-		const incarnation = this.#rig.find(host).incarnations.length
+		const incarnationNumber = this.#rig.find(host).incarnations.length
 		const url = `${this.#rig.findCallerUrl(host)}/v1/bundle`
 		try {
 			const answer = await sendRequest(url, {method: "GET", token: OPERATOR_TOKEN})
@@ -115,7 +117,7 @@
 			const {generation} = answer.body as BundleView
 			this.reportedGenerations.push({
 				host,
-				incarnationNumber: incarnation,
+				incarnationNumber,
 				generation,
 				atWallMs: Date.now()
 			})
--- a/standins/scenario/runner.ts
+++ b/standins/scenario/runner.ts
@@ -53,11 +53,11 @@
 
 function collectHostLogs(context: ScenarioContext): Map<string, readonly string[]> {
 	const logs = new Map<string, readonly string[]>()
-	for (const {name, role, incarnations: started} of context.rig.nodes.values())
+	for (const {name, role, incarnations} of context.rig.nodes.values())
 		if (role === NodeRole.host)
 			logs.set(
 				name,
-				started.flatMap(({process}) => process.lines)
+				incarnations.flatMap(({process}) => process.lines)
 			)
 	return logs
 }
