Rename names of core, settings and problems found in the read-through

Cause: a second reading as a newcomer found names that still differ from the agreed terms. Conclusion: the same word for the same concept in these parts too.

--- a/__tests__/api.test.ts
+++ b/__tests__/api.test.ts
@@ -139,8 +139,8 @@
 			/generation/
 		]
 	]
-	for (const [what, refused, reason, detail] of refusals)
-		it(`refuses ${what} with a problem document`, async () => {
+	for (const [subject, refused, reason, detail] of refusals)
+		it(`refuses ${subject} with a problem document`, async () => {
 			const {status, body} = await attempt<Problem>(refused)
 			expect(status).to.equal(findStatus(reason))
 			expect(body).to.include({
--- a/__tests__/embedded.test.ts
+++ b/__tests__/embedded.test.ts
@@ -4,14 +4,14 @@
 import {runTool} from "../standins/tool.js"
 import {waitFor} from "./fixtures/cluster.js"
 
-interface Guide {
+interface Instructions {
 	readonly folder: string
 	readonly callerToken: string
 	readonly operatorToken: string
 }
 
 /** Parses the instructions that the daemon prints. */
-function readGuide(lines: readonly string[]): Guide | undefined {
+function parseInstructions(lines: readonly string[]): Instructions | undefined {
 	const text = lines.join("\n")
 	const folder = /are in (\S+)\. In/.exec(text)?.[1]
 	const [callerToken, operatorToken] = [...text.matchAll(/TOKEN=(\S+)/g)].map(([, token]) => token)
@@ -23,12 +23,15 @@
 describe("the embedded daemon", () => {
 	const launcher = new Launcher()
 	let daemon: StartedProcess
-	let guide: Guide
+	let instructions: Instructions
 
 	before(async () => {
 		daemon = await launcher.start("cardamomhookd", ["--embedded", "--port", "0"])
-		await waitFor("the instructions are printed", () => readGuide(daemon.lines) !== undefined)
-		guide = readGuide(daemon.lines)!
+		await waitFor(
+			"the instructions are printed",
+			() => parseInstructions(daemon.lines) !== undefined
+		)
+		instructions = parseInstructions(daemon.lines)!
 	})
 
 	after(async () => {
@@ -37,14 +40,14 @@
 
 	it("runs the example job and takes the zone out of service with the commands that it prints", async () => {
 		const hosts = [daemon.url]
-		const submit = ["job", "submit", `${guide.folder}/job.yaml`, "--wait", "--key", "try"]
+		const submit = ["job", "submit", `${instructions.folder}/job.yaml`, "--wait", "--key", "try"]
 		await waitFor("the example job completes", async () => {
-			const {code} = await runTool(submit, hosts, guide.callerToken)
+			const {code} = await runTool(submit, hosts, instructions.callerToken)
 			return code === ExitCode.ok
 		})
-		const out = ["zone", "out", "zone-a", "--key", `${guide.folder}/signing.key`]
-		const moved = await runTool(out, hosts, guide.operatorToken)
-		expect(moved.code, moved.stderr).to.equal(ExitCode.ok)
+		const out = ["zone", "out", "zone-a", "--key", `${instructions.folder}/signing.key`]
+		const result = await runTool(out, hosts, instructions.operatorToken)
+		expect(result.code, result.stderr).to.equal(ExitCode.ok)
 	})
 
 	it("shuts down gracefully", async () => {
--- a/__tests__/settings.test.ts
+++ b/__tests__/settings.test.ts
@@ -15,9 +15,9 @@
 
 describe("settings", () => {
 	it("are read with their defaults", () => {
-		const given = parse(createSettings()) as Record<string, unknown>
-		delete given.logLevel
-		const settings = decodeSettings(stringify(given))._unsafeUnwrap()
+		const values = parse(createSettings()) as Record<string, unknown>
+		delete values.logLevel
+		const settings = decodeSettings(stringify(values))._unsafeUnwrap()
 		expect(settings.logLevel).to.equal("info")
 	})
 
@@ -33,8 +33,8 @@
 		["a hash", {operators: {me: "token"}}, /operators\.me: expected a SHA-256/],
 		["an unknown field", {hostid: "a"}, /Unrecognized key: "hostid"/]
 	]
-	for (const [what, change, message] of faults)
-		it(`are refused with the path and the allowed values: ${what}`, () => {
+	for (const [subject, change, message] of faults)
+		it(`are refused with the path and the allowed values: ${subject}`, () => {
 			expect(decodeSettings(createSettings(change))._unsafeUnwrapErr().message).to.match(message)
 		})
 
--- a/src/adapters/caller-api.ts
+++ b/src/adapters/caller-api.ts
@@ -12,7 +12,7 @@
 import {addCallerRoutes} from "./caller-routes.js"
 import {type Gateway} from "./gateway.js"
 import {addOperatorRoutes} from "./operator-routes.js"
-import {PROBLEM_REASON, createTooLarge, sendProblem} from "./problems.js"
+import {PROBLEM_REASON, createTooLargeRefusal, sendProblem} from "./problems.js"
 import {type Telemetry} from "./telemetry.js"
 
 export function createCallerApi(board: Board, gateway: Gateway, telemetry: Telemetry): Hono {
@@ -28,7 +28,7 @@
 			onError: context => {
 				// The rest of the body is not read, so the connection cannot be reused.
 				context.header("connection", "close")
-				return sendProblem(context, createTooLarge())
+				return sendProblem(context, createTooLargeRefusal())
 			}
 		})
 	)
--- a/src/adapters/caller-routes.ts
+++ b/src/adapters/caller-routes.ts
@@ -11,7 +11,12 @@
 } from "../internal.js"
 import {type Gateway} from "./gateway.js"
 import {readJson, readNumber, readToken, sendReplyTo} from "./http-exchange.js"
-import {createCallersOnly, createMalformed, createUnauthenticated, sendProblem} from "./problems.js"
+import {
+	createCallersOnlyRefusal,
+	createMalformedRefusal,
+	createUnauthenticatedRefusal,
+	sendProblem
+} from "./problems.js"
 
 const KEY_PATTERN = /^[\x21-\x7e]{1,128}$/
 
@@ -44,8 +49,8 @@
 function guardCallers(board: Board, handle: CallerHandler) {
 	return (context: Context): Response | Promise<Response> => {
 		const identity = findIdentity(board, readToken(context))
-		if (identity === undefined) return sendProblem(context, createUnauthenticated(board))
-		if (identity.operator) return sendProblem(context, createCallersOnly())
+		if (identity === undefined) return sendProblem(context, createUnauthenticatedRefusal(board))
+		if (identity.operator) return sendProblem(context, createCallersOnlyRefusal())
 		return handle(context, identity)
 	}
 }
@@ -54,10 +59,10 @@
 	const key = context.req.header("idempotency-key") ?? ""
 	if (!KEY_PATTERN.test(key)) {
 		const detail = "an Idempotency-Key header of 1 to 128 visible ASCII characters is required"
-		return sendProblem(context, createMalformed(detail))
+		return sendProblem(context, createMalformedRefusal(detail))
 	}
 	const spec = checkValue("job", jobSpecSchema, await readJson(context))
-	if (spec.isErr()) return sendProblem(context, createMalformed(spec.error.message))
+	if (spec.isErr()) return sendProblem(context, createMalformedRefusal(spec.error.message))
 	return sendReplyTo(context, gateway, {
 		kind: RequestKind.submit,
 		identity,
@@ -74,7 +79,10 @@
 	const jobId = context.req.param("id") ?? ""
 	const waitMs = readNumber(context, "waitMs", 0, Number.MAX_SAFE_INTEGER)
 	if (waitMs === undefined)
-		return sendProblem(context, createMalformed("waitMs must be a whole number of milliseconds"))
+		return sendProblem(
+			context,
+			createMalformedRefusal("waitMs must be a whole number of milliseconds")
+		)
 	if (waitMs === 0) return sendReplyTo(context, gateway, {kind: RequestKind.get, identity, jobId})
 	return sendReplyTo(context, gateway, {
 		kind: RequestKind.wait,
--- a/src/adapters/operator-routes.ts
+++ b/src/adapters/operator-routes.ts
@@ -11,9 +11,9 @@
 import {type Gateway} from "./gateway.js"
 import {readJson, readNumber, readToken, sendReplyTo} from "./http-exchange.js"
 import {
-	createMalformed,
-	createOperatorsOnly,
-	createUnauthenticated,
+	createMalformedRefusal,
+	createOperatorsOnlyRefusal,
+	createUnauthenticatedRefusal,
 	sendProblem
 } from "./problems.js"
 
@@ -45,15 +45,15 @@
 function guardOperators(board: Board, handle: OperatorHandler) {
 	return (context: Context): Response | Promise<Response> => {
 		const identity = findIdentity(board, readToken(context))
-		if (identity === undefined) return sendProblem(context, createUnauthenticated(board))
-		if (!identity.operator) return sendProblem(context, createOperatorsOnly())
+		if (identity === undefined) return sendProblem(context, createUnauthenticatedRefusal(board))
+		if (!identity.operator) return sendProblem(context, createOperatorsOnlyRefusal())
 		return handle(context, identity)
 	}
 }
 
 async function rollOut(context: Context, gateway: Gateway, identity: Identity): Promise<Response> {
 	const bundle = checkSignedBundle(await readJson(context))
-	if (bundle.isErr()) return sendProblem(context, createMalformed(bundle.error.message))
+	if (bundle.isErr()) return sendProblem(context, createMalformedRefusal(bundle.error.message))
 	return sendReplyTo(context, gateway, {
 		kind: RequestKind.rollout,
 		identity,
@@ -70,7 +70,7 @@
 	const limit = readNumber(context, "limit", BUNDLE_HISTORY_MAX, BUNDLE_HISTORY_MAX)
 	if (newest === undefined || limit === undefined || limit === 0) {
 		const detail = `newest must be a generation, and limit a number from 1 to ${BUNDLE_HISTORY_MAX}`
-		return sendProblem(context, createMalformed(detail))
+		return sendProblem(context, createMalformedRefusal(detail))
 	}
 	return sendReplyTo(context, gateway, {
 		kind: RequestKind.bundleHistory,
--- a/src/adapters/problems.ts
+++ b/src/adapters/problems.ts
@@ -50,25 +50,25 @@
 	})
 }
 
-export function createMalformed(detail: string): Refusal {
+export function createMalformedRefusal(detail: string): Refusal {
 	return buildRefusal(ReasonCode.malformed, RanState.no, detail)
 }
 
-export function createTooLarge(): Refusal {
-	return createMalformed(`the body has more than ${MAX_BODY_BYTES} bytes`)
+export function createTooLargeRefusal(): Refusal {
+	return createMalformedRefusal(`the body has more than ${MAX_BODY_BYTES} bytes`)
 }
 
 /** Tokens are checked against the bundle; without one, neither the caller nor the request's outcome is known. */
-export function createUnauthenticated(board: Board): Refusal {
+export function createUnauthenticatedRefusal(board: Board): Refusal {
 	if (!board.bundle.has("current")) return buildRefusal(ReasonCode.noBundle, RanState.unknown)
 	return buildRefusal(ReasonCode.unauthenticated, RanState.no, "the token is unknown")
 }
 
-export function createOperatorsOnly(): Refusal {
+export function createOperatorsOnlyRefusal(): Refusal {
 	return buildRefusal(ReasonCode.forbidden, RanState.no, "an operator's token is required")
 }
 
-export function createCallersOnly(): Refusal {
+export function createCallersOnlyRefusal(): Refusal {
 	return buildRefusal(
 		ReasonCode.forbidden,
 		RanState.no,
--- a/src/controllers/catalog.ts
+++ b/src/controllers/catalog.ts
@@ -10,8 +10,8 @@
 	type Controller,
 	CommandKind,
 	EventLevel,
-	FOLLOW_ANSWER_TIMEOUT_MS,
-	FOLLOW_WAIT_MS,
+	LONG_POLL_ANSWER_TIMEOUT_MS,
+	LONG_POLL_WAIT_MS,
 	Outage,
 	SectionName
 } from "../internal.js"
@@ -35,7 +35,7 @@
 	}
 
 	#poll(board: Board, now: number): void {
-		const waitMs = this.#afterVersion === undefined ? 0 : FOLLOW_WAIT_MS
+		const waitMs = this.#afterVersion === undefined ? 0 : LONG_POLL_WAIT_MS
 		this.#inFlight = true
 		board.issue<"catalog-follow">({
 			kind: CommandKind.catalogFollow,
@@ -43,7 +43,7 @@
 			subject: "",
 			target: "",
 			request: {afterVersion: this.#afterVersion, waitMs},
-			timeoutMs: waitMs + FOLLOW_ANSWER_TIMEOUT_MS,
+			timeoutMs: waitMs + LONG_POLL_ANSWER_TIMEOUT_MS,
 			issuedAt: now
 		})
 	}
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -12,7 +12,7 @@
 	CATALOG_FRESH_MS,
 	CommandKind,
 	EventLevel,
-	RUN_ORDER_TIMEOUT_MS,
+	RUN_COMMAND_TIMEOUT_MS,
 	RUN_STARTS_MAX,
 	RUN_STOP_INTERVAL_MS,
 	ReasonCode,
@@ -144,7 +144,7 @@
 				epoch: term.epoch,
 				workerId: task.workerId
 			},
-			timeoutMs: RUN_ORDER_TIMEOUT_MS,
+			timeoutMs: RUN_COMMAND_TIMEOUT_MS,
 			issuedAt: now
 		})
 		this.#extendExpiry(board, node, now)
@@ -195,7 +195,7 @@
 			subject: `${purpose} ${taskId} ${run}`,
 			target: node.registration.address,
 			request: {taskId, run, epoch: term.epoch, workerId},
-			timeoutMs: RUN_ORDER_TIMEOUT_MS,
+			timeoutMs: RUN_COMMAND_TIMEOUT_MS,
 			issuedAt: now
 		})
 	}
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -18,8 +18,8 @@
 	COMMIT_ROWS_MAX,
 	CommandKind,
 	EventLevel,
-	FOLLOW_ANSWER_TIMEOUT_MS,
-	FOLLOW_WAIT_MS,
+	LONG_POLL_ANSWER_TIMEOUT_MS,
+	LONG_POLL_WAIT_MS,
 	OUTAGE_RETRY_MIN_MS,
 	Outage,
 	PLATFORM_TIMEOUT_MS,
@@ -111,9 +111,9 @@
 	#poll(board: Board, now: number): number {
 		if (this.#pollInFlight) return Infinity
 		if (now < this.#nextPollAt) return this.#nextPollAt
-		const waitMs = this.#afterVersion === undefined ? 0 : FOLLOW_WAIT_MS
+		const waitMs = this.#afterVersion === undefined ? 0 : LONG_POLL_WAIT_MS
 		const timeoutMs =
-			this.#afterVersion === undefined ? PLATFORM_TIMEOUT_MS : waitMs + FOLLOW_ANSWER_TIMEOUT_MS
+			this.#afterVersion === undefined ? PLATFORM_TIMEOUT_MS : waitMs + LONG_POLL_ANSWER_TIMEOUT_MS
 		this.#pollInFlight = true
 		board.issue<"table-follow">({
 			kind: CommandKind.tableFollow,
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -188,9 +188,9 @@
 export const WORKER_LIST_INTERVAL_MS = 800
 
 /** How long the platform holds a long poll open for a change; an answer is evidence that nothing else changed. */
-export const FOLLOW_WAIT_MS = 900
+export const LONG_POLL_WAIT_MS = 900
 /** Time beyond the wait after which a long poll is considered unanswered. */
-export const FOLLOW_ANSWER_TIMEOUT_MS = 800
+export const LONG_POLL_ANSWER_TIMEOUT_MS = 800
 /**
  * Bounds of the retry delay during an outage, which doubles at each failure: short enough to detect the end of the
  * outage quickly, long enough not to add to an overload.
@@ -204,7 +204,7 @@
 export const KEY_EVIDENCE_SHARE = 0.65
 
 /** Deadline of one start or stop command for a run. An unanswered start is then repeated; starts are idempotent. */
-export const RUN_ORDER_TIMEOUT_MS = 700
+export const RUN_COMMAND_TIMEOUT_MS = 700
 /** Number of starts sent for one run before the run is given up. */
 export const RUN_STARTS_MAX = 2
 /** Interval between stop requests for one run. */
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -10,10 +10,10 @@
 const SECRET_LENGTH_MIN = 16
 const SHUTDOWN_TIMEOUT_MIN_MS = 100
 
-const NAME = z
+const nameSchema = z
 	.string("expected a name")
 	.regex(/^[a-z0-9][a-z0-9-]{0,62}$/, "expected 1 to 63 lower-case letters, digits and hyphens")
-const SHA256_HEX = z
+const sha256Schema = z
 	.string("expected a SHA-256 in hexadecimal")
 	.regex(/^[0-9a-f]{64}$/, "expected a SHA-256 in hexadecimal, 64 digits 0 to f")
 const addressSchema = z.strictObject({
@@ -34,14 +34,14 @@
 	return {host: text.slice(0, colon), port: Number(text.slice(colon + 1))}
 }
 
-const MS_MIN = 1
+const DURATION_MIN_MS = 1
 const domainSchema = z.strictObject({
-	name: NAME,
+	name: nameSchema,
 	readinessAddress: socketSchema,
 	metricsAddress: socketSchema,
-	revokeMs: z.number().min(MS_MIN),
-	stopMs: z.number().min(MS_MIN),
-	stateKeptMs: z.number().min(MS_MIN),
+	revokeMs: z.number().min(DURATION_MIN_MS),
+	stopMs: z.number().min(DURATION_MIN_MS),
+	stateKeptMs: z.number().min(DURATION_MIN_MS),
 	remoteFactor: z.number().min(1),
 	cores: z.number().positive().default(1),
 	coreShare: z.number().positive().max(1).default(1)
@@ -53,9 +53,9 @@
 	.refine(isPublicKey, "expected an Ed25519 public key in base64 SPKI, as `key generate` prints it")
 
 const settingsSchema = z.strictObject({
-	hostId: NAME,
-	zone: NAME,
-	region: NAME,
+	hostId: nameSchema,
+	zone: nameSchema,
+	region: nameSchema,
 	callerAddress: socketSchema,
 	peerAddress: socketSchema,
 	platformUrl: z.url({protocol: /^https?$/, error: "expected an http or https URL"}),
@@ -66,7 +66,7 @@
 			"expected a list of secrets"
 		)
 		.min(1, "expected at least one secret"),
-	operators: z.record(NAME, SHA256_HEX).default({}),
+	operators: z.record(nameSchema, sha256Schema).default({}),
 	logLevel: z.enum(LOG_LEVELS).default("info"),
 	shutdownTimeoutMs: z.int().min(SHUTDOWN_TIMEOUT_MIN_MS).default(20000),
 	domain: domainSchema.optional()
