Rename methods of the answer, authority and ledger controllers

Cause: a second reading as a newcomer found names that still differ from the agreed terms. Before and after: no token differs but names; the type check passes. Conclusion: the same word for the same concept in these parts too.

--- a/src/controllers/answer.ts
+++ b/src/controllers/answer.ts
@@ -61,7 +61,7 @@
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
 		for (const result of board.takeTransitionResults(this.name)) this.#settleCancel(board, result)
-		this.#takeNotices(board, now)
+		this.#handleNotices(board, now)
 		for (const request of [...board.requests.values()]) this.#handleRequest(board, request, now)
 		if (board.lifecycle.get("state") !== Lifecycle.serving) this.#endWaits(now)
 		let earliest: number | undefined
@@ -96,7 +96,7 @@
 	}
 
 	/** Reads the row at once for requests that wait for a job which another host reports as ended. */
-	#takeNotices(board: Board, now: number): void {
+	#handleNotices(board: Board, now: number): void {
 		const ended = new Set<string>()
 		for (const [id, notice] of [...board.notices.entries()]) {
 			if (notice.kind !== NoticeKind.ended) continue
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -70,7 +70,7 @@
 		this.#nextAt = now + computeInterval(board.settings, entry?.isHeldHere === true)
 		if (entry?.isHeldHere === true) this.#renew(board, entry, now)
 		else if (entry !== undefined && now >= this.#computeTakeOverAt(board, entry))
-			this.#claim(board, entry, now)
+			this.#takeOverOrYield(board, entry, now)
 		else this.#readRows(board, now)
 		return this.#nextAt
 	}
@@ -95,7 +95,7 @@
 	}
 
 	/** A small host that held the domain before its restart gives it up, so that a larger host can take it. */
-	#claim(board: Board, entry: AuthorityEntry, now: number): void {
+	#takeOverOrYield(board: Board, entry: AuthorityEntry, now: number): void {
 		if (this.#wasThisHost(board, entry) && computeDeferral(board.settings) > 0)
 			this.#clearHolder(board, entry, now)
 		else this.#takeOver(board, entry, now)
--- a/src/controllers/ledger.ts
+++ b/src/controllers/ledger.ts
@@ -55,7 +55,7 @@
 		SectionName.authority,
 		SectionName.notices
 	]
-	readonly #works = new Map<string, LedgerWork>()
+	readonly #pendingWork = new Map<string, LedgerWork>()
 	readonly #inFlightJobs = new Map<string, string>()
 	readonly #window = new WriteWindow()
 	/** Version of each active row as last scanned; another version means that the job's row changed. */
@@ -70,7 +70,7 @@
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
 		for (const id of [...board.transitions.keys()]) this.#registerTransition(board, id)
 		this.#loadChanged(board, now)
-		const nextWork = this.#advanceWorks(board, now)
+		const nextWork = this.#advancePendingWork(board, now)
 		const nextScan = this.#scanZone(board, now)
 		if (nextWork === undefined) return nextScan
 		return nextScan === undefined ? nextWork : Math.min(nextWork, nextScan)
@@ -79,12 +79,12 @@
 	#registerTransition(board: Board, id: string): void {
 		const transition = board.transitions.take(id)
 		if (transition === undefined) return
-		this.#works.set(id, createWork(transition, board.jobs.get(transition.jobId)))
+		this.#pendingWork.set(id, createWork(transition, board.jobs.get(transition.jobId)))
 	}
 
-	#advanceWorks(board: Board, now: number): number | undefined {
+	#advancePendingWork(board: Board, now: number): number | undefined {
 		let earliest: number | undefined
-		for (const work of [...this.#works.values()]) {
+		for (const work of [...this.#pendingWork.values()]) {
 			if (work.busy) continue
 			const {id, jobId, giveUpAt} = work.transition
 			if (giveUpAt !== undefined && now >= giveUpAt) {
@@ -181,7 +181,7 @@
 	}
 
 	#settleWork(board: Board, completion: Completion, now: number): void {
-		const work = this.#works.get(completion.command.subject)
+		const work = this.#pendingWork.get(completion.command.subject)
 		if (work === undefined) return
 		work.busy = false
 		this.#inFlightJobs.delete(work.transition.jobId)
@@ -255,7 +255,7 @@
 		result: Result<{record: JobRecord; version: number; created: boolean}, RefusalError>
 	): void {
 		const {transition} = work
-		this.#works.delete(transition.id)
+		this.#pendingWork.delete(transition.id)
 		this.#inFlightJobs.delete(transition.jobId)
 		if (result.isOk()) {
 			this.#storeRecord(board, result.value.record, result.value.version)
