Rename names of policies, utilities, the tool and the platform found in the read-through

Cause: a second reading as a newcomer found names that still differ from the agreed terms. Conclusion: the same word for the same concept in these parts too.

--- a/__tests__/adoption.test.ts
+++ b/__tests__/adoption.test.ts
@@ -1,7 +1,7 @@
 import {expect} from "chai"
 import {type ClusterView, HostRole, LEASE_MARGIN_MS, START_PERMIT_MS} from "../src/internal.js"
 import {
-	Force,
+	AdoptionState,
 	computePermitDurations,
 	findAdoptionExitCode,
 	formatRolloutResult,
@@ -41,18 +41,18 @@
 
 describe("whether a generation is in force in a zone", () => {
 	const permits = new Map([[ZONE, PERMIT_MS]])
-	const cases: readonly [string, ClusterView, number, Force][] = [
-		["all its hosts adopted it", createView({a: 2, b: 3}), 0, Force.adopted],
-		["one host has not yet", createView({a: 2, b: 1}), 0, Force.pending],
-		["a listed host has not answered", createView({a: 2}, ["b"]), 0, Force.pending],
-		["no host has answered", createView({}), PERMIT_MS - 1, Force.pending],
-		["no earlier permit is left", createView({a: 1}, ["b"]), PERMIT_MS, Force.permitsRanOut]
+	const cases: readonly [string, ClusterView, number, AdoptionState][] = [
+		["all its hosts adopted it", createView({a: 2, b: 3}), 0, AdoptionState.adopted],
+		["one host has not yet", createView({a: 2, b: 1}), 0, AdoptionState.pending],
+		["a listed host has not answered", createView({a: 2}, ["b"]), 0, AdoptionState.pending],
+		["no host has answered", createView({}), PERMIT_MS - 1, AdoptionState.pending],
+		["no earlier permit is left", createView({a: 1}, ["b"]), PERMIT_MS, AdoptionState.permitsRanOut]
 	]
 	for (const [condition, view, elapsedMs, expected] of cases)
 		it(`is ${expected} where ${condition}`, () => {
 			const zones = checkZones(view, 2, permits, elapsedMs)
 			expect(zones.map(({force}) => force)).to.deep.equal([expected])
-			const code = expected === Force.pending ? ExitCode.notAdopted : ExitCode.ok
+			const code = expected === AdoptionState.pending ? ExitCode.notAdopted : ExitCode.ok
 			expect(findAdoptionExitCode({generation: 2, zones})).to.equal(code)
 		})
 
--- a/__tests__/guarantee.test.ts
+++ b/__tests__/guarantee.test.ts
@@ -8,7 +8,7 @@
 	Adjacency,
 	BestFitPlacementPolicy,
 	FleetIndex,
-	GuaranteePlacements,
+	GuaranteePlacementIndex,
 	GuaranteeKeeper,
 	GuaranteeReclaimRule,
 	ReasonCode,
@@ -204,7 +204,7 @@
 
 /** Checks the guarantee placements without using the packing code that chose them. */
 function expectValidPlacements(
-	placements: GuaranteePlacements,
+	placements: GuaranteePlacementIndex,
 	fleet: FleetIndex,
 	units: number
 ): void {
--- a/src/cli/adoption.ts
+++ b/src/cli/adoption.ts
@@ -18,7 +18,7 @@
 const ADOPTION_GRACE_MS = 4000
 const ADOPTION_POLL_INTERVAL_MS = 200
 
-export const Force = {
+export const AdoptionState = {
 	/** Every known host of the zone has adopted it. */
 	adopted: "adopted",
 	/** Some host has not reported its adoption, but all earlier permits have expired. */
@@ -26,11 +26,11 @@
 	/** Some host may still start work under an earlier generation. */
 	pending: "pending"
 } as const
-export type Force = (typeof Force)[keyof typeof Force]
+export type AdoptionState = (typeof AdoptionState)[keyof typeof AdoptionState]
 
-export interface ZoneForce {
+export interface ZoneAdoption {
 	readonly zone: string
-	readonly force: Force
+	readonly force: AdoptionState
 	readonly hosts: number
 	readonly adopted: number
 	/** How long work may still start there under an earlier generation; 0 if it can't. */
@@ -39,7 +39,7 @@
 
 export interface RolloutResult {
 	readonly generation: number
-	readonly zones: readonly ZoneForce[]
+	readonly zones: readonly ZoneAdoption[]
 }
 
 const EMPTY_VIEW: ClusterView = {
@@ -69,9 +69,10 @@
 }
 
 /** Gives hosts time to adopt the generation even if no work can start under an earlier one. */
-function isSettled(zones: readonly ZoneForce[], elapsedMs: number): boolean {
-	if (zones.every(({force}) => force === Force.adopted)) return true
-	if (zones.some(({force}) => force === Force.pending)) return elapsedMs > ADOPTION_TIMEOUT_MS
+function isSettled(zones: readonly ZoneAdoption[], elapsedMs: number): boolean {
+	if (zones.every(({force}) => force === AdoptionState.adopted)) return true
+	if (zones.some(({force}) => force === AdoptionState.pending))
+		return elapsedMs > ADOPTION_TIMEOUT_MS
 	return elapsedMs > ADOPTION_GRACE_MS
 }
 
@@ -93,7 +94,7 @@
 	generation: number,
 	permits: ReadonlyMap<string, number>,
 	elapsedMs: number
-): ZoneForce[] {
+): ZoneAdoption[] {
 	return [...permits].map(([zone, permitMs]) => {
 		const reports = view.adopted.filter(host => host.zone === zone)
 		const listed = view.hosts.filter(host => host.role === HostRole.daemon && host.zone === zone)
@@ -101,26 +102,28 @@
 		const adopted = reports.filter(host => host.generation >= generation).length
 		const isAdoptedByAll = hosts > 0 && adopted === hosts
 		const pendingMs = isAdoptedByAll ? 0 : Math.max(0, Math.round(permitMs - elapsedMs))
-		let force: Force = pendingMs === 0 ? Force.permitsRanOut : Force.pending
-		if (isAdoptedByAll) force = Force.adopted
+		let force: AdoptionState = pendingMs === 0 ? AdoptionState.permitsRanOut : AdoptionState.pending
+		if (isAdoptedByAll) force = AdoptionState.adopted
 		return {zone, force, hosts, adopted, pendingMs}
 	})
 }
 
-const FORCE_LABELS: Readonly<Record<Force, string>> = {
-	[Force.adopted]: "in force",
-	[Force.permitsRanOut]: "in force: all earlier permits have expired",
-	[Force.pending]: "NOT YET IN FORCE"
+const ADOPTION_LABELS: Readonly<Record<AdoptionState, string>> = {
+	[AdoptionState.adopted]: "in force",
+	[AdoptionState.permitsRanOut]: "in force: all earlier permits have expired",
+	[AdoptionState.pending]: "NOT YET IN FORCE"
 }
 
 export function formatRolloutResult({generation, zones}: RolloutResult): string {
 	const lines = zones.map(({zone, force, hosts, adopted, pendingMs}) => {
 		const remaining = pendingMs === 0 ? "" : `, work may start there for ${pendingMs} ms more`
-		return `  ${zone}: ${FORCE_LABELS[force]}${remaining} (adopted by ${adopted} of ${hosts} hosts)`
+		return `  ${zone}: ${ADOPTION_LABELS[force]}${remaining} (adopted by ${adopted} of ${hosts} hosts)`
 	})
 	return [`generation ${generation} is rolled out`, ...lines].join("\n")
 }
 
 export function findAdoptionExitCode({zones}: RolloutResult): ExitCode {
-	return zones.some(({force}) => force === Force.pending) ? ExitCode.notAdopted : ExitCode.ok
+	return zones.some(({force}) => force === AdoptionState.pending)
+		? ExitCode.notAdopted
+		: ExitCode.ok
 }
--- a/src/cli/client.ts
+++ b/src/cli/client.ts
@@ -4,7 +4,7 @@
 import {CardamomError, ReasonCode} from "../internal.js"
 
 const ANSWER_TIMEOUT_MS = 45000
-const HTTP_REFUSED_MIN = 400
+const HTTP_CLIENT_ERROR_MIN = 400
 
 /** A host answered with a problem document (RFC 9457). */
 export class ProblemError extends CardamomError {
@@ -82,7 +82,7 @@
 				signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS)
 			})
 			const answer = (await response.body.json()) as T
-			if (response.statusCode < HTTP_REFUSED_MIN) return ok(answer)
+			if (response.statusCode < HTTP_CLIENT_ERROR_MIN) return ok(answer)
 			return err(new ProblemError(response.statusCode, answer as Record<string, unknown>))
 		} catch (error) {
 			const detail = error instanceof Error ? error.message : String(error)
--- a/src/cli/job.ts
+++ b/src/cli/job.ts
@@ -10,7 +10,7 @@
 import {formatTable} from "./table.js"
 
 const CATEGORY = "Jobs"
-const WAIT_SLICE_MS = 20000
+const LONG_POLL_MS = 20000
 
 export class JobSubmitCommand extends HostCommand {
 	static override paths = [["job", "submit"]]
@@ -110,7 +110,7 @@
 }
 
 async function waitForEnd(client: ApiClient, id: string): Promise<Result<JobView, ApiError>> {
-	const path = `${formatPath(id)}?waitMs=${WAIT_SLICE_MS}`
+	const path = `${formatPath(id)}?waitMs=${LONG_POLL_MS}`
 	for (;;) {
 		const job = await client.call<JobView>({method: "GET", path})
 		if (job.isErr() || job.value.state === JobState.ended) return job
--- a/src/controllers/ledger.ts
+++ b/src/controllers/ledger.ts
@@ -85,7 +85,7 @@
 	#advancePendingWork(board: Board, now: number): number | undefined {
 		let earliest: number | undefined
 		for (const work of [...this.#pendingWork.values()]) {
-			if (work.busy) continue
+			if (work.inFlight) continue
 			const {id, jobId, giveUpAt} = work.transition
 			if (giveUpAt !== undefined && now >= giveUpAt) {
 				this.#giveUp(board, work)
@@ -136,12 +136,12 @@
 	}
 
 	#issueRead(board: Board, work: LedgerWork, now: number): void {
-		work.busy = true
+		work.inFlight = true
 		issueTableRead(board, this.name, work.transition.id, [formatJobKey(work.transition.jobId)], now)
 	}
 
 	#issueObjectPut(board: Board, work: LedgerWork, body: string, now: number): void {
-		work.busy = true
+		work.inFlight = true
 		const {id, jobId} = work.transition
 		board.issue<"object-put">({
 			kind: CommandKind.objectPut,
@@ -162,7 +162,7 @@
 		authority: AuthorityEntry | undefined,
 		now: number
 	): void {
-		work.busy = true
+		work.inFlight = true
 		work.written = record
 		const writes = buildWrites(work.transition, record, version, authority)
 		this.#window.recordSent()
@@ -183,7 +183,7 @@
 	#settleWork(board: Board, completion: Completion, now: number): void {
 		const work = this.#pendingWork.get(completion.command.subject)
 		if (work === undefined) return
-		work.busy = false
+		work.inFlight = false
 		this.#inFlightJobs.delete(work.transition.jobId)
 		if (completion.result.isErr()) {
 			const {error} = completion.result
--- a/src/controllers/placement.ts
+++ b/src/controllers/placement.ts
@@ -6,7 +6,7 @@
 	type BundleContent,
 	type Controller,
 	type FleetIndex,
-	type GuaranteePlacements,
+	type GuaranteePlacementIndex,
 	type GuaranteeUnit,
 	type HoldEntry,
 	type JobEntry,
@@ -55,7 +55,7 @@
 	readonly #keeper = new GuaranteeKeeper()
 	#content: BundleContent | undefined
 	#units: readonly GuaranteeUnit[] = []
-	#publishedGuarantees: GuaranteePlacements | undefined
+	#publishedGuarantees: GuaranteePlacementIndex | undefined
 	#publishedFleetVersion = -1
 
 	constructor(policies: Policies) {
@@ -224,7 +224,10 @@
 	board.record(EventLevel.debug, "job-waiting", {job: jobId}, reason)
 }
 
-function recordGuaranteePlacements(board: Board, guaranteePlacements: GuaranteePlacements): void {
+function recordGuaranteePlacements(
+	board: Board,
+	guaranteePlacements: GuaranteePlacementIndex
+): void {
 	const without = guaranteePlacements.list.length - guaranteePlacements.count
 	const fields = {homes: guaranteePlacements.count, without}
 	const reason = without > 0 ? ReasonCode.guaranteesDoNotFit : undefined
--- a/src/controllers/reclaim.ts
+++ b/src/controllers/reclaim.ts
@@ -13,7 +13,7 @@
 	type ReclaimChoice,
 	type ReclaimRule,
 	EventLevel,
-	GuaranteePlacements,
+	GuaranteePlacementIndex,
 	GuaranteeReclaimRule,
 	PreemptionRule,
 	PriorityClass,
@@ -94,7 +94,7 @@
 	#reclaimOne(board: Board, fleet: FleetIndex, now: number): void {
 		if (this.#lastFleetVersion === fleet.version && this.#lastWaitingCount === board.waiting.size)
 			return
-		const guaranteePlacements = new GuaranteePlacements([...board.guaranteePlacements.values()])
+		const guaranteePlacements = new GuaranteePlacementIndex([...board.guaranteePlacements.values()])
 		const tried = new Set<string>()
 		for (const job of listCandidates(board)) {
 			const key = formatCandidateKey(job)
@@ -110,7 +110,7 @@
 		board: Board,
 		job: JobEntry,
 		fleet: FleetIndex,
-		guaranteePlacements: GuaranteePlacements,
+		guaranteePlacements: GuaranteePlacementIndex,
 		now: number
 	): boolean {
 		const {record} = job
@@ -184,7 +184,7 @@
 	{record}: JobEntry,
 	{members, victims}: ReclaimChoice,
 	fleet: FleetIndex,
-	guaranteePlacements: GuaranteePlacements,
+	guaranteePlacements: GuaranteePlacementIndex,
 	now: number
 ): boolean {
 	const stopped = new Set(victims)
--- a/src/policies/guarantee-homes.ts
+++ b/src/policies/guarantee-homes.ts
@@ -12,7 +12,7 @@
 	readonly accelerators: readonly number[]
 }
 
-export class GuaranteePlacements {
+export class GuaranteePlacementIndex {
 	readonly list: readonly GuaranteePlacement[]
 	/** Number of units that have a placement. */
 	readonly count: number
--- a/src/policies/guarantee-keeper.ts
+++ b/src/policies/guarantee-keeper.ts
@@ -12,7 +12,7 @@
 	type PlacementPolicy,
 	type PlacementRequest,
 	GreedyGuaranteePacker,
-	GuaranteePlacements,
+	GuaranteePlacementIndex,
 	ReasonCode,
 	addTask
 } from "../internal.js"
@@ -24,14 +24,14 @@
 export class GuaranteeKeeper {
 	readonly #packer: GuaranteePacker
 	#units: readonly GuaranteeUnit[] = []
-	#placements = new GuaranteePlacements([])
+	#placements = new GuaranteePlacementIndex([])
 	#packedVersion = -1
 
 	constructor(packer: GuaranteePacker = new GreedyGuaranteePacker()) {
 		this.#packer = packer
 	}
 
-	get placements(): GuaranteePlacements {
+	get placements(): GuaranteePlacementIndex {
 		return this.#placements
 	}
 
@@ -39,7 +39,7 @@
 	sync(units: readonly GuaranteeUnit[], fleet: FleetIndex, now: number): void {
 		const isNew = this.#units !== units
 		this.#units = units
-		if (units.length === 0) this.#placements = new GuaranteePlacements([])
+		if (units.length === 0) this.#placements = new GuaranteePlacementIndex([])
 		else if (isNew || !this.#isEveryPlacementValid(fleet, now)) this.#repack(fleet, now)
 	}
 
@@ -90,7 +90,7 @@
 		fleet: FleetIndex,
 		now: number
 	): boolean {
-		return buildPlanned(members, task, fleet).every(worker =>
+		return buildPlannedWorkers(members, task, fleet).every(worker =>
 			this.#placements.isValidOn(worker, now)
 		)
 	}
@@ -102,7 +102,9 @@
 		fleet: FleetIndex,
 		now: number
 	): boolean {
-		const planned = new Map(buildPlanned(members, task, fleet).map(worker => [worker.id, worker]))
+		const planned = new Map(
+			buildPlannedWorkers(members, task, fleet).map(worker => [worker.id, worker])
+		)
 		const workers = [...fleet.values()].map(worker => planned.get(worker.id) ?? worker)
 		const packed = this.#pack(workers, now)
 		if (packed.count < this.#placements.count) return false
@@ -125,12 +127,12 @@
 		this.#packedVersion = fleet.version
 	}
 
-	#pack(workers: readonly FleetWorker[], now: number): GuaranteePlacements {
-		return new GuaranteePlacements(this.#packer.pack(this.#units, workers, now))
+	#pack(workers: readonly FleetWorker[], now: number): GuaranteePlacementIndex {
+		return new GuaranteePlacementIndex(this.#packer.pack(this.#units, workers, now))
 	}
 }
 
-function buildPlanned(
+function buildPlannedWorkers(
 	members: readonly MemberChoice[],
 	task: PlannedTask,
 	fleet: FleetIndex
--- a/src/policies/reclaim.ts
+++ b/src/policies/reclaim.ts
@@ -6,7 +6,7 @@
 	type FleetTask,
 	type FleetWorker,
 	type GangShape,
-	type GuaranteePlacements,
+	type GuaranteePlacementIndex,
 	type AcceleratorBlock,
 	type JobRecord,
 	Adjacency,
@@ -38,9 +38,9 @@
 export class GuaranteeReclaimRule implements ReclaimRule {
 	readonly reason = ReasonCode.reclaimed
 	readonly #workspace: string
-	readonly #placements: GuaranteePlacements
+	readonly #placements: GuaranteePlacementIndex
 
-	constructor(workspace: string, placements: GuaranteePlacements) {
+	constructor(workspace: string, placements: GuaranteePlacementIndex) {
 		this.#workspace = workspace
 		this.#placements = placements
 	}
@@ -92,10 +92,10 @@
 export class PreemptionRule implements ReclaimRule {
 	readonly reason = ReasonCode.preempted
 	readonly #record: JobRecord
-	readonly #placements: GuaranteePlacements
+	readonly #placements: GuaranteePlacementIndex
 	readonly #stoppable: boolean
 
-	constructor(record: JobRecord, placements: GuaranteePlacements) {
+	constructor(record: JobRecord, placements: GuaranteePlacementIndex) {
 		this.#record = record
 		this.#placements = placements
 		this.#stoppable = record.spec.repeatable || record.spec.checkpoint
--- a/src/utils/ledger.ts
+++ b/src/utils/ledger.ts
@@ -24,7 +24,7 @@
 	written: JobRecord | undefined
 	attempts: number
 	retryAt: number
-	busy: boolean
+	inFlight: boolean
 	/** True once any commit may have reached the table. */
 	mayHaveTakenEffect: boolean
 }
@@ -40,7 +40,7 @@
 		written: undefined,
 		attempts: 0,
 		retryAt: 0,
-		busy: false,
+		inFlight: false,
 		mayHaveTakenEffect: false
 	}
 }
