Rename names of stand-ins, scenarios and benches found in the read-through

Cause: a second reading as a newcomer found names that still differ from the agreed terms. Conclusion: the same word for the same concept in these parts too.

--- a/__tests__/gang-claims.test.ts
+++ b/__tests__/gang-claims.test.ts
@@ -10,7 +10,7 @@
 	formatJobKey,
 	jobSpecSchema
 } from "../src/internal.js"
-import {type FaultPlan, Fate} from "../standins/fault-plan.js"
+import {type FaultPlan, DeliveryAction} from "../standins/fault-plan.js"
 import {InProcessCluster} from "../standins/in-process.js"
 import {WORKSPACE, createBundleContent} from "./fixtures/cluster.js"
 
@@ -19,8 +19,8 @@
 
 /** Delays each commit that carries a start claim. */
 class SlowClaims implements FaultPlan {
-	decide(): Fate {
-		return Fate.deliver
+	decide(): DeliveryAction {
+		return DeliveryAction.deliver
 	}
 
 	computeDelay(_: string, command: Command): number {
--- a/__tests__/reclaim.test.ts
+++ b/__tests__/reclaim.test.ts
@@ -1,6 +1,6 @@
 import {expect} from "chai"
 import {type Command, JobState, OutcomeKind, PriorityClass, ReasonCode} from "../src/internal.js"
-import {DefaultFaultPlan, Fate} from "../standins/fault-plan.js"
+import {DefaultFaultPlan, DeliveryAction} from "../standins/fault-plan.js"
 import {type TestZone, createGuaranteedZone} from "./fixtures/zone.js"
 
 /** Required bound on reclaiming a guarantee from borrowers that checkpoint. */
@@ -18,8 +18,8 @@
 		super()
 		this.#target = target
 	}
-	override decide(_hostId?: string, command?: Command): Fate {
-		return command?.target === this.#target ? Fate.loseRequest : Fate.deliver
+	override decide(_hostId?: string, command?: Command): DeliveryAction {
+		return command?.target === this.#target ? DeliveryAction.loseRequest : DeliveryAction.deliver
 	}
 }
 
--- a/bench/completion.ts
+++ b/bench/completion.ts
@@ -90,8 +90,8 @@
 	results: readonly StreamResult[],
 	baseline: readonly StreamResult[]
 ): BenchMetric[] {
-	return results.flatMap((result, at) => {
-		const baselineResult = baseline[at]
+	return results.flatMap((result, index) => {
+		const baselineResult = baseline[index]
 		if (baselineResult === undefined || result.submitted === 0) return []
 		const prefix = `${load} ${policy} ${result.stream}`
 		return [
--- a/bench/fragmentation.ts
+++ b/bench/fragmentation.ts
@@ -44,8 +44,8 @@
 		zones: [{name: "zone-a", region: "region-a", defragmentMovesPerHour: movesPerHour}],
 		policies: {placement: policy, queue: "priority"}
 	})
-	for (let at = 0; at < WORKERS; at++)
-		addWorker(board, at, {accelerators: ACCELERATORS, cpus: 130, memoryMb: 512000})
+	for (let index = 0; index < WORKERS; index++)
+		addWorker(board, index, {accelerators: ACCELERATORS, cpus: 130, memoryMb: 512000})
 	const policies = createPolicies()
 	const controllers = [
 		new PlacementController(policies),
--- a/bench/placement-day.ts
+++ b/bench/placement-day.ts
@@ -240,6 +240,6 @@
 function countMaxWithin(times: readonly number[], withinMs: number): number {
 	let max = 0
 	for (const from of times)
-		max = Math.max(max, times.filter(at => at >= from && at < from + withinMs).length)
+		max = Math.max(max, times.filter(time => time >= from && time < from + withinMs).length)
 	return max
 }
--- a/bench/placement-scale.ts
+++ b/bench/placement-scale.ts
@@ -65,10 +65,16 @@
 		const measured = SIZES.map(workers => measureSize(workers, name, seed))
 		const baseline = SIZES.map(workers => measureSize(workers, "first-fit", seed))
 		const metrics = measured.flatMap((costs, index) => buildSizeMetrics(costs, baseline[index]))
-		const large = SIZES.length - 1
+		const largestIndex = SIZES.length - 1
 		metrics.push(
-			buildSlopeMetric("slope-urgent-p50", measured, baseline, large, ({urgent}) => urgent.p50),
-			buildSlopeMetric("slope-gang-p50", measured, baseline, large, ({gang}) => gang.p50)
+			buildSlopeMetric(
+				"slope-urgent-p50",
+				measured,
+				baseline,
+				largestIndex,
+				({urgent}) => urgent.p50
+			),
+			buildSlopeMetric("slope-gang-p50", measured, baseline, largestIndex, ({gang}) => gang.p50)
 		)
 		return Promise.resolve(metrics)
 	}
@@ -109,12 +115,12 @@
 	metric: string,
 	measured: readonly SizeCosts[],
 	baseline: readonly SizeCosts[],
-	large: number,
+	largestIndex: number,
 	read: (costs: SizeCosts) => number
 ): BenchMetric {
 	const compute = (costs: readonly SizeCosts[]) => {
 		const [, from] = costs
-		const to = costs[large]
+		const to = costs[largestIndex]
 		if (from === undefined || to === undefined) return NaN
 		return Math.log(read(to) / read(from)) / Math.log(to.workers / from.workers)
 	}
--- a/bench/report.ts
+++ b/bench/report.ts
@@ -52,7 +52,7 @@
 
 function formatSection({bench, seed, policy, results}: BenchRecord): string {
 	const height = results.length * ROW_HEIGHT_PX
-	const rows = results.map((metric, at) => formatRow(metric, at * ROW_HEIGHT_PX)).join("\n")
+	const rows = results.map((metric, index) => formatRow(metric, index * ROW_HEIGHT_PX)).join("\n")
 	const title = escapeText(`${bench}, seed ${seed}${policy === "" ? "" : `, ${policy}`}`)
 	const width = LABEL_WIDTH_PX + BAR_WIDTH_PX + VALUE_WIDTH_PX
 	return `<h2>${title}</h2>\n<svg width="${width}" height="${height}">\n${rows}\n</svg>`
--- a/bench/zone-board.ts
+++ b/bench/zone-board.ts
@@ -75,15 +75,16 @@
 /** Adds workers in racks of eight; those with accelerators share racks, as machines of one kind usually do. */
 export function addZoneWorkers(board: Board, count: number): void {
 	const accelerated = Math.ceil(count / WORKERS_PER_ACCELERATED)
-	for (let at = 0; at < count; at++) addWorker(board, at, at < accelerated ? ACCELERATED : CPU_ONLY)
+	for (let index = 0; index < count; index++)
+		addWorker(board, index, index < accelerated ? ACCELERATED : CPU_ONLY)
 }
 
-export function addWorker(board: Board, at: number, capacity: WorkerCapacity): void {
+export function addWorker(board: Board, index: number, capacity: WorkerCapacity): void {
 	const host: HostRecord = {
-		id: `w${at}`,
+		id: `w${index}`,
 		role: HostRole.worker,
 		zone: ZONE,
-		rack: `rack-${Math.floor(at / WORKERS_PER_RACK)}`,
+		rack: `rack-${Math.floor(index / WORKERS_PER_RACK)}`,
 		address: "",
 		peerAddress: "",
 		leaving: false
--- a/bench/zone-change.ts
+++ b/bench/zone-change.ts
@@ -67,13 +67,13 @@
 	inPlace: readonly UnitCount[],
 	unchanged: readonly UnitCount[]
 ): BenchMetric[] {
-	const metrics = counts.map(({stream, onTime}, at) =>
-		buildMetric(`${policy} ${stream} on time`, onTime, "units", inPlace[at]?.onTime ?? 0)
+	const metrics = counts.map(({stream, onTime}, index) =>
+		buildMetric(`${policy} ${stream} on time`, onTime, "units", inPlace[index]?.onTime ?? 0)
 	)
 	const share = roundTo(sumOnTime(counts) / sumOnTime(unchanged))
-	const base = roundTo(sumOnTime(inPlace) / sumOnTime(unchanged))
+	const baseline = roundTo(sumOnTime(inPlace) / sumOnTime(unchanged))
 	const name = `${policy} on time ÷ with no zone change`
-	return [...metrics, buildMetric(name, share, "ratio", base, MIN_SHARE, share >= MIN_SHARE)]
+	return [...metrics, buildMetric(name, share, "ratio", baseline, MIN_SHARE, share >= MIN_SHARE)]
 }
 
 function sumOnTime(counts: readonly UnitCount[]): number {
--- a/scripts/demo.ts
+++ b/scripts/demo.ts
@@ -156,8 +156,8 @@
 	async #submitAt(zone: string, names: readonly string[]): Promise<void> {
 		const {callers} = this.#deployment
 		await Promise.all(
-			names.map(async (name, at) => {
-				const caller = callers[at % callers.length]
+			names.map(async (name, index) => {
+				const caller = callers[index % callers.length]
 				if (caller === undefined) return
 				const serial = `${zone}-${++this.#serial}`
 				const job = await submitJob(
--- a/standins/endpoint/app.ts
+++ b/standins/endpoint/app.ts
@@ -20,8 +20,8 @@
 	addRoute(app, "/inspect", inspectRequestSchema, ({taskId, incarnation}) =>
 		core.inspect(taskId, incarnation)
 	)
-	addRoute(app, "/control/switches", switchesSchema, given => {
-		Object.assign(core, given)
+	addRoute(app, "/control/switches", switchesSchema, switches => {
+		Object.assign(core, switches)
 	})
 	app.post("/control/faults", context => faults.handleControl(context))
 	app.get("/control/runs", context => context.json(core.runs))
--- a/standins/endpoint/core.ts
+++ b/standins/endpoint/core.ts
@@ -150,7 +150,7 @@
 		run.end = report.state
 		this.#onRun(run)
 		this.#reports.set(taskId, report)
-		for (const resolve of this.#pendingReplies.get(taskId) ?? []) resolve(report)
+		for (const onReport of this.#pendingReplies.get(taskId) ?? []) onReport(report)
 		this.#pendingReplies.delete(taskId)
 	}
 }
--- a/standins/fault-plan.ts
+++ b/standins/fault-plan.ts
@@ -2,7 +2,7 @@
 import {type Command} from "../src/internal.js"
 
 /** What happens to one command in transit. */
-export const Fate = {
+export const DeliveryAction = {
 	deliver: "deliver",
 	/** The command never arrives. */
 	loseRequest: "lose-request",
@@ -11,10 +11,10 @@
 	/** The command is refused unexecuted, as by an overloaded platform; only the fleet's stand-in supports this. */
 	refuse: "refuse"
 } as const
-export type Fate = (typeof Fate)[keyof typeof Fate]
+export type DeliveryAction = (typeof DeliveryAction)[keyof typeof DeliveryAction]
 
 export interface FaultPlan {
-	decide(hostId: string, command: Command): Fate
+	decide(hostId: string, command: Command): DeliveryAction
 	/** One-way delay of this command, in milliseconds. */
 	computeDelay(hostId: string, command: Command): number
 }
@@ -24,8 +24,8 @@
 	constructor(latencyMs = 1) {
 		this.#latencyMs = latencyMs
 	}
-	decide(): Fate {
-		return Fate.deliver
+	decide(): DeliveryAction {
+		return DeliveryAction.deliver
 	}
 	computeDelay(): number {
 		return this.#latencyMs
--- a/standins/faults.ts
+++ b/standins/faults.ts
@@ -49,8 +49,8 @@
 		const checked = checkValue("faults", faultsSchema.partial(), await context.req.json())
 		if (checked.isErr())
 			return context.json({code: "malformed", detail: checked.error.message}, 400)
-		const given = Object.entries(checked.value).filter(([, value]) => value !== undefined)
-		this.set(Object.fromEntries(given))
+		const definedEntries = Object.entries(checked.value).filter(([, value]) => value !== undefined)
+		this.set(Object.fromEntries(definedEntries))
 		return context.json(this.#faults)
 	}
 
--- a/standins/fleet/direct.ts
+++ b/standins/fleet/direct.ts
@@ -6,14 +6,14 @@
 	type HttpRequest
 } from "../../src/adapters/http-client.js"
 import {type CallError, type Clock, TransportError} from "../../src/internal.js"
-import {Fate} from "../fault-plan.js"
+import {DeliveryAction} from "../fault-plan.js"
 import {type FleetCall, type FleetStandIn} from "./fleet.js"
 
 const HTTP_TOO_MANY = 429
 
 /** Decides what happens to each call, from the calling host and the call itself. */
 export interface CallPlan {
-	decide(hostId: string, call: FleetCall): Fate
+	decide(hostId: string, call: FleetCall): DeliveryAction
 	/** One-way delay in milliseconds. */
 	computeDelay(hostId: string, call: FleetCall): number
 }
@@ -41,21 +41,21 @@
 			headers: request.headers ?? {},
 			body: request.body === undefined ? undefined : JSON.parse(JSON.stringify(request.body))
 		}
-		const fate = this.#plan.decide(this.#hostId, call)
+		const action = this.#plan.decide(this.#hostId, call)
 		const delayMs = this.#plan.computeDelay(this.#hostId, call)
 		return new Promise(resolve => {
 			const cancel = this.#clock.schedule(request.timeoutMs, () => {
 				resolve(err(new TransportError(request.url, "no answer in time", true)))
 			})
-			if (fate === Fate.loseRequest) return
-			if (fate === Fate.refuse) {
+			if (action === DeliveryAction.loseRequest) return
+			if (action === DeliveryAction.refuse) {
 				cancel()
 				resolve(ok({status: HTTP_TOO_MANY, body: undefined}))
 				return
 			}
 			this.#clock.schedule(delayMs, () => {
 				void this.#fleet.handle(call).then(answer => {
-					if (fate === Fate.loseAnswer) return
+					if (action === DeliveryAction.loseAnswer) return
 					this.#clock.schedule(delayMs, () => {
 						cancel()
 						resolve(ok(answer))
--- a/standins/fleet/fleet.ts
+++ b/standins/fleet/fleet.ts
@@ -64,7 +64,7 @@
 	readonly store: StoreCore
 	readonly monitor = new FleetMonitor()
 	readonly workers = new Map<string, FleetWorker>()
-	readonly #peers = new Set<FleetWorker>()
+	readonly #fleetWorkers = new Set<FleetWorker>()
 	readonly #options = new Map<string, FleetWorkerOptions>()
 	readonly #clock: Clock
 
@@ -75,7 +75,7 @@
 
 	addWorker(id: string, options: FleetWorkerOptions = {}): FleetWorker {
 		const capacity = options.capacity ?? DEFAULT_CAPACITY
-		const worker = new FleetWorker(id, this.#clock, this.monitor, this.#peers, capacity)
+		const worker = new FleetWorker(id, this.#clock, this.monitor, this.#fleetWorkers, capacity)
 		this.workers.set(id, worker)
 		this.#options.set(id, options)
 		this.register(id)
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -84,7 +84,7 @@
 	readonly id: string
 	readonly #clock: Clock
 	readonly #monitor: FleetMonitor
-	readonly #peers: Set<FleetWorker>
+	readonly #fleetWorkers: Set<FleetWorker>
 	readonly #capacity: ResourceDemand
 	readonly stopMs: number
 	/** Start of this incarnation, by the wall clock. */
@@ -102,18 +102,18 @@
 		id: string,
 		clock: Clock,
 		monitor: FleetMonitor,
-		peers: Set<FleetWorker>,
+		fleetWorkers: Set<FleetWorker>,
 		capacity: ResourceDemand,
 		stopMs = 100
 	) {
 		this.id = id
 		this.#clock = clock
 		this.#monitor = monitor
-		this.#peers = peers
+		this.#fleetWorkers = fleetWorkers
 		this.#capacity = capacity
 		this.stopMs = stopMs
 		this.born = clock.readWallClock()
-		peers.add(this)
+		fleetWorkers.add(this)
 	}
 
 	get running(): readonly string[] {
@@ -218,7 +218,7 @@
 			return member === undefined ? [] : [{worker: this, member}]
 		}
 		const step = task.slice(0, task.lastIndexOf(".") + 1)
-		return [...this.#peers].flatMap(worker =>
+		return [...this.#fleetWorkers].flatMap(worker =>
 			[...worker.#runs.values()]
 				.filter(member => member.run === run && member.task.startsWith(step))
 				.map(member => ({worker, member}))
--- a/standins/in-process.ts
+++ b/standins/in-process.ts
@@ -34,7 +34,7 @@
 } from "../src/internal.js"
 import {generateKeyPairSync} from "node:crypto"
 import {EndpointCore} from "./endpoint/core.js"
-import {DefaultFaultPlan, type FaultPlan, Fate} from "./fault-plan.js"
+import {DefaultFaultPlan, type FaultPlan, DeliveryAction} from "./fault-plan.js"
 import {PausableClock} from "./pausable-clock.js"
 import {PlatformCore} from "./platform/core.js"
 import {StandInRefusal} from "./serve.js"
@@ -234,7 +234,7 @@
 	#send(host: InProcessHost, command: Command): void {
 		const {hostId} = host.board.settings
 		const delayMs = this.plan.computeDelay(hostId, command)
-		const fate = this.plan.decide(hostId, command)
+		const action = this.plan.decide(hostId, command)
 		let settled = false
 		const settle = (result: Result<unknown, CallError>): void => {
 			if (settled || !host.alive) return
@@ -247,10 +247,10 @@
 		const cancelTimeout = this.#clock.schedule(command.timeoutMs, () => {
 			settle(err(new TransportError(command.target, "timeout", true)))
 		})
-		if (fate === Fate.loseRequest) return
+		if (action === DeliveryAction.loseRequest) return
 		this.#clock.schedule(delayMs, () => {
 			this.#execute(command, result => {
-				if (fate === Fate.loseAnswer) return
+				if (action === DeliveryAction.loseAnswer) return
 				this.#clock.schedule(delayMs, () => {
 					settle(result)
 				})
--- a/standins/platform/core.ts
+++ b/standins/platform/core.ts
@@ -75,15 +75,15 @@
 
 	/** Handles a host's heartbeat. */
 	registerHost(record: HostRecord, now: number): void {
-		this.#listHost(record, now, now)
+		this.#putHost(record, now, now)
 	}
 
 	/** Lists a host until it is removed, even without heartbeats. */
 	pinHost(record: HostRecord, now: number): void {
-		this.#listHost(record, undefined, now)
+		this.#putHost(record, undefined, now)
 	}
 
-	#listHost(record: HostRecord, lastHeartbeatAt: number | undefined, now: number): void {
+	#putHost(record: HostRecord, lastHeartbeatAt: number | undefined, now: number): void {
 		const known = this.#hosts.get(record.id)
 		this.#hosts.set(record.id, {record, lastHeartbeatAt})
 		if (JSON.stringify(known?.record) !== JSON.stringify(record)) this.#recordChange(now)
--- a/standins/scenario/callers.ts
+++ b/standins/scenario/callers.ts
@@ -12,8 +12,8 @@
 import {type Rig} from "./rig.js"
 import {waitUntil, pauseFor} from "./wait.js"
 
-const ACCEPT_LIMIT_MS = 45000
-const END_LIMIT_MS = 90000
+const ACCEPT_TIMEOUT_MS = 45000
+const END_TIMEOUT_MS = 90000
 const LONG_POLL_MS = 1500
 const RETRY_PAUSE_MS = 100
 
@@ -82,7 +82,7 @@
 
 	async cancel(name: string, host?: string): Promise<void> {
 		const job = this.find(name)
-		await waitUntil(`the cancellation of ${name} is accepted`, ACCEPT_LIMIT_MS, async () => {
+		await waitUntil(`the cancellation of ${name} is accepted`, ACCEPT_TIMEOUT_MS, async () => {
 			for (const target of host === undefined ? this.#listLiveHosts() : [host]) {
 				const reply = await this.#request(
 					target,
@@ -111,7 +111,7 @@
 	/** Waits until one of the hosts, or of all live ones, reports the job's end. */
 	async waitForEnd(name: string, hosts: readonly string[] = []): Promise<JobView> {
 		const job = this.find(name)
-		return waitUntil(`${name} ends`, END_LIMIT_MS, async () => {
+		return waitUntil(`${name} ends`, END_TIMEOUT_MS, async () => {
 			for (const host of hosts.length > 0 ? hosts : this.#listLiveHosts()) {
 				const path = `/v1/jobs/${job.id}?waitMs=${LONG_POLL_MS}`
 				const reply = await this.#request(host, job.workspace, "GET", path)
@@ -157,7 +157,7 @@
 		hosts: readonly string[],
 		{once}: SubmitOptions
 	): Promise<void> {
-		const giveUpAt = performance.now() + ACCEPT_LIMIT_MS
+		const giveUpAt = performance.now() + ACCEPT_TIMEOUT_MS
 		while (performance.now() < giveUpAt && !this.#isClosed) {
 			for (const host of hosts.length > 0 ? hosts : this.#listLiveHosts()) {
 				const reply = await this.#request(host, job.workspace, "POST", "/v1/jobs", job)
--- a/standins/scenario/invariants.ts
+++ b/standins/scenario/invariants.ts
@@ -7,10 +7,10 @@
 const NOT_FOUND = 404
 
 export function checkInvariants(context: ScenarioContext, runs: readonly Run[]): string[] {
-	const byJob = groupRuns(runs, ({jobId}) => jobId)
+	const runsByJob = groupRuns(runs, ({jobId}) => jobId)
 	const findings: string[] = []
 	for (const job of context.callers.jobs.values()) {
-		const jobRuns = byJob.get(job.id) ?? []
+		const jobRuns = runsByJob.get(job.id) ?? []
 		findings.push(
 			...checkAtMostOnce(job, jobRuns),
 			...checkPartialGang(job, jobRuns, context.scenario.partialGangMs),
@@ -25,8 +25,8 @@
 /** A job that is neither repeatable nor checkpointed has at most one run of each member. */
 function checkAtMostOnce({name, spec}: SubmittedJob, runs: readonly Run[]): string[] {
 	if (spec.repeatable || spec.checkpoint) return []
-	const byMember = groupRuns(runs, ({taskId}) => taskId.split(".").at(-1) ?? "")
-	return [...byMember.values()]
+	const runsByMember = groupRuns(runs, ({taskId}) => taskId.split(".").at(-1) ?? "")
+	return [...runsByMember.values()]
 		.filter(({length}) => length > 1)
 		.map(
 			repeats => `${name} is not repeatable and ran ${repeats.length} times: ${formatRuns(repeats)}`
@@ -41,8 +41,8 @@
 ): string[] {
 	const {members} = spec.shape
 	if (members === 1) return []
-	const byAttempt = groupRuns(runs, ({taskId}) => taskId.split(".")[1] ?? "")
-	return [...byAttempt.values()].flatMap(attemptRuns => {
+	const runsByAttempt = groupRuns(runs, ({taskId}) => taskId.split(".")[1] ?? "")
+	return [...runsByAttempt.values()].flatMap(attemptRuns => {
 		const partialMs = computePartialMs(attemptRuns, members)
 		if (partialMs <= boundMs) return []
 		return [
@@ -104,8 +104,8 @@
 
 function checkWorkerGenerations(context: ScenarioContext): string[] {
 	return collectGenerations(context.rig.nodes.values()).flatMap(entries =>
-		entries.flatMap((entry, at) => {
-			const before = entries[at - 1]
+		entries.flatMap((entry, index) => {
+			const before = entries[index - 1]
 			if (before === undefined || before.generation <= entry.generation) return []
 			return [`${entry.node} went from generation ${before.generation} to ${entry.generation}`]
 		})
--- a/standins/scenario/journal.ts
+++ b/standins/scenario/journal.ts
@@ -34,7 +34,7 @@
 			}
 			for (const run of latest.values()) {
 				const untilWallMs = run.endedWallMs ?? incarnation.endedWallMs ?? Date.now()
-				const frozenMs = computeOverlap(node, run.startedWallMs, untilWallMs)
+				const frozenMs = computeFrozenMs(node, run.startedWallMs, untilWallMs)
 				runs.push({...run, node: node.name, zone: node.zone, untilWallMs, frozenMs})
 			}
 		}
@@ -61,11 +61,11 @@
 	})
 }
 
-function computeOverlap(node: Node, from: number, until: number): number {
-	let overlap = 0
+function computeFrozenMs(node: Node, from: number, until: number): number {
+	let frozenMs = 0
 	for (const freeze of node.freezes) {
 		const end = Math.min(until, freeze.untilWallMs ?? until)
-		overlap += Math.max(0, end - Math.max(from, freeze.fromWallMs))
+		frozenMs += Math.max(0, end - Math.max(from, freeze.fromWallMs))
 	}
-	return overlap
+	return frozenMs
 }
--- a/standins/scenario/operators.ts
+++ b/standins/scenario/operators.ts
@@ -6,7 +6,7 @@
 import {type Rig} from "./rig.js"
 import {waitUntil} from "./wait.js"
 
-const ROLLOUT_LIMIT_MS = 45000
+const ROLLOUT_TIMEOUT_MS = 45000
 const POLL_INTERVAL_MS = 250
 const REQUEST_TIMEOUT_MS = 12000
 
@@ -61,7 +61,7 @@
 		const bundle = this.#author.sign(generation, state)
 		const acceptedWallMs = await waitUntil(
 			`generation ${generation} is accepted`,
-			ROLLOUT_LIMIT_MS,
+			ROLLOUT_TIMEOUT_MS,
 			async () => {
 				for (const host of hosts.length > 0 ? hosts : this.#listHosts()) {
 					const answer = await this.#put(host, bundle)
--- a/standins/scenario/requests.ts
+++ b/standins/scenario/requests.ts
@@ -6,7 +6,7 @@
 import {ScenarioError, checkInput} from "./schema.js"
 import {waitUntil} from "./wait.js"
 
-const DEFAULT_LIMIT_MS = 45000
+const DEFAULT_TIMEOUT_MS = 45000
 
 const submitSchema = z.strictObject({
 	job: z.string(),
@@ -135,7 +135,7 @@
 	}
 }
 
-const waitSchema = z.object({limitMs: z.number().default(DEFAULT_LIMIT_MS)}).catchall(z.unknown())
+const waitSchema = z.object({limitMs: z.number().default(DEFAULT_TIMEOUT_MS)}).catchall(z.unknown())
 
 class WaitUntilStep implements Step<z.infer<typeof waitSchema>> {
 	readonly name = "waitUntil"
--- a/standins/scenario/rig.ts
+++ b/standins/scenario/rig.ts
@@ -18,7 +18,7 @@
 export const PLATFORM = "platform"
 export const CALLERS = "callers"
 const VIEW_INTERVAL_MS = 200
-const START_LIMIT_MS = 30000
+const START_TIMEOUT_MS = 30000
 
 export class Rig {
 	readonly topology: Topology
@@ -42,7 +42,7 @@
 		this.#platform = await this.#launcher.start("standin-platform", [])
 		await Promise.all([...this.nodes.keys()].map(name => this.startNode(name)))
 		this.#pollViews()
-		await waitUntil("every worker and endpoint is on every host's list", START_LIMIT_MS, () =>
+		await waitUntil("every worker and endpoint is on every host's list", START_TIMEOUT_MS, () =>
 			this.#listMissing().length === 0 ? true : undefined
 		)
 	}
--- a/standins/scenario/wait.ts
+++ b/standins/scenario/wait.ts
@@ -6,15 +6,15 @@
 /** Calls `check` until it returns a value other than undefined, and resolves with that value. */
 export async function waitUntil<T>(
 	description: string,
-	limitMs: number,
+	timeoutMs: number,
 	check: () => Promise<T | undefined> | T | undefined
 ): Promise<T> {
-	const giveUpAt = performance.now() + limitMs
+	const giveUpAt = performance.now() + timeoutMs
 	for (;;) {
 		const value = await check()
 		if (value !== undefined) return value
 		if (performance.now() > giveUpAt)
-			throw new ScenarioError(`timed out after ${limitMs} ms: ${description}`)
+			throw new ScenarioError(`timed out after ${timeoutMs} ms: ${description}`)
 		await pauseFor(CHECK_INTERVAL_MS)
 	}
 }
--- a/standins/worker/app.ts
+++ b/standins/worker/app.ts
@@ -28,8 +28,8 @@
 	addRoute(app, "/release", releaseRequestSchema, ({taskId}) => {
 		core.release(taskId)
 	})
-	addRoute(app, "/control/switches", switchesSchema, given => {
-		Object.assign(core.switches, given)
+	addRoute(app, "/control/switches", switchesSchema, switches => {
+		Object.assign(core.switches, switches)
 	})
 	app.post("/control/faults", context => faults.handleControl(context))
 	app.get("/control/runs", context => context.json(core.runs))
--- a/standins/worker/core.ts
+++ b/standins/worker/core.ts
@@ -99,12 +99,15 @@
 	renew(request: RenewRequest): WorkerStatus {
 		this.#checkEpoch(request.epoch)
 		if (request.generation < this.#generation) throw new StandInRefusal("stale-generation")
-		const isNewTerm = request.epoch > this.#epoch || request.generation > this.#generation
+		const isNewEpochOrGeneration =
+			request.epoch > this.#epoch || request.generation > this.#generation
 		if (request.generation > this.#generation) this.#options.onGeneration?.(request.generation)
 		this.#epoch = request.epoch
 		this.#generation = request.generation
 		const {permitUntilMs} = request
-		this.#permitUntilMs = isNewTerm ? permitUntilMs : Math.max(this.#permitUntilMs, permitUntilMs)
+		this.#permitUntilMs = isNewEpochOrGeneration
+			? permitUntilMs
+			: Math.max(this.#permitUntilMs, permitUntilMs)
 		this.#cancelLease()
 		this.#cancelLease = this.#clock.schedule(request.leaseMs, () => {
 			this.#expireLease()
--- a/standins/worker/main.ts
+++ b/standins/worker/main.ts
@@ -45,8 +45,8 @@
 )
 let leaving = false
 const app = createWorkerApp(core, new FaultSwitch())
-addRoute(app, "/control/leaving", z.object({leaving: z.boolean()}), given => {
-	leaving = given.leaving
+addRoute(app, "/control/leaving", z.object({leaving: z.boolean()}), body => {
+	leaving = body.leaving
 })
 const port = await listen(app, Number(values.port))
 const address = values.address ?? `http://127.0.0.1:${port}`
