Name the worker of a slot after what it is

Cause: a second reading as a newcomer found names that still differ from the agreed terms. Before and after: no token differs but names; the type check passes. Conclusion: the same word for the same concept in these parts too.

--- a/__tests__/run-placement.test.ts
+++ b/__tests__/run-placement.test.ts
@@ -79,7 +79,7 @@
 }
 
 function chooseNodes(unit: PlacementUnit, nodes: NodeCapacity[]): string[] | undefined {
-	return new PackedRunPlacement().choose(unit, nodes)?.map(({capacity: node}) => node.id)
+	return new PackedRunPlacement().choose(unit, nodes)?.map(({node}) => node.id)
 }
 
 describe("placement of tasks that start together", () => {
@@ -140,6 +140,6 @@
 		]
 		const unit = createUnit(createRefs("one", {count: 1, gpu: 8}), {lossMax: -1})
 		const slots = new PackedRunPlacement().forecast(unit, nodes)
-		expect(slots?.map(({capacity: node}) => node.id)).to.deep.equal(["a2"])
+		expect(slots?.map(({node}) => node.id)).to.deep.equal(["a2"])
 	})
 })
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -265,7 +265,7 @@
 		const slots = this.#policy.forecast(unit, nodes)
 		if (slots === undefined) return
 		this.#withheldGroups++
-		for (const {capacity: node} of slots) addDemand(node.free, unit.spec, -1)
+		for (const {node} of slots) addDemand(node.free, unit.spec, -1)
 	}
 
 	#recordWaiting(
@@ -295,13 +295,13 @@
 	/** Plans the runs, or stops the victims first and holds their capacity. */
 	#commitSlots(board: Board, unit: PlacementUnit, slots: readonly Slot[], now: number): void {
 		const {refs, spec, rank} = unit
-		for (const [index, {capacity: node}] of slots.entries()) {
+		for (const [index, {node}] of slots.entries()) {
 			const ref = refs[index]
 			if (ref === undefined) continue
 			addDemand(node.free, spec, -1)
 			node.listRuns().push(buildPlannedRun(ref, rank))
 		}
-		const nodes = slots.map(({capacity: node}) => node)
+		const nodes = slots.map(({node}) => node)
 		if (slots.every(slot => slot.isFree)) {
 			planUnit(board, unit, nodes, now)
 			return
--- a/src/policies/run-placement.ts
+++ b/src/policies/run-placement.ts
@@ -49,7 +49,7 @@
 
 /** Capacity for one task on a worker, available once the victims have stopped. */
 export interface Slot {
-	readonly capacity: NodeCapacity
+	readonly node: NodeCapacity
 	/** Runs that have to be stopped. */
 	readonly victims: readonly TaskRef[]
 	/** True if no run has to end or stop first. */
@@ -104,7 +104,7 @@
 		const {spec} = unit
 		if (spec.dataRack !== undefined)
 			return chooseBest(
-				slots.filter(({capacity: node}) => node.rack === spec.dataRack),
+				slots.filter(({node}) => node.rack === spec.dataRack),
 				unit
 			)
 		return isRackSensitive(unit) ? chooseRack(slots, unit) : chooseBest(slots, unit)
@@ -168,7 +168,7 @@
 			addDemand(free, victim.ref.spec, 1)
 		}
 		addDemand(free, spec, -1)
-		slots.push({capacity: node, victims, isFree, loss})
+		slots.push({node, victims, isFree, loss})
 	}
 	return slots
 }
@@ -210,12 +210,12 @@
 
 function compareSlots(a: Slot, b: Slot, {failedOn}: PlacementUnit): number {
 	return (
-		Number(failedOn.has(a.capacity.id)) - Number(failedOn.has(b.capacity.id)) ||
-		Number(a.capacity.isSuspect) - Number(b.capacity.isSuspect) ||
+		Number(failedOn.has(a.node.id)) - Number(failedOn.has(b.node.id)) ||
+		Number(a.node.isSuspect) - Number(b.node.isSuspect) ||
 		a.loss - b.loss ||
 		Number(b.isFree) - Number(a.isFree) ||
-		a.capacity.free.accelerators - b.capacity.free.accelerators ||
-		a.capacity.free.cpuMillis - b.capacity.free.cpuMillis
+		a.node.free.accelerators - b.node.free.accelerators ||
+		a.node.free.cpuMillis - b.node.free.cpuMillis
 	)
 }
 
@@ -234,12 +234,12 @@
 /** Replaces a chosen slot by an earlier slot of the same worker that was not chosen. */
 function closeGaps(chosen: readonly Slot[], slots: readonly Slot[]): readonly Slot[] {
 	const counts = new Map<NodeCapacity, number>()
-	for (const {capacity: node} of chosen) counts.set(node, (counts.get(node) ?? 0) + 1)
+	for (const {node} of chosen) counts.set(node, (counts.get(node) ?? 0) + 1)
 	const closed: Slot[] = []
 	for (const slot of slots) {
-		const left = counts.get(slot.capacity) ?? 0
+		const left = counts.get(slot.node) ?? 0
 		if (left === 0) continue
-		counts.set(slot.capacity, left - 1)
+		counts.set(slot.node, left - 1)
 		closed.push(slot)
 	}
 	return closed
@@ -248,7 +248,7 @@
 /** The slots of the rack with the least cost, then with the fewest slots to spare. */
 function chooseRack(slots: readonly Slot[], unit: PlacementUnit): readonly Slot[] | undefined {
 	let best: {slots: readonly Slot[]; cost: number; spare: number} | undefined
-	for (const inRack of groupBy(slots, ({capacity: node}) => node.rack).values()) {
+	for (const inRack of groupBy(slots, ({node}) => node.rack).values()) {
 		const chosen = chooseBest(inRack, unit)
 		if (chosen === undefined) continue
 		const cost = computeTotalCost(chosen, unit)
@@ -274,7 +274,7 @@
 /** Loss that is accepted to avoid waiting for a run to end, in core-seconds. */
 const WAIT_PENALTY = 10
 
-function computeCost({loss, capacity: node, isFree}: Slot, {failedOn}: PlacementUnit): number {
+function computeCost({loss, node, isFree}: Slot, {failedOn}: PlacementUnit): number {
 	const penalty = node.isSuspect || failedOn.has(node.id) ? SUSPECT_PENALTY : 0
 	return loss + penalty + (isFree ? 0 : WAIT_PENALTY)
 }
