Call starts and stops commands everywhere, and reword a few test titles

Cause: run-order.ts still called starts and stops orders in two comments; some test titles used "where" for "if". Change: two comments and eleven test titles. No check changes. Conclusion: one word for a start or stop that is sent to a worker.

--- a/__tests__/adoption.test.ts
+++ b/__tests__/adoption.test.ts
@@ -49,7 +49,7 @@
 		["no earlier permit is left", createView({a: 1}, ["b"]), PERMIT_MS, AdoptionState.permitsRanOut]
 	]
 	for (const [condition, view, elapsedMs, expected] of cases)
-		it(`is ${expected} where ${condition}`, () => {
+		it(`is ${expected} if ${condition}`, () => {
 			const zones = checkZones(view, 2, permits, elapsedMs)
 			expect(zones.map(({force}) => force)).to.deep.equal([expected])
 			const code = expected === AdoptionState.pending ? ExitCode.notAdopted : ExitCode.ok
--- a/__tests__/domain-hosts.test.ts
+++ b/__tests__/domain-hosts.test.ts
@@ -26,7 +26,7 @@
 }
 
 describe("the hosts of a domain", () => {
-	it("accepts a job once where the answer to its commit was lost", async () => {
+	it("accepts a job once if the answer to its commit was lost", async () => {
 		const {first, fleet, plan, submit, advance} = await createServingDomain()
 		let lost = 0
 		plan.isAnswerLost = (_, call) => isCallTo(call, "/v1/rows-tx") && lost++ < 1
@@ -37,7 +37,7 @@
 		expect(fleet.monitor.starts).to.have.length(1)
 	})
 
-	it("never says that a job did not run while its commit may still take effect", async () => {
+	it("never reports a job as not run while its commit may still take effect", async () => {
 		const {first, plan, ask} = await createServingDomain()
 		plan.isAnswerLost = (_, call) => isCallTo(call, "/v1/rows-tx")
 		const reply = await ask(first, {
@@ -79,7 +79,7 @@
 		}
 	})
 
-	it("runs no occurrence again under a successor where an earlier one has not begun", async () => {
+	it("runs no occurrence again under a successor if an earlier one has not begun", async () => {
 		const {first, fleet, submit, advance, advanceUntil, addHost} = await createServingDomain({
 			workers: 0
 		})
@@ -196,7 +196,7 @@
 		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("unauthenticated")
 	})
 
-	it("reads everything again where the history of changes is gone", async () => {
+	it("reads everything again if the history of changes is no longer available", async () => {
 		const {first, fleet, advance, readState, plan} = await createServingDomain()
 		plan.isLost = (_, call) => isCallTo(call, "/v1/rows-feed")
 		fleet.store.putRow("op", "config", createCatalogRecord(2, {keys: [CALLER_KEY, "a-new-key"]}))
--- a/__tests__/gang-claims.test.ts
+++ b/__tests__/gang-claims.test.ts
@@ -43,7 +43,7 @@
 }
 
 describe("start claims", () => {
-	it("start only the gang that the claim names, though another is claiming when the result comes", () => {
+	it("start only the gang that the claim names, though another is claiming when the result arrives", () => {
 		const {clock, cluster} = createSlowZone()
 		const payload = JSON.stringify({runMs: 20000})
 		const spec = jobSpecSchema.parse({
--- a/__tests__/known-red.test.ts
+++ b/__tests__/known-red.test.ts
@@ -36,7 +36,7 @@
 		expect({failures, pending}).to.deep.equal({failures: 0, pending: 1})
 	})
 
-	it("fails where a listed test passes", async () => {
+	it("fails if a listed test passes", async () => {
 		const {failures} = await runListed(() => undefined)
 		expect(failures).to.equal(1)
 	})
--- a/__tests__/rehome.test.ts
+++ b/__tests__/rehome.test.ts
@@ -106,7 +106,7 @@
 		expect(readRecord(second)).to.include({zone: "zone-a", state: JobState.queued})
 	})
 
-	it("continues in another zone from its checkpoint if the bundle says so", () => {
+	it("continues in another zone from its checkpoint if the bundle moves running work", () => {
 		const {clock, submit, takeOut, readRecord} = createTwoZones()
 		const moved = submit("moved", createWork(JobKind.task, {checkpoint: true}))
 		clock.advance(10000)
--- a/__tests__/report.test.ts
+++ b/__tests__/report.test.ts
@@ -2,7 +2,7 @@
 import {formatPage} from "../bench/report.js"
 
 describe("the report of measurements", () => {
-	it("plots every metric against its baseline and target, and says what was missed", () => {
+	it("plots every metric against its baseline and target, and marks missed targets", () => {
 		const metric = {metric: "a <p99>", value: 5, unit: "s", baseline: 10, target: 4, met: false}
 		const metricWithoutTarget = {
 			...metric,
--- a/__tests__/run-placement.test.ts
+++ b/__tests__/run-placement.test.ts
@@ -90,7 +90,7 @@
 		expect(chooseNodes(createUnit(createRefs("one", gang)), nodes)).to.deep.equal(["b1", "b2"])
 	})
 
-	it("spreads a gang where one rack would cost more work than the gang is worth", () => {
+	it("spreads a gang if one rack would cost more work than the gang is worth", () => {
 		const nodes = [
 			createFullNode("a1", "a", {loss: LOSS_MAX}),
 			createFullNode("a2", "a", {loss: LOSS_MAX}),
--- a/__tests__/worker-contract.test.ts
+++ b/__tests__/worker-contract.test.ts
@@ -58,7 +58,7 @@
 		expect(findRefusal(() => worker.start(createStart()))).to.equal(RefusalCode.permitLapsed)
 	})
 
-	it("runs a task id once, whatever comes after", () => {
+	it("runs a task id once, whatever calls follow", () => {
 		const {clock, worker} = createWorker()
 		worker.renew(createRenewal())
 		worker.reserve(createReservation())
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -1,5 +1,5 @@
 /**
- * Sends start and stop orders to workers. A run is started once it is durable, and the members of a gang together. A
+ * Sends start and stop commands to workers. A run is started once it is durable, and the members of a gang together. A
  * start without an answer is retried, and then followed by a stop, after which the worker refuses that run for good.
  */
 import {
@@ -56,7 +56,7 @@
 	readonly #changedWorkflows: Set<string>
 	/** Tasks whose run is not confirmed as running. */
 	readonly #unconfirmed = new Set<string>()
-	/** Stop orders in flight, as "task run". */
+	/** Stop commands in flight, as "task run". */
 	readonly #stopping = new Set<string>()
 	readonly #foreignStopsSentAt = new Map<string, number>()
 
