Follow the holder's rows by a long poll, and fit the lease to the table

Cause: hosts read the holder's rows once a second, so a lost holder was noticed up to a second after its lease had ended, and small hosts waited another second for larger ones that read as seldom.

The lease is written into the lease row and spans two renewals as slow as the last one, 1.3 s to 2 s (policies/holder-lease.ts). Small hosts wait 0.2 s, take-overs are spread over 0.1 s. A renewal whose answer was lost continues from the conflict. A malformed holder row stops no host. The loop arms no timer for an infinite time, which Node fires after 1 ms.

--- a/__tests__/domain-failover.test.ts
+++ b/__tests__/domain-failover.test.ts
@@ -1,13 +1,15 @@
 /** Change of a domain's holder: the time until work starts again, and the effect on running work. */
 import {expect} from "chai"
 import {
+	DOMAIN_LEASE_MIN_MS,
 	DOMAIN_LEASE_MS,
 	HOLDER_RENEW_INTERVAL_MS,
 	Lifecycle,
-	WorkflowAction
+	WorkflowAction,
+	isTermConfirmed
 } from "../src/internal.js"
 import {decodeWorkflow} from "../platform/records.js"
-import {STORE_TARGET} from "../standins/fleet/fleet.js"
+import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
 import {BATCH, type DomainHost, URGENT, createDomain, createJob} from "./fixtures/domain.js"
 
 const BATCH_ID = "00000000000000aa"
@@ -116,4 +118,89 @@
 		}
 		expect(Math.max(...took)).to.be.below(DOMAIN_LEASE_MS + HOLDER_RENEW_INTERVAL_MS / 2)
 	})
+
+	for (const hostCount of [2, 9, 97])
+		for (const coreShare of [0.3, 1])
+			it(`starts work within 2.5 s if ${hostCount} hosts of ${coreShare} cores lose their holder`, async () => {
+				const took: number[] = []
+				for (const offsetMs of hostCount > 9 ? [350] : OFFSETS) {
+					const domain = createDomain()
+					domain.fleet.addWorker("w1")
+					for (let index = 0; index < hostCount; index++) domain.addHost({coreShare})
+					await domain.advanceUntil(() => domain.findHolder()?.board.terms.has("loaded") === true)
+					await domain.advance(3000 + offsetMs)
+					const holder = domain.findHolder()!
+					holder.stop()
+					holder.board.authority.delete("fleet")
+					const survivor = domain.hosts.find(host => host !== holder)!
+					const path = `${URGENT}${URGENT_ID}`
+					void survivor.ask({
+						action: WorkflowAction.submit,
+						path,
+						spec: decodeWorkflow(createJob())
+					})
+					took.push(await domain.advanceUntil(() => domain.fleet.monitor.starts.length === 1))
+				}
+				expect(Math.max(...took)).to.be.below(2500)
+			})
+
+	it("is seen by most hosts before they try to take the domain over too", async () => {
+		const {advance, addHost, findHolder, plan} = createDomain()
+		for (let index = 0; index < 97; index++) addHost()
+		await advance(3000)
+		const holder = findHolder()!
+		holder.stop()
+		holder.board.authority.delete("fleet")
+		let commits = 0
+		plan.isRefused = (_, call) => {
+			if (call.path === "/v1/rows-tx") commits++
+			return false
+		}
+		await advance(DOMAIN_LEASE_MS + 500)
+		expect(findHolder()).to.not.equal(undefined)
+		expect(commits).to.be.below(97 / 4)
+	})
+
+	// Operators' report: around a hand-over both hosts acted for a moment, and commands were sent twice.
+	it("leaves no moment in which both hosts may command workers, while a holder hands the domain over", async () => {
+		const {first, second, clock, plan, advance} = await createBusyDomain(0)
+		let isTaken = false
+		let overlaps = 0
+		// The answer to the commit that gives the domain up arrives late.
+		plan.computeDelay = hostId => (hostId === first.id ? 200 : 2)
+		first.board.lifecycle.set("state", Lifecycle.drained)
+		for (let passedMs = 0; passedMs < 3000; passedMs += 5) {
+			await advance(5)
+			const isConfirmed = [first, second].map(host => isTermConfirmed(host.board, clock.now()))
+			if (isConfirmed.every(Boolean)) overlaps++
+			isTaken ||= isConfirmed[1] === true
+		}
+		expect(isTaken).to.equal(true)
+		expect(overlaps).to.equal(0)
+	})
+
+	it("does not happen because the answer to a renewal, or three renewals in a row, are lost", async () => {
+		for (const lost of [1, 2, 3]) {
+			const {first, plan, advance} = await createBusyDomain(0)
+			let left = lost
+			const isRenewal = (call: FleetCall) =>
+				call.path === "/v1/rows-tx" && JSON.stringify(call.body).includes("fleet/lease")
+			if (lost === 1)
+				plan.isAnswerLost = (hostId, call) => hostId === first.id && isRenewal(call) && left-- > 0
+			else plan.isRefused = (hostId, call) => hostId === first.id && isRenewal(call) && left-- > 0
+			await advance(6000)
+			expect(left).to.be.below(1)
+			expect(first.board.authority.get("fleet")).to.include({epoch: 1, isHeldHere: true})
+		}
+	})
+
+	it("gives a domain on a slow table a longer lease than on a quick one", async () => {
+		const {first, plan, advance} = await createBusyDomain(0)
+		const readLease = () => first.board.authority.get("fleet")?.leaseMs
+		expect(readLease()).to.equal(DOMAIN_LEASE_MIN_MS)
+		plan.computeDelay = () => 400
+		await advance(6000)
+		expect(readLease()).to.equal(DOMAIN_LEASE_MS)
+		expect(first.board.authority.get("fleet")).to.include({epoch: 1, isHeldHere: true})
+	})
 })
--- a/__tests__/loop.test.ts
+++ b/__tests__/loop.test.ts
@@ -2,6 +2,7 @@
 import {err} from "neverthrow"
 import {
 	type Board,
+	type Clock,
 	type Completion,
 	type Controller,
 	CommandKind,
@@ -56,6 +57,24 @@
 		expect(board.completions.size).to.equal(0)
 	})
 
+	// Regression test: a timer with an infinite delay fired after 1 ms, again and again.
+	it("arms no timer for a controller that asks for no time", () => {
+		const clock = new ManualClock()
+		let delays = 0
+		const counting: Clock = {
+			now: () => clock.now(),
+			readWallClock: () => clock.readWallClock(),
+			schedule: (delayMs, callback) => {
+				if (delayMs > 0) delays++
+				return clock.schedule(delayMs, callback)
+			}
+		}
+		const waiting: Controller = {name: "waiting", reads: [], step: () => Infinity}
+		new ControllerLoop(createBoard(), counting, [waiting]).start()
+		clock.advance(1)
+		expect(delays).to.equal(0)
+	})
+
 	it("wakes every reader of a section whose entries have no owner", () => {
 		const {clock, board, one, other} = createLoop()
 		board.lifecycle.set("state", Lifecycle.stopping)
--- a/bench/zone-board.ts
+++ b/bench/zone-board.ts
@@ -10,6 +10,7 @@
 	Adjacency,
 	Board,
 	GangStage,
+	HOLDER_LEASE_MS,
 	HostRole,
 	JobState,
 	Lifecycle,
@@ -57,7 +58,9 @@
 		holderVersion: 1,
 		leaseVersion: 1,
 		observedAt: 0,
-		isHeldHere: true
+		leaseMs: HOLDER_LEASE_MS,
+		isHeldHere: true,
+		confirmedUntil: Infinity
 	})
 	board.bundle.set("current", {
 		bundle: {
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -1,41 +1,48 @@
 /**
  * Decides which host schedules this host's zone, or its domain of several zones. The holder row changes only when the
  * holder changes; the lease row is rewritten at every renewal. A host takes over after it has observed the same lease
- * version for the whole lease time, with a commit conditional on both rows, so no clocks are compared. A holder that
- * can't reach the table stays holder: workers obey the highest epoch they have seen.
+ * version for the whole lease time, with a commit conditional on both rows, so no clocks are compared. A zone's holder
+ * that can't reach the table stays holder: workers obey the highest epoch they have seen. A domain's holder sends no
+ * commands from shortly before the end of its lease, nor once it has sent the commit that gives the domain up.
  */
+import {z} from "zod"
 import {
 	type AuthorityEntry,
 	type Board,
+	type Command,
 	type Completion,
 	type Controller,
-	type HostSettings,
+	type HolderLeasePolicy,
+	type HolderRows,
 	type RowWrite,
 	type TableRow,
-	AUTHORITY_TIMEOUT_MS,
 	CommandKind,
-	DOMAIN_LEASE_MS,
-	DOMAIN_RENEW_INTERVAL_MS,
+	DOMAIN_LEASE_MARGIN_MS,
 	EventLevel,
-	HOLDER_CORES,
-	HOLDER_DEFERRAL_MS,
-	HOLDER_LEASE_MS,
-	HOLDER_RENEW_INTERVAL_MS,
+	FixedHolderLease,
 	HOLDER_RETRY_DELAY_MS,
 	Lifecycle,
+	PolledHolderRows,
 	RETRY_BASE_MS,
 	SectionName,
+	decodeJson,
 	findAuthorityScope,
 	formatHolderKey,
 	formatLeaseKey,
-	issueTableCommit,
-	issueTableRead
+	issueTableCommit
 } from "../internal.js"
 
-interface HolderRow {
-	readonly holder: string
-	readonly address: string
-	readonly epoch: number
+const holderSchema = z.object({
+	holder: z.string(),
+	address: z.string(),
+	epoch: z.int().min(0)
+})
+type HolderRow = z.infer<typeof holderSchema>
+
+/** A commit in flight, and the lease that it writes. */
+interface PendingCommit {
+	readonly commandId: string
+	readonly leaseMs: number
 }
 
 const READ = "read"
@@ -46,8 +53,18 @@
 export class AuthorityController implements Controller {
 	readonly name = "authority"
 	readonly reads = [SectionName.completions, SectionName.lifecycle]
-	#inFlight: string | undefined
-	#nextAt = 0
+	readonly #rows: HolderRows
+	readonly #lease: HolderLeasePolicy
+	#read: string | undefined
+	#readAt = 0
+	/** True after a failed commit, until the rows have been read again: nothing is taken over before. */
+	#isOutdated = false
+	#commit: PendingCommit | undefined
+	/** Monotonic time at which the next renewal is due, and at which it is sent: later if it has failed before. */
+	#renewDueAt = 0
+	#renewAt = 0
+	/** Time from the due time of the last confirmed renewal to its answer. */
+	#renewalMs = Infinity
 	/** Monotonic time at which the latest take-over was sent; other hosts may count the lease time from then on. */
 	#takeOverSentAt = 0
 	/** After a failed take-over or yield, neither is sent again before this monotonic time. */
@@ -56,23 +73,32 @@
 	#isRestarted = false
 	/** Monotonic time of the first read that showed no holder; undefined while reads fail or show a holder. */
 	#seenFreeAt: number | undefined
+	/** True if all reads since the latest renewal by another host were answered. */
+	#isViewContinuous = false
+
+	constructor(
+		rows: HolderRows = new PolledHolderRows(),
+		lease: HolderLeasePolicy = new FixedHolderLease()
+	) {
+		this.#rows = rows
+		this.#lease = lease
+	}
 
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
 		const stopping = board.lifecycle.get("state") !== Lifecycle.serving
-		if (this.#inFlight !== undefined) return undefined
+		if (this.#commit !== undefined) return undefined
 		const entry = board.authority.get(findAuthorityScope(board.settings))
 		if (board.lifecycle.get("state") === Lifecycle.drained)
 			return this.#yieldZone(board, entry, now)
-		if (stopping && entry?.isHeldHere !== true) return undefined
-		const dueAt = Math.min(this.#nextAt, this.#computeTakeOverAt(board, entry))
-		if (now < dueAt) return dueAt
-		this.#nextAt = now + computeInterval(board.settings, entry?.isHeldHere === true)
-		if (entry?.isHeldHere === true) this.#renew(board, entry, now)
-		else if (entry !== undefined && now >= this.#computeTakeOverAt(board, entry))
+		if (entry?.isHeldHere === true) return this.#renewIfDue(board, entry, now)
+		if (stopping) return undefined
+		const takeOverAt = this.#isOutdated ? Infinity : this.#computeTakeOverAt(board, entry)
+		if (entry !== undefined && now >= takeOverAt) {
 			this.#takeOverOrYield(board, entry, now)
-		else this.#readRows(board, now)
-		return this.#nextAt
+			return undefined
+		}
+		return Math.min(takeOverAt, this.#readIfDue(board, now))
 	}
 
 	/**
@@ -82,58 +108,80 @@
 	#computeTakeOverAt(board: Board, entry: AuthorityEntry | undefined): number {
 		if (entry === undefined || entry.isHeldHere) return Infinity
 		if (this.#wasThisHost(board, entry)) return this.#notBefore
-		const deferralMs = computeDeferral(board.settings)
-		// Larger hosts go first. After an outage of the table every host finds the lease expired, so a small one counts
-		// the deferral from its own first read that showed no holder.
-		const freeAt =
-			deferralMs > 0 ? (this.#seenFreeAt ?? Infinity) : computeFreeAt(board.settings, entry)
-		return Math.max(this.#notBefore, freeAt + deferralMs)
+		// After an outage of the table every host finds the lease expired, so a host that leaves the zone to others counts
+		// from its own first read that showed no holder.
+		const isFromOwnRead = this.#lease.isDeferring && !this.#isViewContinuous
+		const freeAt = isFromOwnRead ? (this.#seenFreeAt ?? Infinity) : computeFreeAt(entry)
+		const delayMs = this.#lease.computeTakeOverDelay(entry.epoch, this.#isViewContinuous)
+		return Math.max(this.#notBefore, freeAt + delayMs)
 	}
 
 	#wasThisHost(board: Board, {holder}: AuthorityEntry): boolean {
 		return this.#isRestarted && holder === board.settings.hostId
 	}
 
-	/** A small host that held the domain before its restart gives it up, so that a larger host can take it. */
+	/** A host that held the domain before its restart and would wait for others gives it up, so that they can take it. */
 	#takeOverOrYield(board: Board, entry: AuthorityEntry, now: number): void {
-		if (this.#wasThisHost(board, entry) && computeDeferral(board.settings) > 0)
+		if (this.#wasThisHost(board, entry) && this.#lease.isDeferring)
 			this.#clearHolder(board, entry, now)
 		else this.#takeOver(board, entry, now)
 	}
 
-	#readRows(board: Board, now: number): void {
-		const zone = findAuthorityScope(board.settings)
-		this.#inFlight = issueTableRead(
-			board,
-			this.name,
-			READ,
-			[formatHolderKey(zone), formatLeaseKey(zone)],
-			now,
-			AUTHORITY_TIMEOUT_MS
-		)
+	#readIfDue(board: Board, now: number): number {
+		if (this.#read !== undefined) return Infinity
+		if (now < this.#readAt) return this.#readAt
+		this.#readAt = now + this.#rows.intervalMs
+		this.#read = this.#rows.read(board, this.name, READ, now)
+		return Infinity
+	}
+
+	/** Reads the current rows at once; the answer to a read in flight is ignored. */
+	#reread(board: Board, now: number): void {
+		this.#rows.reset()
+		this.#isOutdated = true
+		this.#read = this.#rows.read(board, this.name, READ, now)
+	}
+
+	#renewIfDue(board: Board, entry: AuthorityEntry, now: number): number | undefined {
+		// A failed commit is followed by a read, which shows whether this host still holds the zone.
+		if (this.#read !== undefined) return undefined
+		if (now < this.#renewAt) return this.#renewAt
+		this.#renew(board, entry, now)
+		return undefined
 	}
 
 	#renew(board: Board, entry: AuthorityEntry, now: number): void {
-		this.#commit(board, now, RENEW, [
+		const leaseMs = this.#lease.computeLease(Math.max(this.#renewalMs, now - this.#renewDueAt))
+		const lease = this.#lease.encodeLease(entry.holder, leaseMs)
+		// The renewal may take effect without an answer; other hosts then use its lease, which may be shorter.
+		const confirmedUntil = Math.min(entry.confirmedUntil, computeConfirmedUntil(now, leaseMs))
+		board.authority.setSilently(entry.zone, {...entry, confirmedUntil})
+		this.#issueCommit(board, now, RENEW, leaseMs, [
 			{key: formatHolderKey(entry.zone), ifVersion: entry.holderVersion, value: undefined},
-			{key: formatLeaseKey(entry.zone), ifVersion: entry.leaseVersion, value: entry.holder}
+			{key: formatLeaseKey(entry.zone), ifVersion: entry.leaseVersion, value: lease}
 		])
 	}
 
 	#takeOver(board: Board, entry: AuthorityEntry, now: number): void {
 		this.#takeOverSentAt = now
+		this.#readAt = now + this.#rows.intervalMs
+		const leaseMs = this.#lease.computeLease(Infinity)
 		const row: HolderRow = {
 			holder: board.settings.hostId,
 			address: formatPeerUrl(board),
 			epoch: entry.epoch + 1
 		}
-		this.#commit(board, now, TAKE, [
+		this.#issueCommit(board, now, TAKE, leaseMs, [
 			{
 				key: formatHolderKey(entry.zone),
 				ifVersion: entry.holderVersion,
 				value: JSON.stringify(row)
 			},
-			{key: formatLeaseKey(entry.zone), ifVersion: entry.leaseVersion, value: row.holder}
+			{
+				key: formatLeaseKey(entry.zone),
+				ifVersion: entry.leaseVersion,
+				value: this.#lease.encodeLease(row.holder, leaseMs)
+			}
 		])
 	}
 
@@ -146,91 +194,141 @@
 
 	#clearHolder(board: Board, entry: AuthorityEntry, now: number): void {
 		const row: HolderRow = {holder: "", address: "", epoch: entry.epoch}
-		this.#commit(board, now, YIELD, [
+		// Another host may take over before the answer arrives here.
+		board.authority.set(entry.zone, {...entry, confirmedUntil: -Infinity})
+		this.#issueCommit(board, now, YIELD, entry.leaseMs, [
 			{key: formatHolderKey(entry.zone), ifVersion: entry.holderVersion, value: JSON.stringify(row)}
 		])
 	}
 
-	/**
-	 * A read does not extend this host's own term: other hosts count from its last renewal. Another host's lease is
-	 * counted from the arrival of the answer here, not from the sending of the read, since the holder may have renewed
-	 * it in between.
-	 */
-	#findObservedAt(
-		known: AuthorityEntry | undefined,
-		isHeldHere: boolean,
-		isUnchanged: boolean,
-		now: number
-	): number {
-		if (isHeldHere) return known?.isHeldHere === true ? known.observedAt : this.#takeOverSentAt
-		return isUnchanged && known !== undefined ? known.observedAt : now
-	}
-
-	#commit(board: Board, now: number, subject: string, writes: readonly RowWrite[]): void {
-		this.#inFlight = issueTableCommit(board, this.name, subject, writes, now, AUTHORITY_TIMEOUT_MS)
+	#issueCommit(
+		board: Board,
+		now: number,
+		subject: string,
+		leaseMs: number,
+		writes: readonly RowWrite[]
+	): void {
+		const timeoutMs = this.#lease.computeCommitTimeout(leaseMs)
+		const commandId = issueTableCommit(board, this.name, subject, writes, now, timeoutMs)
+		this.#commit = {commandId, leaseMs}
 	}
 
 	#settle(board: Board, completion: Completion, now: number): void {
-		const {command} = completion
-		if (command.id === this.#inFlight) this.#inFlight = undefined
-		if (completion.result.isErr()) {
-			board.record(EventLevel.debug, "authority-unsettled", {subject: command.subject})
-			this.#settleFailure(board, command.subject, now)
+		const {command, result} = completion
+		if (command.id === this.#read) {
+			this.#read = undefined
+			if (result.isErr()) this.#settleFailedRead(board, now)
+			else {
+				this.#isOutdated = false
+				this.#adoptRows(board, this.#rows.adopt(completion), now)
+			}
 			return
 		}
-		if (completion.command.kind === CommandKind.tableRead) {
-			this.#adoptRows(board, completion.result.value as readonly TableRow[], now)
-		} else this.#settleCommit(board, completion as Completion<"table-commit">)
+		const pending = this.#commit
+		if (command.id !== pending?.commandId) return
+		this.#commit = undefined
+		if (result.isErr()) this.#settleFailedCommit(board, command, now)
+		else this.#settleCommit(board, completion as Completion<"table-commit">, pending, now)
+	}
+
+	#settleFailedRead(board: Board, now: number): void {
+		board.record(EventLevel.debug, "authority-unsettled", {subject: READ})
+		this.#rows.reset()
+		this.#forgetView()
+		this.#readAt = Math.max(this.#readAt, now + HOLDER_RETRY_DELAY_MS)
 	}
 
 	/** After a take-over or yield without an answer the rows are read again; a failed renewal is retried soon. */
-	#settleFailure(board: Board, subject: string, now: number): void {
+	#settleFailedCommit(board: Board, {subject, issuedAt}: Command, now: number): void {
+		board.record(EventLevel.debug, "authority-unsettled", {subject})
+		this.#forgetView()
+		if (subject === RENEW) {
+			this.#renewAt = Math.max(now, issuedAt + this.#lease.retryDelayMs)
+			return
+		}
+		this.#notBefore = Math.max(now, issuedAt + RETRY_BASE_MS)
+		this.#reread(board, now)
+	}
+
+	#forgetView(): void {
 		this.#seenFreeAt = undefined
-		if (subject === RENEW) this.#nextAt = Math.min(this.#nextAt, now + HOLDER_RETRY_DELAY_MS)
-		if (subject !== TAKE && subject !== YIELD) return
-		this.#notBefore = now + RETRY_BASE_MS
-		this.#readRows(board, now)
+		this.#isViewContinuous = false
 	}
 
-	#settleCommit(board: Board, completion: Completion<"table-commit">): void {
-		const {command, result} = completion
+	#settleCommit(
+		board: Board,
+		{command, result}: Completion<"table-commit">,
+		{leaseMs}: PendingCommit,
+		now: number
+	): void {
 		if (result.isErr()) return
+		const {issuedAt, subject} = command
+		const entry = board.authority.get(findAuthorityScope(board.settings))
+		if (entry === undefined) return
 		if (!result.value.committed) {
-			this.#readRows(board, command.issuedAt)
+			if (subject === RENEW) this.#settleConflict(board, entry, result.value.conflicts, now)
+			else this.#reread(board, now)
 			return
 		}
-		if (command.subject === YIELD) {
-			const entry = board.authority.get(findAuthorityScope(board.settings))
-			const observedAt = command.issuedAt
-			if (entry !== undefined)
-				board.authority.set(entry.zone, {...entry, holder: "", isHeldHere: false, observedAt})
-			board.record(EventLevel.info, "zone-yielded", {zone: findAuthorityScope(board.settings)})
+		if (subject === YIELD) {
+			const {zone} = entry
+			board.authority.set(zone, {...entry, holder: "", isHeldHere: false, observedAt: issuedAt})
+			board.record(EventLevel.info, "zone-yielded", {zone})
+			this.#reread(board, now)
 			return
 		}
-		this.#adoptCommit(board, command.subject, result.value.versions, command.issuedAt)
+		this.#renewalMs = subject === RENEW ? now - this.#renewDueAt : now - issuedAt
+		this.#renewDueAt = issuedAt + this.#lease.computeRenewInterval(leaseMs)
+		this.#renewAt = this.#renewDueAt
+		this.#adoptCommit(board, entry, subject, result.value.versions, {sentAt: issuedAt, leaseMs})
 	}
 
-	#adoptCommit(board: Board, subject: string, versions: readonly number[], sentAt: number): void {
-		const {hostId} = board.settings
-		const zone = findAuthorityScope(board.settings)
-		const entry = board.authority.get(zone)
-		if (entry === undefined) return
+	/**
+	 * While the holder row is unchanged, only a renewal of this host whose answer was lost can have changed the lease
+	 * row; the next one continues from it.
+	 */
+	#settleConflict(
+		board: Board,
+		entry: AuthorityEntry,
+		conflicts: readonly TableRow[],
+		now: number
+	): void {
+		const [row, ...others] = conflicts
+		if (row?.key !== formatLeaseKey(entry.zone) || others.length > 0) {
+			this.#reread(board, now)
+			return
+		}
+		board.authority.setSilently(entry.zone, {...entry, leaseVersion: row.version})
+		this.#renewAt = now
+	}
+
+	#adoptCommit(
+		board: Board,
+		entry: AuthorityEntry,
+		subject: string,
+		versions: readonly number[],
+		{sentAt, leaseMs}: {sentAt: number; leaseMs: number}
+	): void {
+		const {zone, holder: previous} = entry
 		const [holderVersion = 0, leaseVersion = 0] = versions
 		const epoch = subject === TAKE ? entry.epoch + 1 : entry.epoch
 		this.#isRestarted = false
+		// The answer to a long poll in flight may be older than this commit.
+		this.#read = undefined
 		board.authority.set(zone, {
 			zone,
-			holder: hostId,
+			holder: board.settings.hostId,
 			address: formatPeerUrl(board),
 			epoch,
 			holderVersion,
 			leaseVersion,
 			observedAt: sentAt,
-			isHeldHere: true
+			leaseMs,
+			isHeldHere: true,
+			confirmedUntil: computeConfirmedUntil(sentAt, leaseMs)
 		})
 		if (subject === TAKE) {
-			const {holder: previous, observedAt} = entry
-			const unrenewedMs = Math.round(sentAt - observedAt)
+			const unrenewedMs = Math.round(sentAt - entry.observedAt)
 			board.record(EventLevel.info, "zone-taken", {zone, epoch, previous, unrenewedMs})
 		}
 	}
@@ -241,7 +339,7 @@
 		const holderRow = rows.find(row => row.key === formatHolderKey(zone))
 		const leaseRow = rows.find(row => row.key === formatLeaseKey(zone))
 		const known = board.authority.get(zone)
-		const value = decodeHolderRow(holderRow?.value)
+		const value = this.#decodeHolder(board, holderRow)
 		const leaseVersion = leaseRow?.version ?? 0
 		if (known === undefined) this.#isRestarted = value.holder === hostId
 		const holderVersion = holderRow?.version ?? 0
@@ -251,6 +349,7 @@
 			value.holder === hostId && (known?.isHeldHere === true || known?.epoch === value.epoch - 1)
 		if (known?.isHeldHere === true && !isHeldHere)
 			board.record(EventLevel.warn, "zone-lost", {zone, epoch: known.epoch})
+		const leaseMs = this.#lease.decodeLease(leaseRow?.value)
 		const entry = {
 			zone,
 			holder: value.holder,
@@ -259,31 +358,67 @@
 			holderVersion,
 			leaseVersion,
 			observedAt: this.#findObservedAt(known, isHeldHere, isUnchanged, now),
-			isHeldHere
+			leaseMs,
+			isHeldHere,
+			confirmedUntil: this.#findConfirmedUntil(known, isHeldHere, leaseMs)
 		}
 		board.authority.set(zone, entry)
-		const isFree = !isHeldHere && now >= computeFreeAt(board.settings, entry)
+		const isFree = !isHeldHere && now >= computeFreeAt(entry)
 		this.#seenFreeAt = isFree ? (this.#seenFreeAt ?? now) : undefined
+		if (known !== undefined && !isUnchanged) this.#isViewContinuous = true
 		// A renewal whose answer was lost has changed the lease row; renew at once with the new version.
-		if (isHeldHere && !isUnchanged) this.#nextAt = now
+		if (isHeldHere && !isUnchanged) this.#renewAt = now
+	}
+
+	/**
+	 * A malformed row, which another writer must have left, names no holder. Versions count the table's commits, so they
+	 * are above all epochs in use.
+	 */
+	#decodeHolder(board: Board, row: TableRow | undefined): HolderRow {
+		if (row === undefined) return {holder: "", address: "", epoch: 0}
+		return decodeJson("holder", holderSchema, row.value).match(
+			holder => holder,
+			error => {
+				board.record(EventLevel.warn, "holder-malformed", {detail: error.message}, "malformed")
+				return {holder: "", address: "", epoch: row.version}
+			}
+		)
+	}
+
+	/**
+	 * A read does not extend this host's own term: other hosts count from its last renewal. Another host's lease is
+	 * counted from the arrival of the answer here, not from the sending of the read, since the holder may have renewed
+	 * it in between.
+	 */
+	#findObservedAt(
+		known: AuthorityEntry | undefined,
+		isHeldHere: boolean,
+		isUnchanged: boolean,
+		now: number
+	): number {
+		if (isHeldHere) return known?.isHeldHere === true ? known.observedAt : this.#takeOverSentAt
+		return isUnchanged && known !== undefined ? known.observedAt : now
+	}
+
+	#findConfirmedUntil(
+		known: AuthorityEntry | undefined,
+		isHeldHere: boolean,
+		leaseMs: number
+	): number {
+		if (!isHeldHere) return -Infinity
+		if (known?.isHeldHere === true) return known.confirmedUntil
+		return computeConfirmedUntil(this.#takeOverSentAt, leaseMs)
 	}
 }
 
 /** Time from which the zone has no holder if its rows don't change. */
-function computeFreeAt({domain}: HostSettings, {holder, observedAt}: AuthorityEntry): number {
-	const leaseMs = domain === undefined ? HOLDER_LEASE_MS : DOMAIN_LEASE_MS
+function computeFreeAt({holder, observedAt, leaseMs}: AuthorityEntry): number {
 	return holder === "" ? observedAt : observedAt + leaseMs + 1
 }
 
-/** Interval at which a holder renews its lease and other hosts read it. */
-function computeInterval({domain}: HostSettings, isHeldHere: boolean): number {
-	return domain !== undefined && isHeldHere ? DOMAIN_RENEW_INTERVAL_MS : HOLDER_RENEW_INTERVAL_MS
-}
-
-/** Time that a small host waits so that a larger one can take the domain first; 0 for others. */
-function computeDeferral({domain}: HostSettings): number {
-	if (domain === undefined) return 0
-	return domain.cores * domain.coreShare < HOLDER_CORES ? HOLDER_DEFERRAL_MS : 0
+/** Time until which the holder may send commands after a renewal sent at `sentAt`. */
+function computeConfirmedUntil(sentAt: number, leaseMs: number): number {
+	return sentAt + leaseMs - DOMAIN_LEASE_MARGIN_MS
 }
 
 function formatPeerUrl(board: Board): string {
@@ -293,8 +428,3 @@
 	const {host, port} = peerAddress
 	return `http://${host}:${port}`
 }
-
-function decodeHolderRow(value: string | undefined): HolderRow {
-	if (value === undefined) return {holder: "", address: "", epoch: 0}
-	return JSON.parse(value) as HolderRow
-}
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -12,7 +12,8 @@
 	type WorkerRegistration,
 	CommandKind,
 	EventLevel,
-	DOMAIN_LEASE_USABLE_MS,
+	DOMAIN_LEASE_MARGIN_MS,
+	DOMAIN_LEASE_MS,
 	NODE_ANSWER_TIMEOUT_MS,
 	NODE_RENEW_WAIT_MS,
 	NODE_RETRY_DELAY_MS,
@@ -188,7 +189,9 @@
 				clockMs: 0,
 				clockReadAt: 0,
 				answeredAt: 0,
-				leaseExpiresAt: computeLeaseExpiry(this.#termStartedAt + DOMAIN_LEASE_USABLE_MS),
+				leaseExpiresAt: computeLeaseExpiry(
+					this.#termStartedAt + DOMAIN_LEASE_MS - DOMAIN_LEASE_MARGIN_MS
+				),
 				failures: 0,
 				leavesAt: computeLeavesAt(registration, undefined, now)
 			})
--- a/src/controllers/registry.ts
+++ b/src/controllers/registry.ts
@@ -15,6 +15,7 @@
 	DefragmentController,
 	EndpointController,
 	ExpiryController,
+	FollowedHolderRows,
 	GangController,
 	HostListController,
 	JobListController,
@@ -35,6 +36,7 @@
 	WorkerController,
 	WorkflowIntakeController,
 	WorkflowLogController,
+	createHolderLease,
 	createPolicies
 } from "../internal.js"
 
@@ -73,7 +75,7 @@
 	const readWallClock = () => clock.readWallClock()
 	return [
 		new CatalogController(),
-		new AuthorityController(),
+		new AuthorityController(new FollowedHolderRows(), createHolderLease(board.settings)),
 		new WorkflowLogController(board, readWallClock),
 		new NodeController(),
 		new RunReportController(board),
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -16,7 +16,6 @@
 	type WorkflowRecord,
 	type WorkflowStateRow,
 	COMMIT_ROWS_MAX,
-	CommandKind,
 	EventLevel,
 	LONG_POLL_ANSWER_TIMEOUT_MS,
 	LONG_POLL_WAIT_MS,
@@ -42,6 +41,7 @@
 	isOccurrenceDone,
 	recordSaved,
 	issueTableCommit,
+	issueTableFollow,
 	issueTableScan,
 	parseWorkflowKey,
 	restoreOccurrence,
@@ -115,15 +115,8 @@
 		const timeoutMs =
 			this.#afterVersion === undefined ? PLATFORM_TIMEOUT_MS : waitMs + LONG_POLL_ANSWER_TIMEOUT_MS
 		this.#pollInFlight = true
-		board.issue<"table-follow">({
-			kind: CommandKind.tableFollow,
-			owner: this.name,
-			subject: `${FOLLOW} ${this.#epoch}`,
-			target: "",
-			request: {prefix: WORKFLOW_PREFIX, afterVersion: this.#afterVersion, waitMs},
-			timeoutMs,
-			issuedAt: now
-		})
+		const request = {prefix: WORKFLOW_PREFIX, afterVersion: this.#afterVersion, waitMs}
+		issueTableFollow(board, this.name, `${FOLLOW} ${this.#epoch}`, request, now, timeoutMs)
 		return Infinity
 	}
 
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -150,21 +150,35 @@
 /** CPU cores that the holder of a domain of about 250 workers needs under peak load. */
 export const HOLDER_CORES = 0.6
 
-/** How long a host with less CPU than that leaves a domain without a holder to larger hosts, which poll each second. */
-export const HOLDER_DEFERRAL_MS = 1000
-
 /**
- * Time after its last confirmed renewal for which a domain's holder sends commands to workers. Shorter than the
- * lease, after which another host may take over, so that two hosts never send commands at the same time.
+ * How long a host with less CPU than that leaves a domain without a holder to larger hosts: enough for their take-over
+ * to be seen, if all hosts saw the lease end.
  */
-export const DOMAIN_LEASE_USABLE_MS = 1800
+export const HOLDER_DEFERRAL_MS = 200
+/** The same after an outage of the table, which large hosts may notice later by one read that is not answered. */
+export const HOLDER_OUTAGE_DEFERRAL_MS = 1000
+/** Hosts that see a domain without a holder take it over within this time, so that most see the new holder first. */
+export const TAKE_OVER_SPREAD_MS = 100
+/** Deadline of a read of the holder's rows that waits for no change; with the retry delay below the outage deferral. */
+export const HOLDER_READ_TIMEOUT_MS = 700
+/** Shortest time between two long polls of the holder's rows. */
+export const HOLDER_FOLLOW_INTERVAL_MIN_MS = 50
 
 /**
- * Lease and renewal of a domain's holder. Shorter than a zone's, because no work starts in the domain until the lease
- * of a lost holder has expired; longer than two renewals on the slowest table encountered, whose commits take 0.8 s.
+ * Longest and shortest lease of a domain's holder. The longest spans two renewals on the slowest table encountered,
+ * whose commits take 0.8 s.
  */
 export const DOMAIN_LEASE_MS = 2000
-export const DOMAIN_RENEW_INTERVAL_MS = 600
+export const DOMAIN_LEASE_MIN_MS = 1300
+/** Number of renewals in the length of a lease, if none fails. */
+export const DOMAIN_LEASE_RENEWALS = 3
+/** Delay after a failed renewal, short enough for three of four to be refused by an overloaded table. */
+export const DOMAIN_RETRY_DELAY_MS = 100
+/**
+ * The holder stops sending commands to workers this long before its lease ends and another host may take over, so
+ * that two hosts never send commands at the same time.
+ */
+export const DOMAIN_LEASE_MARGIN_MS = 200
 
 /** Lease of a domain's worker: long enough for runs to survive a change of holder, below the maximum workers grant. */
 export const NODE_LEASE_MS = 9500
--- a/src/core/loop.ts
+++ b/src/core/loop.ts
@@ -103,7 +103,8 @@
 			slot.dirty = false
 			slot.nextAt = undefined
 			const nextAt = slot.controller.step(this.#board, now)
-			if (nextAt !== undefined) slot.nextAt = nextAt
+			// A timer takes no infinite delay: Node fires it after 1 ms.
+			if (nextAt !== undefined && nextAt < Infinity) slot.nextAt = nextAt
 			stepped = true
 		}
 		return stepped
--- /dev/null
+++ b/src/policies/holder-lease.ts
@@ -0,0 +1,130 @@
+/**
+ * How long the lease of a holder lasts, how often it is renewed, and how long a host leaves a free zone to others. The
+ * holder writes the lease's length into the lease row, so that other hosts know when the observed lease ends.
+ *
+ * The domain's lease is as short as the table allows, because no work starts in the domain until the lease of a lost
+ * holder has ended: two renewals fit into it, each as late as the last one was. Large hosts take over first: a domain
+ * with many workers needs more CPU than a small host has.
+ */
+import {z} from "zod"
+import {
+	type DomainSettings,
+	type HostSettings,
+	AUTHORITY_TIMEOUT_MS,
+	DOMAIN_LEASE_MARGIN_MS,
+	DOMAIN_LEASE_MIN_MS,
+	DOMAIN_LEASE_MS,
+	DOMAIN_LEASE_RENEWALS,
+	HOLDER_CORES,
+	HOLDER_DEFERRAL_MS,
+	HOLDER_LEASE_MS,
+	HOLDER_OUTAGE_DEFERRAL_MS,
+	HOLDER_RENEW_INTERVAL_MS,
+	HOLDER_RETRY_DELAY_MS,
+	DOMAIN_RETRY_DELAY_MS,
+	TAKE_OVER_SPREAD_MS,
+	computeFraction,
+	decodeJson
+} from "../internal.js"
+
+export interface HolderLeasePolicy {
+	/** Delay after a failed renewal. */
+	readonly retryDelayMs: number
+	/** True if this host leaves a free zone to larger hosts for a while. */
+	readonly isDeferring: boolean
+	/** Length of the next lease, if the last renewal was answered `renewalMs` after it was due. */
+	computeLease(renewalMs: number): number
+	computeRenewInterval(leaseMs: number): number
+	/** Deadline of a commit that writes this lease. */
+	computeCommitTimeout(leaseMs: number): number
+	/**
+	 * Time that this host waits after a zone has become free. `isViewContinuous` is false if it may have missed changes
+	 * of the holder's rows since the last renewal that it observed.
+	 */
+	computeTakeOverDelay(epoch: number, isViewContinuous: boolean): number
+	encodeLease(holder: string, leaseMs: number): string
+	decodeLease(value: string | undefined): number
+}
+
+/** Lease of one zone's holder. */
+export class FixedHolderLease implements HolderLeasePolicy {
+	readonly retryDelayMs = HOLDER_RETRY_DELAY_MS
+	readonly isDeferring = false
+
+	computeLease(): number {
+		return HOLDER_LEASE_MS
+	}
+
+	computeRenewInterval(): number {
+		return HOLDER_RENEW_INTERVAL_MS
+	}
+
+	computeCommitTimeout(): number {
+		return AUTHORITY_TIMEOUT_MS
+	}
+
+	computeTakeOverDelay(): number {
+		return 0
+	}
+
+	encodeLease(holder: string): string {
+		return holder
+	}
+
+	decodeLease(): number {
+		return HOLDER_LEASE_MS
+	}
+}
+
+const leaseSchema = z.object({leaseMs: z.int().min(DOMAIN_LEASE_MIN_MS).max(DOMAIN_LEASE_MS)})
+
+/** Lease of a domain's holder. */
+export class AdaptiveHolderLease implements HolderLeasePolicy {
+	readonly retryDelayMs = DOMAIN_RETRY_DELAY_MS
+	readonly isDeferring: boolean
+	readonly #hostId: string
+
+	constructor(hostId: string, {cores, coreShare}: DomainSettings) {
+		this.#hostId = hostId
+		this.isDeferring = cores * coreShare < HOLDER_CORES
+	}
+
+	computeLease(renewalMs: number): number {
+		if (this.isDeferring) return DOMAIN_LEASE_MS
+		const intervalMs = this.computeRenewInterval(DOMAIN_LEASE_MIN_MS)
+		const neededMs = Math.ceil(2 * (intervalMs + renewalMs) + DOMAIN_LEASE_MARGIN_MS)
+		return Math.min(DOMAIN_LEASE_MS, Math.max(DOMAIN_LEASE_MIN_MS, neededMs))
+	}
+
+	computeRenewInterval(leaseMs: number): number {
+		return leaseMs / DOMAIN_LEASE_RENEWALS
+	}
+
+	/** The answer to one renewal may be lost: the next one is then sent while this host still holds the domain. */
+	computeCommitTimeout(leaseMs: number): number {
+		return (leaseMs - DOMAIN_LEASE_MARGIN_MS) / 2
+	}
+
+	/** Hosts see the end of a lease at the same moment; the spread keeps them from writing at once. */
+	computeTakeOverDelay(epoch: number, isViewContinuous: boolean): number {
+		const spreadMs = TAKE_OVER_SPREAD_MS * computeFraction(`${this.#hostId} ${epoch}`)
+		if (!this.isDeferring) return spreadMs
+		return spreadMs + (isViewContinuous ? HOLDER_DEFERRAL_MS : HOLDER_OUTAGE_DEFERRAL_MS)
+	}
+
+	encodeLease(holder: string, leaseMs: number): string {
+		return JSON.stringify({holder, leaseMs})
+	}
+
+	/** The longest lease if the row is malformed: hosts of an earlier version write the holder's name alone. */
+	decodeLease(value: string | undefined): number {
+		return decodeJson("lease", leaseSchema, value ?? "").match(
+			({leaseMs}) => leaseMs,
+			() => DOMAIN_LEASE_MS
+		)
+	}
+}
+
+export function createHolderLease({hostId, domain}: HostSettings): HolderLeasePolicy {
+	return domain === undefined ? new FixedHolderLease() : new AdaptiveHolderLease(hostId, domain)
+}
--- a/src/types/cluster.ts
+++ b/src/types/cluster.ts
@@ -92,7 +92,11 @@
 	readonly leaseVersion: number
 	/** Monotonic time at which this lease version was first read, or at which this host sent its write. */
 	readonly observedAt: number
+	/** Time from `observedAt` without a renewal after which another host may take over, as the holder chose it. */
+	readonly leaseMs: number
 	readonly isHeldHere: boolean
+	/** Monotonic time until which no other host can have taken over; meaningful while `isHeldHere`. */
+	readonly confirmedUntil: number
 }
 
 export interface Guarantee {
--- a/src/utils/authority.ts
+++ b/src/utils/authority.ts
@@ -1,10 +1,5 @@
 /** Finds which host schedules: the holder of a zone, or of a domain of several zones. */
-import {
-	type AuthorityEntry,
-	type Board,
-	type HostSettings,
-	DOMAIN_LEASE_USABLE_MS
-} from "../internal.js"
+import {type AuthorityEntry, type Board, type HostSettings} from "../internal.js"
 
 /** Name in the keys of the holder's rows. */
 export function findAuthorityScope({domain, zone}: HostSettings): string {
@@ -20,5 +15,5 @@
 /** True while no other host can have taken over, so that this host may command workers. */
 export function isTermConfirmed(board: Board, now: number): boolean {
 	const term = findTerm(board)
-	return term !== undefined && now - term.observedAt < DOMAIN_LEASE_USABLE_MS
+	return term !== undefined && now < term.confirmedUntil
 }
--- a/src/utils/rows.ts
+++ b/src/utils/rows.ts
@@ -10,12 +10,17 @@
 	return `bundle/history/${String(generation).padStart(12, "0")}`
 }
 
+/** Prefix of the rows that name a zone's holder. */
+export function formatHolderPrefix(zone: string): string {
+	return `zone/${zone}/`
+}
+
 export function formatHolderKey(zone: string): string {
-	return `zone/${zone}/holder`
+	return `${formatHolderPrefix(zone)}holder`
 }
 
 export function formatLeaseKey(zone: string): string {
-	return `zone/${zone}/lease`
+	return `${formatHolderPrefix(zone)}lease`
 }
 
 export function formatJobKey(jobId: string): string {
--- a/src/utils/table-calls.ts
+++ b/src/utils/table-calls.ts
@@ -1,5 +1,11 @@
 /** Issues the controllers' calls to the platform's table; the completion goes to `owner`, with `subject`. */
-import {type Board, type RowWrite, CommandKind, PLATFORM_TIMEOUT_MS} from "../internal.js"
+import {
+	type Board,
+	type CommandTypes,
+	type RowWrite,
+	CommandKind,
+	PLATFORM_TIMEOUT_MS
+} from "../internal.js"
 
 export function issueTableRead(
 	board: Board,
@@ -31,6 +37,21 @@
 	})
 }
 
+export function issueTableFollow(
+	board: Board,
+	owner: string,
+	subject: string,
+	request: CommandTypes["table-follow"]["request"],
+	now: number,
+	timeoutMs: number
+): string {
+	return board.issue<"table-follow">({
+		...addressTable(owner, subject, now, timeoutMs),
+		kind: CommandKind.tableFollow,
+		request
+	})
+}
+
 export function issueTableCommit(
 	board: Board,
 	owner: string,
