--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -16,7 +16,6 @@
 	type HolderRows,
 	type RowWrite,
 	type TableRow,
-	CommandKind,
 	DOMAIN_LEASE_MARGIN_MS,
 	EventLevel,
 	FixedHolderLease,
