Take no worker, configuration or workflow from an odd entry

The scheduler's own rows were parsed without a check: a row of another writer ended the holder and each successor that loaded it (SyntaxError, TypeError), and one malformed row of progress let a running task start again. A job due in more than 24 days, or a caller's deadline of 1e300 ms, armed a timer that Node fires after 1 ms, again and again.

A workflow whose rows can't be read is logged (workflow-row-malformed) and not scheduled in that term, the others are. A malformed registration is logged once, not at each read. Timers are at most 24 days long and then asked for again. Workers of the stand-in register a port.

Ruled out: deep nesting, 1e999 and plain text, which were refused before.

--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -39,6 +39,8 @@
 	#listInFlight = false
 	#listAt = 0
 	readonly #listOutage = new Outage("worker-list")
+	/** Problems of the entries in the last list. */
+	#malformed: ReadonlySet<string> = new Set()
 	readonly #renewAt = new Map<string, number>()
 	readonly #inFlight = new Set<string>()
 	/** Position of the last acknowledged end in the latest renewal, by worker. */
@@ -158,8 +160,7 @@
 			return
 		}
 		this.#listOutage.recordSuccess(board)
-		for (const problem of result.value.malformed)
-			board.record(EventLevel.debug, "worker-malformed", {detail: problem})
+		this.#recordMalformed(board, result.value.malformed)
 		const listed = new Set<string>()
 		for (const registration of result.value.workers) {
 			listed.add(registration.id)
@@ -179,6 +180,14 @@
 		}
 	}
 
+	/** Records each problem once, not at every read of the list that shows it. */
+	#recordMalformed(board: Board, problems: readonly string[]): void {
+		for (const problem of problems)
+			if (!this.#malformed.has(problem))
+				board.record(EventLevel.warn, "worker-malformed", {detail: problem}, "malformed")
+		this.#malformed = new Set(problems)
+	}
+
 	#adoptRegistration(board: Board, registration: WorkerRegistration, now: number): void {
 		const known = board.nodes.get(registration.id)
 		if (known === undefined) {
--- a/src/controllers/workflow-intake.ts
+++ b/src/controllers/workflow-intake.ts
@@ -32,7 +32,9 @@
 	WorkflowState,
 	buildRefusal,
 	checkAccess,
+	decodeWorkflowState,
 	findQueue,
+	findRecordOwner,
 	findWorkspace,
 	formatCancelKey,
 	formatPendingKey,
@@ -280,11 +282,12 @@
 			this.#finish(board, operation, ReasonCode.unknownWorkflow, RanState.unknown, detail, now)
 			return
 		}
-		const stateRow = rows.get(WorkflowRowKind.state)
-		const state =
-			stateRow === undefined
-				? WorkflowState.queued
-				: (JSON.parse(stateRow.value) as {state: WorkflowState}).state
+		const state = readState(rows.get(WorkflowRowKind.state))
+		if (state === undefined) {
+			const detail = `the state of workflow ${operation.workflowId} can't be read`
+			this.#finish(board, operation, ReasonCode.platformUnavailable, RanState.unknown, detail, now)
+			return
+		}
 		const isCancelled = rows.has(WorkflowRowKind.cancel)
 		if (operation.action === WorkflowAction.get || isFinal(state) || isCancelled) {
 			this.#replyState(board, operation, state, now)
@@ -382,7 +385,16 @@
 
 function isOwnRow({workspace, queue}: IntakeOperation, row: TableRow): boolean {
 	if (queue.isPublic) return true
-	return (JSON.parse(row.value) as WorkflowRecord).workspace === workspace
+	return findRecordOwner(row.value) === workspace
+}
+
+/** Undefined if the row is malformed. */
+function readState(row: TableRow | undefined): WorkflowState | undefined {
+	if (row === undefined) return WorkflowState.queued
+	return decodeWorkflowState(row.value).match(
+		({state}) => state,
+		() => undefined
+	)
 }
 
 function recordAnswer(
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -13,8 +13,6 @@
 	type TableChanges,
 	type TableRow,
 	type WorkflowEntry,
-	type WorkflowRecord,
-	type WorkflowStateRow,
 	COMMIT_ROWS_MAX,
 	EventLevel,
 	LONG_POLL_ANSWER_TIMEOUT_MS,
@@ -23,6 +21,7 @@
 	Outage,
 	PLATFORM_TIMEOUT_MS,
 	PROGRESS_PREFIX,
+	ReasonCode,
 	SectionName,
 	WORKFLOW_PREFIX,
 	WorkflowRowKind,
@@ -30,10 +29,13 @@
 	addChanges,
 	addRemoval,
 	adoptVersions,
+	countOccurrences,
 	createCommitBatch,
 	createOccurrence,
 	createTaskRef,
 	createWorkflowEntry,
+	decodeWorkflowRecord,
+	decodeWorkflowState,
 	endWorkflow,
 	findTerm,
 	formatHolderKey,
@@ -71,6 +73,8 @@
 	readonly #dirty = new Set<string>()
 	/** Ended workflows, oldest first, until their rows are deleted. */
 	readonly #ended = new Set<string>()
+	/** Workflows with a malformed row, which are not scheduled in this term. */
+	readonly #excluded = new Set<string>()
 
 	constructor(board: Board, readWallClock: () => number) {
 		this.#readWallClock = readWallClock
@@ -103,6 +107,7 @@
 		this.#batch = undefined
 		this.#dirty.clear()
 		this.#ended.clear()
+		this.#excluded.clear()
 		for (const id of [...board.runs.keys()]) board.runs.delete(id)
 		for (const id of [...board.workflows.keys()]) board.workflows.delete(id)
 		board.terms.delete("loaded")
@@ -189,8 +194,13 @@
 
 	#adoptRecord(board: Board, row: TableRow, now: number): void {
 		const {id} = parseWorkflowKey(row.key)
-		if (board.workflows.has(id)) return
-		const record = JSON.parse(row.value) as WorkflowRecord
+		if (board.workflows.has(id) || this.#excluded.has(id)) return
+		const decoded = decodeWorkflowRecord(row.value)
+		if (decoded.isErr() || decoded.value.id !== id) {
+			recordMalformed(board, row, decoded.isErr() ? decoded.error.message : "another id")
+			return
+		}
+		const record = decoded.value
 		const entry = createWorkflowEntry(record, now, this.#readWallClock())
 		board.workflows.set(id, entry)
 		board.record(EventLevel.info, "workflow-taken-up", {
@@ -206,7 +216,13 @@
 		if (row.version <= entry.stateVersion) return
 		entry.stateVersion = row.version
 		if (board.terms.has("loaded")) return
-		const {state} = JSON.parse(row.value) as WorkflowStateRow
+		const decoded = decodeWorkflowState(row.value)
+		if (decoded.isErr()) {
+			recordMalformed(board, row, decoded.error.message)
+			this.#exclude(board, entry)
+			return
+		}
+		const {state} = decoded.value
 		entry.state = state
 		entry.savedState = state
 		entry.pendingRemoved = true
@@ -222,7 +238,14 @@
 		const workflow = board.workflows.get(id)
 		if (workflow === undefined) return
 		const occurrence = createOccurrence(workflow.record, Number(index))
-		restoreOccurrence(occurrence, row.value, row.version, now)
+		const isDue = /^\d+$/.test(index) && occurrence.index < countOccurrences(workflow.record)
+		const restored = restoreOccurrence(occurrence, row.value, row.version, now)
+		if (!isDue || restored.isErr()) {
+			recordMalformed(board, row, restored.isErr() ? restored.error.message : "no such occurrence")
+			// Without its progress, work that is done or running would start again.
+			if (isDue) this.#exclude(board, workflow)
+			return
+		}
 		workflow.occurrences.set(occurrence.index, occurrence)
 		if (isOccurrenceDone(occurrence)) workflow.completedOccurrences++
 		for (const [stepIndex, step] of occurrence.steps.entries())
@@ -233,6 +256,15 @@
 			}
 	}
 
+	/** Schedules nothing of a workflow whose rows can't be read, in this term. */
+	#exclude(board: Board, {record}: WorkflowEntry): void {
+		for (const taskId of [...board.runs.keys()])
+			if (taskId.startsWith(`${record.id}.`)) board.runs.delete(taskId)
+		board.workflows.delete(record.id)
+		this.#ended.delete(record.id)
+		this.#excluded.add(record.id)
+	}
+
 	#commit(board: Board, term: AuthorityEntry, now: number): number {
 		if (this.#batch !== undefined || !board.terms.has("loaded")) return Infinity
 		if (now < this.#nextCommitAt) return this.#nextCommitAt
@@ -340,3 +372,12 @@
 	entry.cancelRequested = true
 	endWorkflow(board, entry, WorkflowState.cancelled, now)
 }
+
+function recordMalformed(board: Board, {key, version}: TableRow, detail: string): void {
+	board.record(
+		EventLevel.warn,
+		"workflow-row-malformed",
+		{key, version, detail},
+		ReasonCode.malformed
+	)
+}
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -5,12 +5,15 @@
 export interface Clock {
 	/** Monotonic milliseconds since an arbitrary start. */
 	now(): number
-	/** Runs `callback` once after `delayMs`; the returned function cancels it. */
+	/** Runs `callback` once after `delayMs`, or earlier if that is more than 24 days; the returned function cancels it. */
 	schedule(delayMs: number, callback: () => void): () => void
 	/** Wall-clock milliseconds since the epoch, for display only. */
 	readWallClock(): number
 }
 
+/** Longest delay of a timer of Node.js, which fires a later one after 1 ms. */
+const TIMER_DELAY_MAX_MS = 2 ** 31 - 1
+
 /** A wall clock that advances by this much more than the monotonic clock indicates a suspension. */
 const SUSPENSION_MIN_MS = 250
 
@@ -33,7 +36,7 @@
 	}
 
 	schedule(delayMs: number, callback: () => void): () => void {
-		const timer = setTimeout(callback, Math.max(0, delayMs))
+		const timer = setTimeout(callback, Math.min(TIMER_DELAY_MAX_MS, Math.max(0, delayMs)))
 		return () => {
 			clearTimeout(timer)
 		}
--- /dev/null
+++ b/src/utils/workflow-rows.ts
@@ -0,0 +1,167 @@
+/**
+ * The values of a workflow's rows. Only hosts write them, yet a value that another writer left must not stop the hosts
+ * that read it: each is checked, and one that is malformed is reported to the caller of the decoder.
+ */
+import {type Result} from "neverthrow"
+import {z} from "zod"
+import {
+	type MalformedError,
+	type Occurrence,
+	type TaskProgress,
+	type WorkflowRecord,
+	type WorkflowStateRow,
+	TaskPhase,
+	WorkflowState,
+	decodeJson
+} from "../internal.js"
+
+const countSchema = z.int().min(0)
+const amountSchema = z.number().min(0)
+
+const stepSpecSchema = z.object({
+	tasks: countSchema.min(1),
+	demand: z.object({
+		cpuMillis: amountSchema,
+		memoryMb: amountSchema,
+		accelerators: amountSchema
+	}),
+	estimateMs: amountSchema,
+	after: z.array(countSchema),
+	checkpoints: z.boolean(),
+	gang: z.boolean(),
+	tightlyCoupled: z.boolean(),
+	requiredLabel: z.string().optional(),
+	dataRack: z.string().optional(),
+	maxPerWorker: countSchema.optional(),
+	duplicatesAllowed: z.boolean(),
+	longRunning: z.boolean(),
+	image: z.string().optional(),
+	targetMs: amountSchema.optional(),
+	usesIdleCpu: z.boolean(),
+	maxUnavailable: countSchema.optional()
+})
+
+const recordSchema = z.object({
+	id: z.string(),
+	workspace: z.string(),
+	queue: z.string(),
+	service: z.string(),
+	priority: countSchema,
+	maxAttempts: countSchema,
+	acceptedAtWallMs: z.number(),
+	spec: z.object({
+		payload: z.string(),
+		steps: z.array(stepSpecSchema).min(1),
+		schedule: z
+			.object({
+				firstDueWallMs: z.number(),
+				intervalMs: amountSchema,
+				occurrences: countSchema
+			})
+			.optional()
+	})
+})
+
+const stateSchema = z.object({
+	workspace: z.string(),
+	state: z.enum(Object.values(WorkflowState))
+})
+
+const ownerSchema = z.object({workspace: z.string()})
+
+/** `[phase, run, failures, checkpoint, worker, incarnation, workers that it failed on]` */
+const taskSchema = z.tuple([
+	z.enum(["waiting", "placed", "done"]),
+	countSchema,
+	countSchema,
+	z.string(),
+	z.string(),
+	z.string(),
+	z.array(z.string())
+])
+type TaskRow = z.infer<typeof taskSchema>
+
+const stepRowSchema = z.object({
+	tasks: z.array(taskSchema),
+	gangFailures: countSchema,
+	gangFailedRun: countSchema
+})
+type StepRow = z.infer<typeof stepRowSchema>
+
+const progressSchema = z.array(stepRowSchema)
+
+export function decodeWorkflowRecord(text: string): Result<WorkflowRecord, MalformedError> {
+	// Optional fields are absent from the JSON and undefined in the record.
+	return decodeJson("workflow", recordSchema, text).map(record => record as WorkflowRecord)
+}
+
+export function decodeWorkflowState(text: string): Result<WorkflowStateRow, MalformedError> {
+	return decodeJson<WorkflowStateRow>("workflow state", stateSchema, text)
+}
+
+/** The workspace that a workflow belongs to; undefined if its record is malformed. */
+export function findRecordOwner(text: string): string | undefined {
+	return decodeJson("workflow", ownerSchema, text).match(
+		({workspace}) => workspace,
+		() => undefined
+	)
+}
+
+/** Encodes the row from which a new holder continues. Only the worker knows whether a placed run was started. */
+export function encodeOccurrence({steps}: Occurrence): string {
+	const rows = steps.map(({tasks, gangFailures, gangFailedRun}): StepRow => {
+		return {tasks: tasks.map(encodeTask), gangFailures, gangFailedRun}
+	})
+	return JSON.stringify(rows)
+}
+
+function encodeTask(task: TaskProgress): TaskRow {
+	const {phase, run, failures, checkpoint, workerId, incarnation, failedOn} = task
+	if (phase === TaskPhase.done) return ["done", run, failures, "", "", "", []]
+	if (phase === TaskPhase.waiting)
+		return ["waiting", run, failures, checkpoint, "", "", [...failedOn]]
+	return ["placed", run, failures, checkpoint, workerId, incarnation, [...failedOn]]
+}
+
+/** Restores an occurrence from its row; runs that were placed count as started until their workers answer. */
+export function restoreOccurrence(
+	occurrence: Occurrence,
+	text: string,
+	rowVersion: number,
+	now: number
+): Result<void, MalformedError> {
+	return decodeJson("progress", progressSchema, text).map(rows => {
+		occurrence.rowVersion = rowVersion
+		for (const [index, step] of occurrence.steps.entries()) {
+			const row = rows[index]
+			if (row === undefined) continue
+			step.gangFailures = row.gangFailures
+			step.gangFailedRun = row.gangFailedRun
+			for (const [taskIndex, task] of step.tasks.entries()) {
+				const taskRow = row.tasks[taskIndex]
+				if (taskRow !== undefined) restoreTask(task, taskRow, now)
+			}
+		}
+	})
+}
+
+function restoreTask(task: TaskProgress, row: TaskRow, now: number): void {
+	const [phase, run, failures, checkpoint, workerId, incarnation, failedOn] = row
+	const phases = {
+		waiting: TaskPhase.waiting,
+		placed: TaskPhase.starting,
+		done: TaskPhase.done
+	} as const
+	task.phase = phases[phase]
+	task.run = run
+	task.failures = failures
+	task.checkpoint = checkpoint
+	task.workerId = workerId
+	task.incarnation = incarnation
+	task.orderedAt = now
+	// An earlier holder's start command may have been executed at any time up to now.
+	task.acknowledgedAt = phase === "placed" ? now : undefined
+	task.progressAt = now
+	task.startedAt = now
+	task.failedOn.push(...failedOn)
+}
--- a/standins/fleet/fleet.ts
+++ b/standins/fleet/fleet.ts
@@ -49,10 +49,12 @@
 	readonly service?: string
 	readonly labels?: readonly string[]
 	readonly capacity?: ResourceDemand
-	/** Address that it listens on; by default its id, which `DirectExchange` needs. */
+	/** Address that it listens on; by default its id as the host, which `DirectExchange` needs. */
 	readonly address?: string
 }
 
+const DEFAULT_PORT = 7000
+
 export const STORE_TARGET = "store"
 export const DEFAULT_CAPACITY: ResourceDemand = {
 	cpuMillis: 32000,
@@ -88,7 +90,7 @@
 		const {cpuMillis, memoryMb, accelerators} = options.capacity ?? DEFAULT_CAPACITY
 		this.store.putRow("servers", id, {
 			service: options.service ?? "trace",
-			address: options.address ?? id,
+			address: options.address ?? `${id}:${DEFAULT_PORT}`,
 			zone: options.zone ?? "zone-a",
 			state,
 			...(remainingMs !== undefined && {remaining_ms: remainingMs}),
