Split the ages of workflows and the lost work by cause, from logs

`npm run bench -- lateness LOG [--plot FILE]` reads the daemons' logs and prints, by queue, workspace and second, what the age of late workflows went to, and the core-seconds lost by cause. The log lines of a placement name the cores and whether the step has checkpoints; that of a workflow names its objective.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,6 +1,10 @@
-/** `npm run bench -- NAME --seed N [--policy P] [--json]`: runs one bench and prints its metrics. */
+/**
+ * `npm run bench -- NAME --seed N [--policy P] [--json]` runs one bench and prints its metrics;
+ * `npm run bench -- lateness LOG [--plot FILE]` splits the ages of the workflows in a log.
+ */
 import {parseArgs} from "node:util"
 import {type BenchMetric} from "./bench.js"
+import {reportLateness} from "./lateness-report.js"
 import {BENCHES} from "./registry.js"
 import {storeRecord, writeReport} from "./report.js"
 
@@ -17,12 +21,14 @@
 	options: {
 		seed: {type: "string", default: "1"},
 		policy: {type: "string", default: ""},
-		json: {type: "boolean", default: false}
+		json: {type: "boolean", default: false},
+		plot: {type: "string", default: ""}
 	}
 })
-const [name = "list"] = positionals
+const [name = "list", path = ""] = positionals
 const bench = BENCHES.find(candidate => candidate.name === name)
 if (name === "report") console.log(writeReport())
+else if (name === "lateness") await reportLateness(path, values.plot)
 else if (bench === undefined) {
 	for (const known of BENCHES) console.log(`${known.name.padEnd(20)} ${known.summary}`)
 	process.exitCode = name === "list" ? 0 : EXIT_USAGE
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -354,7 +354,7 @@
 
 function planUnit(
 	board: Board,
-	{refs, rank}: PlacementUnit,
+	{refs, rank, spec}: PlacementUnit,
 	nodes: readonly NodeCapacity[],
 	now: number
 ): void {
@@ -370,6 +370,8 @@
 		run,
 		tasks: refs.length,
 		rank,
+		cores: computeCores(spec),
+		checkpoints: spec.checkpoints,
 		workers: nodes.map(({id}) => id).join(" "),
 		waitedMs: Math.round(now - first.workflow.acceptedAt)
 	}
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -29,6 +29,7 @@
 	addChanges,
 	addRemoval,
 	adoptVersions,
+	computeObjective,
 	countOccurrences,
 	createCommitBatch,
 	createOccurrence,
@@ -207,7 +208,8 @@
 			workflow: id,
 			queue: record.queue,
 			workspace: record.workspace,
-			ageMs: Math.round(now - entry.acceptedAt)
+			ageMs: Math.round(now - entry.acceptedAt),
+			objectiveMs: findObjective(board, entry)
 		})
 	}
 
@@ -381,3 +383,10 @@
 		ReasonCode.malformed
 	)
 }
+
+/** Undefined if the queue is no longer configured. */
+function findObjective(board: Board, {record, criticalPathsMs}: WorkflowEntry): number | undefined {
+	const queues = board.catalog.get("current")?.catalog.queues ?? []
+	const queue = queues.find(({name}) => name === record.queue)
+	return queue === undefined ? undefined : Math.round(computeObjective(criticalPathsMs, queue))
+}
--- a/src/policies/run-queue.ts
+++ b/src/policies/run-queue.ts
@@ -60,12 +60,20 @@
 	ageMs: number
 ): Punctuality {
 	if (queue === undefined) return Punctuality.onTime
-	const objectiveMs = queue.stretch * Math.max(...criticalPathsMs) + queue.targetLatencyMs
+	const objectiveMs = computeObjective(criticalPathsMs, queue)
 	const expectedMs = ageMs + RUN_OVERHEAD_MS + (criticalPathsMs[stepIndex] ?? 0)
 	if (expectedMs <= objectiveMs) return Punctuality.onTime
 	return expectedMs <= OVERDUE_FACTOR * objectiveMs ? Punctuality.late : Punctuality.overdue
 }
 
+/** Time from acceptance, or from when it is due, in which a workflow should complete. */
+export function computeObjective(
+	criticalPathsMs: readonly number[],
+	{stretch, targetLatencyMs}: QueueConfig
+): number {
+	return stretch * Math.max(...criticalPathsMs) + targetLatencyMs
+}
+
 /** Estimated time from the start of each step to the end of the last one that depends on it. */
 export function computeCriticalPaths(specs: readonly StepSpec[]): readonly number[] {
 	const criticalPathsMs = specs.map(({estimateMs}) => estimateMs)
