Let a gang wider than any rack wait for none

Cause: a tightly coupled gang that no rack could hold waited 2 s for one before it was spread.

Change: only a gang that some rack could hold while nothing else ran is bound to one. Steps with a data rack wait as before.

--- a/__tests__/run-placement.test.ts
+++ b/__tests__/run-placement.test.ts
@@ -103,6 +103,29 @@
 		expect(chooseNodes(createUnit(createRefs("one", gang)), nodes)).to.deep.equal(["b1", "c1"])
 	})
 
+	// Load pattern: gangs wider than a rack. They waited 2 s for a rack that could never hold them.
+	it("spreads a gang at once that no rack could ever hold", () => {
+		const nodes = [createNode("a1", "a"), createNode("b1", "b"), createNode("c1", "c")]
+		const patient = {rank: 3, lossMax: -1, remoteCost: Infinity}
+		const wide = createUnit(createRefs("wide", gang), patient)
+		expect(chooseNodes(wide, nodes)).to.have.length(2)
+	})
+
+	it("lets a gang wait for a rack that could hold it", () => {
+		const nodes = [
+			createNode("a1", "a"),
+			createFullNode("a2", "a", {rank: 1}),
+			createNode("b1", "b"),
+			createFullNode("b2", "b", {rank: 1})
+		]
+		const unit = createUnit(createRefs("narrow", gang), {
+			rank: 3,
+			lossMax: -1,
+			remoteCost: Infinity
+		})
+		expect(chooseNodes(unit, nodes)).to.equal(undefined)
+	})
+
 	it("stops the run whose loss is least", () => {
 		const nodes = [
 			createFullNode("a1", "a", {loss: 500}),
--- a/src/policies/run-placement.ts
+++ b/src/policies/run-placement.ts
@@ -73,8 +73,9 @@
 export class PackedRunPlacement implements RunPlacementPolicy {
 	choose(unit: PlacementUnit, nodes: readonly NodeCapacity[]): readonly Slot[] | undefined {
 		const eligible = listEligible(nodes, unit)
+		const isBound = isRackBound(eligible, unit)
 		const free = eligible.flatMap(node => listSlots(node, unit, () => []))
-		const immediate = this.#chooseNear(unit, free)
+		const immediate = this.#chooseNear(unit, free, isBound)
 		if (immediate !== undefined && computeTotalCost(immediate, unit) === 0) return immediate
 		const slots =
 			unit.lossMax < 0
@@ -83,8 +84,11 @@
 		if (slots.length < unit.refs.length) return undefined
 		// Free slots are also considered alone: the cheapest choice among all slots may lose more than is allowed.
 		const pools = free.length === slots.length ? [free] : [free, slots]
-		const candidates = pools.map(pool => ({slots: this.#chooseNear(unit, pool), extra: 0}))
-		if (isRackSensitive(unit) && unit.remoteCost < Infinity)
+		const candidates = pools.map(pool => ({
+			slots: this.#chooseNear(unit, pool, isBound),
+			extra: 0
+		}))
+		if (isBound && unit.remoteCost < Infinity)
 			for (const pool of pools)
 				candidates.push({slots: chooseBest(pool, unit), extra: unit.remoteCost})
 		let best: {slots: readonly Slot[]; cost: number} | undefined
@@ -97,27 +101,37 @@
 	}
 
 	forecast(unit: PlacementUnit, nodes: readonly NodeCapacity[]): readonly Slot[] | undefined {
-		const slots = listEligible(nodes, unit).flatMap(node =>
-			listSlots(node, unit, () => listByExpectedEnd(node))
-		)
-		return this.#chooseNear(unit, slots)
+		const eligible = listEligible(nodes, unit)
+		const slots = eligible.flatMap(node => listSlots(node, unit, () => listByExpectedEnd(node)))
+		return this.#chooseNear(unit, slots, isRackBound(eligible, unit))
 	}
 
 	/** Chooses slots in the rack of the data, in any one rack for a tightly coupled gang, or else anywhere. */
-	#chooseNear(unit: PlacementUnit, slots: readonly Slot[]): readonly Slot[] | undefined {
-		const {spec} = unit
-		if (spec.dataRack !== undefined)
-			return chooseBest(
-				slots.filter(({node}) => node.rack === spec.dataRack),
-				unit
-			)
-		return isRackSensitive(unit) ? chooseRack(slots, unit) : chooseBest(slots, unit)
+	#chooseNear(
+		unit: PlacementUnit,
+		slots: readonly Slot[],
+		isBound: boolean
+	): readonly Slot[] | undefined {
+		const {dataRack} = unit.spec
+		if (!isBound) return chooseBest(slots, unit)
+		if (dataRack === undefined) return chooseRack(slots, unit)
+		return chooseBest(
+			slots.filter(({node}) => node.rack === dataRack),
+			unit
+		)
 	}
 }
 
-/** True if the rack matters for the tasks. */
-function isRackSensitive({spec, refs}: PlacementUnit): boolean {
-	return spec.dataRack !== undefined || (spec.tightlyCoupled && refs.length > 1)
+/**
+ * True if the tasks run faster in one rack. A tightly coupled gang that no rack could hold runs remotely in any case, so
+ * it waits for none.
+ */
+function isRackBound(nodes: readonly NodeCapacity[], unit: PlacementUnit): boolean {
+	const {spec, refs} = unit
+	if (spec.dataRack !== undefined) return true
+	if (!spec.tightlyCoupled || refs.length === 1) return false
+	const racks = groupBy(nodes, ({rack}) => rack)
+	return [...racks.values()].some(inRack => canEverHold(inRack, unit))
 }
 
 /** The workers that the unit may run on; those that it avoids only if no others could ever hold it. */
