Take no longer lease of a worker than it grants

Change: domain.workerLeaseMaxMs in the settings, filled in by the platform; a lease is at most 0.95 of it, so it is never shortened on arrival.

Where workers grant 10 s nothing changes.

--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -246,6 +246,23 @@
 		expect(fleet.monitor.violations).to.deep.equal([])
 	})
 
+	// Regression test: runs were waited for 9.9 s, though workers granted leases of 6 s only.
+	it("gives up the runs of an unreachable worker when the longest lease that workers grant has expired", async () => {
+		const leaseMs = 6000
+		const {first, fleet, plan, submit, advance, advanceUntil} = await createServingDomain({
+			settings: {workerLeaseMaxMs: leaseMs}
+		})
+		for (const worker of fleet.workers.values()) worker.leaseMaxMs = leaseMs
+		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 30000}))
+		await advance(5000)
+		const [{worker: lost} = {worker: ""}] = fleet.monitor.starts
+		plan.isLost = (_, call) => call.target === lost
+		const waitedMs = await advanceUntil(() => fleet.monitor.starts.length > 1)
+		// A worker is asked at least each 1.5 s; the last grant may be lost on its way.
+		expect(waitedMs).to.be.below(leaseMs + 1500)
+		expect(fleet.monitor.violations).to.deep.equal([])
+	})
+
 	it("treats a worker as reachable again soon after one lost answer", async () => {
 		const {first, plan, advance, advanceUntil} = await createServingDomain({workers: 1})
 		const readFailures = () => first.board.nodes.get("w1")?.failures
--- a/__tests__/platform.test.ts
+++ b/__tests__/platform.test.ts
@@ -31,6 +31,7 @@
 			stopMs: 200,
 			stateKeptMs: 180000,
 			remoteFactor: 3,
+			workerLeaseMaxMs: 10000,
 			cores: 1,
 			coreShare: 1
 		}
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -132,7 +132,7 @@
 			request: {
 				workerId: id,
 				epoch: this.#epoch,
-				leaseUntilMs: isRenewed ? computeLeaseEnd(node, now) : undefined,
+				leaseUntilMs: isRenewed ? computeLeaseEnd(board, node, now) : undefined,
 				acknowledged,
 				waitMs
 			},
@@ -142,7 +142,7 @@
 		if (isRenewed)
 			board.nodes.setSilently(id, {
 				...node,
-				leaseExpiresAt: Math.max(node.leaseExpiresAt, computeLeaseExpiry(now))
+				leaseExpiresAt: Math.max(node.leaseExpiresAt, computeLeaseExpiry(board, now))
 			})
 	}
 
@@ -199,6 +199,7 @@
 				clockReadAt: 0,
 				answeredAt: 0,
 				leaseExpiresAt: computeLeaseExpiry(
+					board,
 					this.#termStartedAt + DOMAIN_LEASE_MS - DOMAIN_LEASE_MARGIN_MS
 				),
 				failures: 0,
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -140,7 +140,7 @@
 				run: task.run,
 				payload: workflow.record.spec.payload,
 				checkpoint: task.checkpoint,
-				leaseUntilMs: computeLeaseEnd(node, now),
+				leaseUntilMs: computeLeaseEnd(board, node, now),
 				epoch: term.epoch,
 				workerId: task.workerId
 			},
@@ -162,7 +162,7 @@
 
 	/** A start renews the worker's lease, so the time by which runs on that worker have expired moves as well. */
 	#extendExpiry(board: Board, node: NodeEntry, now: number): void {
-		const expiresAt = Math.max(node.leaseExpiresAt, computeLeaseExpiry(now))
+		const expiresAt = Math.max(node.leaseExpiresAt, computeLeaseExpiry(board, now))
 		board.nodes.setSilently(node.registration.id, {...node, leaseExpiresAt: expiresAt})
 	}
 
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -256,7 +256,7 @@
 		for (const workerId of [...board.runs.listWorkers()]) {
 			const node = board.nodes.get(workerId)
 			// A worker that has not been listed in this term has leases of earlier holders only.
-			if (now <= (node?.leaseExpiresAt ?? computeLeaseExpiry(loadedAt))) continue
+			if (now <= (node?.leaseExpiresAt ?? computeLeaseExpiry(board, loadedAt))) continue
 			const refs = [...board.runs.listOn(workerId).values()].filter(
 				({task}) => task.phase !== TaskPhase.planned
 			)
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -180,8 +180,13 @@
  */
 export const DOMAIN_LEASE_MARGIN_MS = 200
 
-/** Lease of a domain's worker: long enough for runs to survive a change of holder, below the maximum workers grant. */
+/**
+ * Longest lease of a domain's worker, long enough for runs to survive a change of holder. It is shorter where workers grant
+ * less.
+ */
 export const NODE_LEASE_MS = 9500
+/** Share of the longest lease that workers grant which a lease may take: it must not be shortened on arrival. */
+export const NODE_LEASE_SHARE = 0.95
 
 /** Tolerated error of the rate of a worker's clock, as a fraction. */
 export const WORKER_CLOCK_ERROR = 0.02
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -35,12 +35,15 @@
 }
 
 const DURATION_MIN_MS = 1
+/** Workers are asked at least each 1.5 s, and one answer may be lost. */
+const WORKER_LEASE_MAX_MIN_MS = 4000
 const domainSchema = z.strictObject({
 	name: nameSchema,
 	readinessAddress: socketSchema,
 	metricsAddress: socketSchema,
 	revokeMs: z.number().min(DURATION_MIN_MS),
 	stopMs: z.number().min(DURATION_MIN_MS),
+	workerLeaseMaxMs: z.number().min(WORKER_LEASE_MAX_MIN_MS).default(10000),
 	stateKeptMs: z.number().min(DURATION_MIN_MS),
 	remoteFactor: z.number().min(1),
 	cores: z.number().positive().default(1),
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -13,6 +13,8 @@
 	readonly revokeMs: number
 	/** Longest time that a worker may take to stop a run. */
 	readonly stopMs: number
+	/** Longest lease that a worker grants; it shortens a longer one. */
+	readonly workerLeaseMaxMs: number
 	/** How long the state of an ended workflow is kept. */
 	readonly stateKeptMs: number
 	/** Factor by which a task takes longer outside the rack of its data or its gang. */
--- a/src/utils/nodes.ts
+++ b/src/utils/nodes.ts
@@ -2,23 +2,33 @@
 import {
 	type Board,
 	type CatalogEntry,
+	type HostSettings,
 	type NodeEntry,
 	CATALOG_FRESH_MS,
 	Lifecycle,
 	NODE_LEASE_MARGIN_MS,
 	NODE_LEASE_MS,
+	NODE_LEASE_SHARE,
 	WORKER_CLOCK_ERROR,
 	isPlatformLost
 } from "../internal.js"
 
+function computeNodeLease({domain}: HostSettings): number {
+	return Math.min(NODE_LEASE_MS, (domain?.workerLeaseMaxMs ?? Infinity) * NODE_LEASE_SHARE)
+}
+
 /** End of a lease that is granted now, in the worker's own clock as estimated. */
-export function computeLeaseEnd({clockMs, clockReadAt}: NodeEntry, now: number): number {
-	return Math.floor(clockMs + (now - clockReadAt) + NODE_LEASE_MS)
+export function computeLeaseEnd(
+	{settings}: Board,
+	{clockMs, clockReadAt}: NodeEntry,
+	now: number
+): number {
+	return Math.floor(clockMs + (now - clockReadAt) + computeNodeLease(settings))
 }
 
 /** Time at which a lease granted at `grantedAt` has certainly expired on the worker, however slow its clock is. */
-export function computeLeaseExpiry(grantedAt: number): number {
-	return grantedAt + NODE_LEASE_MS / (1 - WORKER_CLOCK_ERROR) + NODE_LEASE_MARGIN_MS
+export function computeLeaseExpiry({settings}: Board, grantedAt: number): number {
+	return grantedAt + computeNodeLease(settings) / (1 - WORKER_CLOCK_ERROR) + NODE_LEASE_MARGIN_MS
 }
 
 /** True while the worker may be given new runs. */
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -91,6 +91,8 @@
 	readonly stopMs: number
 	/** From now on, every run that it starts fails; those it started before go on. */
 	failsStarts = false
+	/** Longest lease that it grants. */
+	leaseMaxMs = 10000
 	/** Start of this incarnation, by the wall clock. */
 	born: number
 	#token = 0
@@ -260,7 +262,8 @@
 		this.#monitor.recordEnd(run.task, this.id)
 	}
 
-	#renew(until: number): void {
+	#renew(requestedUntil: number): void {
+		const until = Math.min(requestedUntil, this.#clock.now() + this.leaseMaxMs)
 		if (until <= this.#leaseUntil) return
 		this.#leaseUntil = until
 		this.#cancelLease()
