Load the workflows of a term by reads side by side, near the table if possible

Change: one read for each first digit of the ids, workflows and progress side by side (utils/workflow-load.ts): no earlier holder can write any more. Hosts with a short round trip to the table take over first.

Result: in the test 2,000 workflows are loaded within three round trips.

--- a/__tests__/domain-failover.test.ts
+++ b/__tests__/domain-failover.test.ts
@@ -6,6 +6,7 @@
 	HOLDER_RENEW_INTERVAL_MS,
 	Lifecycle,
 	WorkflowAction,
+	hashText,
 	isTermConfirmed
 } from "../src/internal.js"
 import {decodeWorkflow} from "../platform/records.js"
@@ -144,6 +145,46 @@
 				expect(Math.max(...took)).to.be.below(2500)
 			})
 
+	// Load pattern: a take-over while hundreds of workflows are active; pages of rows were read one after the other.
+	it("loads two thousand workflows in a few round trips", async () => {
+		const {fleet, plan, addHost, advanceUntil} = createDomain()
+		const {spec, steps} = createJob()
+		const record = {workspace: "office", queue: "batch", service: "trace", priority: 2}
+		const rest = {maxAttempts: 2, acceptedAtWallMs: 0}
+		for (let index = 0; index < 2000; index++) {
+			const key = hashText(`${index}`).slice(0, 16)
+			const decoded = decodeWorkflow({spec, steps})._unsafeUnwrap()
+			const row = {...record, ...rest, id: key, spec: decoded}
+			const value = Buffer.from(JSON.stringify(row)).toString("base64")
+			const put = [{table: "workflow", part: "main", key, value}]
+			fleet.store.transact({precondition: [], put, delete: []})
+		}
+		const roundTripMs = 24
+		plan.computeDelay = () => roundTripMs / 2
+		const host = addHost()
+		await advanceUntil(() => host.board.authority.get("fleet")?.isHeldHere === true)
+		const tookMs = await advanceUntil(() => host.board.terms.has("loaded"))
+		expect(host.board.workflows.size).to.equal(2000)
+		expect(tookMs).to.be.at.most(3 * roundTripMs)
+	})
+
+	it("makes a host near the table the holder", async () => {
+		for (const nearIndex of [0, 1, 2]) {
+			const {plan, addHost, advance, advanceUntil, findHolder} = createDomain()
+			const holder = addHost()
+			await advanceUntil(() => findHolder() !== undefined)
+			const near = `near-${nearIndex}`
+			plan.computeDelay = hostId => (hostId === near ? 1 : 20)
+			for (let index = 0; index < 3; index++)
+				addHost({}, index === nearIndex ? near : `far-${index}`)
+			await advance(3000)
+			holder.stop()
+			holder.board.authority.delete("fleet")
+			await advanceUntil(() => findHolder() !== undefined)
+			expect(findHolder()?.id).to.equal(near)
+		}
+	})
+
 	it("is seen by most hosts before they try to take the domain over too", async () => {
 		const {advance, addHost, findHolder, plan} = createDomain()
 		for (let index = 0; index < 97; index++) addHost()
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -219,6 +219,7 @@
 			if (result.isErr()) this.#settleFailedRead(board, now)
 			else {
 				this.#isOutdated = false
+				if (this.#rows.isRoundTrip(command)) this.#lease.recordRoundTrip(now - command.issuedAt)
 				this.#adoptRows(board, this.#rows.adopt(completion), now)
 			}
 			return
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -1,6 +1,6 @@
 /**
  * Synchronizes the domain's workflows with the platform's table while this host holds the domain: loads them when the
- * term begins, long-polls for what callers add, and writes what other controllers changed. One commit is in flight at a
+ * term begins, by several reads at once since nothing starts before, long-polls for what callers add, and writes what other controllers changed. One commit is in flight at a
  * time. It is conditional on the holder row and on the version of each row, so neither an old holder nor a delayed
  * commit of this one can overwrite anything. If an answer is lost, the conflict of the next attempt shows the outcome.
  */
@@ -14,6 +14,7 @@
 	type TableRow,
 	type WorkflowEntry,
 	COMMIT_ROWS_MAX,
+	CommandKind,
 	EventLevel,
 	LONG_POLL_ANSWER_TIMEOUT_MS,
 	LONG_POLL_WAIT_MS,
@@ -24,6 +25,7 @@
 	ReasonCode,
 	SectionName,
 	WORKFLOW_PREFIX,
+	WorkflowLoad,
 	WorkflowRowKind,
 	WorkflowState,
 	addChanges,
@@ -52,9 +54,13 @@
 } from "../internal.js"
 
 const FOLLOW = "follow"
+const LOAD = "load"
 const PROGRESS = "progress"
 const COMMIT = "commit"
 
+/** First digits of workflow ids, which are spread evenly: one read for each. */
+const ID_DIGITS = "0123456789abcdef"
+
 export class WorkflowLogController implements Controller {
 	readonly name = "workflow-log"
 	readonly reads = [SectionName.completions, SectionName.authority, SectionName.workflows]
@@ -63,7 +69,7 @@
 	#epoch = 0
 	/** Version after which changes are requested; undefined until all rows have been read. */
 	#afterVersion: number | undefined
-	#rows: readonly TableRow[] = []
+	#load: WorkflowLoad | undefined
 	#pollInFlight = false
 	#nextPollAt = 0
 	readonly #pollOutage = new Outage("workflow-follow")
@@ -103,7 +109,7 @@
 	#removeAll(board: Board): void {
 		this.#epoch = 0
 		this.#afterVersion = undefined
-		this.#rows = []
+		this.#load = undefined
 		this.#nextPollAt = 0
 		this.#batch = undefined
 		this.#dirty.clear()
@@ -115,8 +121,12 @@
 	}
 
 	#poll(board: Board, now: number): number {
-		if (this.#pollInFlight) return Infinity
+		if (this.#pollInFlight || this.#load !== undefined) return Infinity
 		if (now < this.#nextPollAt) return this.#nextPollAt
+		if (!board.terms.has("loaded")) {
+			this.#startLoad(board, now)
+			return Infinity
+		}
 		const waitMs = this.#afterVersion === undefined ? 0 : LONG_POLL_WAIT_MS
 		const timeoutMs =
 			this.#afterVersion === undefined ? PLATFORM_TIMEOUT_MS : waitMs + LONG_POLL_ANSWER_TIMEOUT_MS
@@ -129,11 +139,10 @@
 	#settle(board: Board, completion: Completion, now: number): void {
 		const [purpose, epoch] = completion.command.subject.split(" ")
 		const isCurrent = this.#epoch !== 0 && epoch === `${this.#epoch}`
-		if (purpose !== COMMIT) this.#pollInFlight = false
+		if (purpose === FOLLOW) this.#pollInFlight = false
 		if (!isCurrent) return
 		if (purpose === FOLLOW) this.#settlePoll(board, completion as Completion<"table-follow">, now)
-		else if (purpose === PROGRESS)
-			this.#settleProgress(board, completion as Completion<"table-scan">, now)
+		else if (purpose === LOAD || purpose === PROGRESS) this.#settleLoad(board, completion, now)
 		else this.#settleCommit(board, completion as Completion<"table-commit">, now)
 	}
 
@@ -145,32 +154,50 @@
 			return
 		}
 		this.#pollOutage.recordSuccess(board)
-		const changes = result.value
-		if (board.terms.has("loaded")) {
-			this.#adoptRows(board, changes.rows, now)
-			this.#afterVersion = changes.version
-			return
-		}
-		// First read of the term. Progress is read after it, when an earlier holder can no longer change it.
-		this.#loadProgress(board, changes, now)
+		this.#adoptRows(board, result.value.rows, now)
+		this.#afterVersion = result.value.version
 	}
 
-	#loadProgress(board: Board, {rows, version}: TableChanges, now: number): void {
-		this.#rows = rows
-		this.#afterVersion = version
-		this.#pollInFlight = true
-		issueTableScan(board, this.name, `${PROGRESS} ${this.#epoch}`, PROGRESS_PREFIX, now)
+	/** Reads all rows. An earlier holder can no longer change them: its commits fail on the holder row. */
+	#startLoad(board: Board, now: number): void {
+		const load = new WorkflowLoad()
+		this.#load = load
+		for (const digit of ID_DIGITS) {
+			const request = {prefix: `${WORKFLOW_PREFIX}${digit}`, afterVersion: undefined, waitMs: 0}
+			const subject = `${LOAD} ${this.#epoch}`
+			load.add(
+				issueTableFollow(board, this.name, subject, request, now, PLATFORM_TIMEOUT_MS),
+				issueTableScan(
+					board,
+					this.name,
+					`${PROGRESS} ${this.#epoch}`,
+					`${PROGRESS_PREFIX}${digit}`,
+					now
+				)
+			)
+		}
 	}
 
-	#settleProgress(board: Board, {result}: Completion<"table-scan">, now: number): void {
-		if (result.isErr()) {
-			this.#afterVersion = undefined
-			this.#nextPollAt = now + this.#pollOutage.recordFailure(board, result.error)
+	#settleLoad(board: Board, completion: Completion, now: number): void {
+		const load = this.#load
+		if (load?.take(completion.command.id) !== true) return
+		if (completion.result.isErr()) {
+			this.#load = undefined
+			this.#nextPollAt = now + this.#pollOutage.recordFailure(board, completion.result.error)
 			return
 		}
-		this.#adoptRows(board, this.#rows, now)
-		this.#rows = []
-		for (const row of result.value) this.#restoreProgress(board, row, now)
+		if (completion.command.kind === CommandKind.tableFollow)
+			load.addWorkflows(completion.result.value as TableChanges)
+		else load.addProgress(completion.result.value as readonly TableRow[])
+		if (load.isComplete) this.#adoptLoad(board, load, now)
+	}
+
+	#adoptLoad(board: Board, load: WorkflowLoad, now: number): void {
+		this.#load = undefined
+		this.#pollOutage.recordSuccess(board)
+		this.#afterVersion = load.version
+		this.#adoptRows(board, load.workflowRows, now)
+		for (const row of load.progressRows) this.#restoreProgress(board, row, now)
 		board.terms.set("loaded", {epoch: this.#epoch, loadedAt: now})
 		const fields = {epoch: this.#epoch, workflows: board.workflows.size, runs: board.runs.size}
 		board.record(EventLevel.info, "workflows-loaded", fields)
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -159,6 +159,8 @@
 export const HOLDER_OUTAGE_DEFERRAL_MS = 1000
 /** Hosts that see a domain without a holder take it over within this time, so that most see the new holder first. */
 export const TAKE_OVER_SPREAD_MS = 100
+/** Round trip to the table, with a new connection, from which a host counts as far from it. */
+export const FAR_ROUND_TRIP_MS = 80
 /** Deadline of a read of the holder's rows that waits for no change; with the retry delay below the outage deferral. */
 export const HOLDER_READ_TIMEOUT_MS = 700
 /** Shortest time between two long polls of the holder's rows. */
--- a/src/policies/holder-lease.ts
+++ b/src/policies/holder-lease.ts
@@ -22,6 +22,7 @@
 	HOLDER_RENEW_INTERVAL_MS,
 	HOLDER_RETRY_DELAY_MS,
 	DOMAIN_RETRY_DELAY_MS,
+	FAR_ROUND_TRIP_MS,
 	TAKE_OVER_SPREAD_MS,
 	computeFraction,
 	decodeJson
@@ -42,6 +43,8 @@
 	 * of the holder's rows since the last renewal that it observed.
 	 */
 	computeTakeOverDelay(epoch: number, isViewContinuous: boolean): number
+	/** Records how long a read of the holder's rows took. */
+	recordRoundTrip(ms: number): void
 	encodeLease(holder: string, leaseMs: number): string
 	decodeLease(value: string | undefined): number
 }
@@ -67,6 +70,10 @@
 		return 0
 	}
 
+	recordRoundTrip(): void {
+		// The holders of zones take no account of their distance to the table.
+	}
+
 	encodeLease(holder: string): string {
 		return holder
 	}
@@ -83,6 +90,8 @@
 	readonly retryDelayMs = DOMAIN_RETRY_DELAY_MS
 	readonly isDeferring: boolean
 	readonly #hostId: string
+	/** Shortest round trip to the table so far. */
+	#roundTripMs = Infinity
 
 	constructor(hostId: string, {cores, coreShare}: DomainSettings) {
 		this.#hostId = hostId
@@ -105,13 +114,22 @@
 		return (leaseMs - DOMAIN_LEASE_MARGIN_MS) / 2
 	}
 
-	/** Hosts see the end of a lease at the same moment; the spread keeps them from writing at once. */
+	/**
+	 * Hosts see the end of a lease at the same moment; the spread keeps them from writing at once. Hosts near the table
+	 * go first, since a holder waits for several of its answers before a start.
+	 */
 	computeTakeOverDelay(epoch: number, isViewContinuous: boolean): number {
-		const spreadMs = TAKE_OVER_SPREAD_MS * computeFraction(`${this.#hostId} ${epoch}`)
+		const distance = Math.min(1, this.#roundTripMs / FAR_ROUND_TRIP_MS)
+		const chance = computeFraction(`${this.#hostId} ${epoch}`)
+		const spreadMs = (TAKE_OVER_SPREAD_MS * (distance + chance)) / 2
 		if (!this.isDeferring) return spreadMs
 		return spreadMs + (isViewContinuous ? HOLDER_DEFERRAL_MS : HOLDER_OUTAGE_DEFERRAL_MS)
 	}
 
+	recordRoundTrip(ms: number): void {
+		this.#roundTripMs = Math.min(this.#roundTripMs, ms)
+	}
+
 	encodeLease(holder: string, leaseMs: number): string {
 		return JSON.stringify({holder, leaseMs})
 	}
--- a/src/utils/holder-rows.ts
+++ b/src/utils/holder-rows.ts
@@ -5,6 +5,7 @@
  */
 import {
 	type Board,
+	type Command,
 	type Completion,
 	type TableRow,
 	AUTHORITY_TIMEOUT_MS,
@@ -26,6 +27,8 @@
 	readonly intervalMs: number
 	/** Issues the next read and returns the command's id. */
 	read(board: Board, owner: string, subject: string, now: number): string
+	/** True if the read was to be answered at once, so that its time shows the distance of the table. */
+	isRoundTrip(command: Command): boolean
 	/** The current rows, according to the answer to a read. */
 	adopt(completion: Completion): readonly TableRow[]
 	/** Discards what is known, since changes may have been missed: the next read is answered at once. */
@@ -41,6 +44,10 @@
 		return issueTableRead(board, owner, subject, keys, now, AUTHORITY_TIMEOUT_MS)
 	}
 
+	isRoundTrip(): boolean {
+		return true
+	}
+
 	adopt(completion: Completion): readonly TableRow[] {
 		const {result} = completion as Completion<"table-read">
 		return result.unwrapOr([])
@@ -70,6 +77,10 @@
 		return issueTableFollow(board, owner, subject, request, now, timeoutMs)
 	}
 
+	isRoundTrip(command: Command): boolean {
+		return (command as Command<"table-follow">).request.waitMs === 0
+	}
+
 	adopt(completion: Completion): readonly TableRow[] {
 		const {command, result} = completion as Completion<"table-follow">
 		if (result.isErr()) return []
