Run urgent work on workers that have proved faster

Workers differ: over 228 workers the run times of sibling tasks fall into 0.8, 1.0 and 1.25 of the median (sd 0.15 within a worker). A gang takes as long as the slowest of its workers.

Others are packed as before.

Ruled out: callers' estimates, which are off by a factor of two and more.

--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -209,6 +209,20 @@
 		expect(inTime.length).to.be.at.least(10)
 	})
 
+	// Load pattern: workers of unequal speed, and urgent work with little time to spare.
+	it("runs urgent work on workers that were faster with the steps before", async () => {
+		const {first, fleet, submit, advance} = await createServingDomain({workers: 4})
+		for (const id of ["w1", "w3", "w4"]) fleet.workers.get(id)!.pace = 1.5
+		for (const id of [ID_A, ID_B]) {
+			await submit(first, `${BATCH}${id}`, createJob({count: 32, workMs: 1000}))
+			await advance(2500)
+		}
+		await submit(first, `${URGENT}${ID_C}`, createJob({count: 2, gpu: 4, gang: true}))
+		await advance(500)
+		const urgent = fleet.monitor.starts.filter(({task}) => task.startsWith(ID_C))
+		expect(urgent.map(({worker}) => worker)).to.deep.equal(["w2", "w2"])
+	})
+
 	it("repeats a start whose answer was lost, and runs the task once", async () => {
 		const {first, fleet, plan, submit, advance, readState} = await createServingDomain()
 		let lost = 0
--- a/__tests__/run-placement.test.ts
+++ b/__tests__/run-placement.test.ts
@@ -43,6 +43,7 @@
 		rack,
 		labels: [rack],
 		isSuspect: false,
+		pace: 1,
 		capacity: DEFAULT_CAPACITY,
 		free: {...DEFAULT_CAPACITY},
 		listRuns: () => [],
@@ -74,6 +75,7 @@
 		rank: 1,
 		lossMax: LOSS_MAX,
 		mayWait: true,
+		prefersFast: false,
 		remoteCost: LOSS_MAX,
 		failedOn: new Set(),
 		isLastAttempt: false,
@@ -126,6 +128,23 @@
 		expect(chooseNodes(unit, nodes)).to.equal(undefined)
 	})
 
+	// Load pattern: urgent gangs with little time to spare on workers of unequal speed; a gang is as fast as its slowest.
+	it("takes the fastest rack and workers for urgent tasks, and the fullest for others", () => {
+		const used = {cpuMillis: 32000, memoryMb: 131072, accelerators: 4}
+		const nodes = [
+			createNode("a1", "a", {pace: 0.8}),
+			createNode("a2", "a", {pace: 1.3}),
+			createNode("b1", "b", {pace: 1}),
+			createNode("b2", "b", {pace: 1}),
+			createNode("b3", "b", {pace: 1.2, free: used})
+		]
+		const small = createRefs("small", {count: 1, gpu: 1})
+		expect(chooseNodes(createUnit(small), nodes)).to.deep.equal(["b3"])
+		expect(chooseNodes(createUnit(small, {prefersFast: true}), nodes)).to.deep.equal(["a1"])
+		const unit = createUnit(createRefs("gang", gang), {prefersFast: true})
+		expect(chooseNodes(unit, nodes)).to.deep.equal(["b1", "b2"])
+	})
+
 	it("stops the run whose loss is least", () => {
 		const nodes = [
 			createFullNode("a1", "a", {loss: 500}),
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -246,6 +246,7 @@
 				rank,
 				lossMax: computeLossMax(ready),
 				mayWait,
+				prefersFast: workflow.record.priority === 0,
 				remoteCost: computeRemoteCost(board, ready, now - readyAt),
 				failedOn: new Set(group.flatMap(({task}) => task.failedOn)),
 				isLastAttempt: isLastAttempt(group[0])
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -19,6 +19,7 @@
 	RunEnd,
 	SectionName,
 	TaskPhase,
+	WorkerPaces,
 	WorkflowState,
 	completeTask,
 	computeLeaseExpiry,
@@ -49,6 +50,7 @@
 	failedAt: 0,
 	quarantinedUntil: 0,
 	suspectUntil: 0,
+	pace: 1,
 	foreignRuns: []
 }
 
@@ -57,6 +59,7 @@
 	readonly reads = [SectionName.nodeReports, SectionName.workflows, SectionName.terms]
 	readonly #changedReports: Set<string>
 	readonly #ends = new Map<string, WorkerEnds>()
+	readonly #paces = new WorkerPaces()
 	#expiryCheckAt = 0
 
 	constructor(board: Board) {
@@ -147,12 +150,26 @@
 	#settleRun(board: Board, node: NodeEntry, ref: TaskRef, end: EndReport, now: number): void {
 		updateCheckpoint(ref, end.checkpoint)
 		if (end.end === RunEnd.done && !ref.spec.longRunning) {
+			this.#recordPace(board, ref, now)
 			completeTask(board, ref, now)
 			this.#clearFailures(board, node.registration.id, ref, now)
 		} else if (end.end === RunEnd.failed) this.#handleFailure(board, node, ref, now)
 		else releaseRun(board, ref, end.end, now)
 	}
 
+	/** Compares the run times of a step's tasks once all have ended; those of a gang end together. */
+	#recordPace(board: Board, {spec, step, task, occurrence, stepIndex}: TaskRef, now: number): void {
+		const isComparable = !spec.gang && spec.dataRack === undefined && task.run === 1
+		const stepKey = `${occurrence.key}.${stepIndex}`
+		if (isComparable) this.#paces.recordRun(stepKey, task.workerId, now - task.startedAt)
+		const isLast = step.tasks.every(other => other === task || other.phase === TaskPhase.done)
+		if (!isLast) return
+		for (const id of this.#paces.finishStep(stepKey)) {
+			const health = board.health.get(id) ?? INITIAL_HEALTH
+			board.health.set(id, {...health, pace: this.#paces.find(id)})
+		}
+	}
+
 	/** A worker may fail all that it starts while older runs go on, so only a run started since then shows it is well. */
 	#clearFailures(board: Board, id: string, {task, taskId}: TaskRef, now: number): void {
 		const health = board.health.get(id)
--- a/src/policies/run-placement.ts
+++ b/src/policies/run-placement.ts
@@ -13,6 +13,8 @@
 	readonly labels: readonly string[]
 	/** Suspected of being faulty; chosen only if no other worker fits. */
 	readonly isSuspect: boolean
+	/** Time that it takes for a task, relative to other workers. */
+	readonly pace: number
 	/** What it holds while nothing runs on it. */
 	readonly capacity: ResourceDemand
 	readonly free: {cpuMillis: number; memoryMb: number; accelerators: number}
@@ -43,6 +45,8 @@
 	readonly lossMax: number
 	/** Wait for runs that are about to end instead of stopping them. */
 	readonly mayWait: boolean
+	/** Prefer workers that are faster than others to those with the least capacity left over. */
+	readonly prefersFast: boolean
 	/** Cost of running outside the rack of its data, or in several racks, in core-seconds. */
 	readonly remoteCost: number
 	/** Workers that its tasks failed on. */
@@ -257,17 +261,23 @@
 
 const MS_PER_S = 1000
 
-function compareSlots(a: Slot, b: Slot, {failedOn}: PlacementUnit): number {
+function compareSlots(a: Slot, b: Slot, {failedOn, prefersFast}: PlacementUnit): number {
 	return (
 		Number(failedOn.has(a.node.id)) - Number(failedOn.has(b.node.id)) ||
 		Number(a.node.isSuspect) - Number(b.node.isSuspect) ||
 		a.loss - b.loss ||
 		Number(b.isFree) - Number(a.isFree) ||
+		(prefersFast ? roundPace(a.node) - roundPace(b.node) : 0) ||
 		a.node.free.accelerators - b.node.free.accelerators ||
 		a.node.free.cpuMillis - b.node.free.cpuMillis
 	)
 }
 
+/** Differences below a tenth are as likely chance. */
+function roundPace({pace}: NodeCapacity): number {
+	return Math.round(pace * 10)
+}
+
 /** The best slots for all tasks, or undefined if there are too few. */
 function chooseBest(slots: readonly Slot[], unit: PlacementUnit): readonly Slot[] | undefined {
 	const needed = unit.refs.length
@@ -296,15 +306,19 @@
 
 /** The slots of the rack with the least cost, then with the fewest slots to spare. */
 function chooseRack(slots: readonly Slot[], unit: PlacementUnit): readonly Slot[] | undefined {
-	let best: {slots: readonly Slot[]; cost: number; spare: number} | undefined
+	let best: {slots: readonly Slot[]; cost: number; pace: number; spare: number} | undefined
 	for (const inRack of groupBy(slots, ({node}) => node.rack).values()) {
 		const chosen = chooseBest(inRack, unit)
 		if (chosen === undefined) continue
 		const cost = computeTotalCost(chosen, unit)
 		const spare = inRack.length - chosen.length
+		// A gang is as fast as the slowest of its workers.
+		const pace = unit.prefersFast ? Math.max(...chosen.map(({node}) => roundPace(node))) : 0
 		const isBetter =
-			best === undefined || cost < best.cost || (cost === best.cost && spare < best.spare)
-		if (isBetter) best = {slots: chosen, cost, spare}
+			best === undefined ||
+			cost < best.cost ||
+			(cost === best.cost && (pace < best.pace || (pace === best.pace && spare < best.spare)))
+		if (isBetter) best = {slots: chosen, cost, pace, spare}
 	}
 	return best?.slots
 }
--- a/src/utils/rooms.ts
+++ b/src/utils/rooms.ts
@@ -48,7 +48,8 @@
 		if (health !== undefined && (health.quarantinedUntil > now || health.foreignRuns.length > 0))
 			continue
 		const suspect = health !== undefined && health.suspectUntil > now
-		const capacity = buildNodeCapacity(board, node, guaranteed, suspect, now)
+		const pace = health?.pace ?? 1
+		const capacity = buildNodeCapacity(board, node, guaranteed, {suspect, pace}, now)
 		const {service} = node.registration
 		const list = byService.get(service)
 		if (list === undefined) byService.set(service, [capacity])
@@ -61,7 +62,7 @@
 	board: Board,
 	{registration}: NodeEntry,
 	guaranteed: ReadonlySet<string>,
-	suspect: boolean,
+	{suspect, pace}: {suspect: boolean; pace: number},
 	now: number
 ): NodeCapacity {
 	const {id, incarnation, rack, labels, capacity} = registration
@@ -73,6 +74,7 @@
 		rack,
 		labels,
 		isSuspect: suspect,
+		pace,
 		capacity,
 		free: {
 			cpuMillis: capacity.cpuMillis - used.cpuMillis,
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -91,6 +91,8 @@
 	readonly stopMs: number
 	/** From now on, every run that it starts fails; those it started before go on. */
 	failsStarts = false
+	/** Time that it takes for a task, relative to the task's `workMs`; applies to runs that begin to work from now on. */
+	pace = 1
 	/** Longest lease that it grants. */
 	leaseMaxMs = 10000
 	/** Start of this incarnation, by the wall clock. */
@@ -217,7 +219,7 @@
 		if (members.length < payload.gang) return
 		for (const {worker, member} of members) {
 			member.workingSince = this.#clock.now()
-			worker.#clock.schedule(payload.workMs, () => {
+			worker.#clock.schedule(payload.workMs * worker.pace, () => {
 				if (worker.#runs.get(member.task) === member)
 					worker.#endRun(member, payload.fails ? "failed" : "done")
 			})
@@ -280,7 +282,8 @@
 
 	#computePercent({workingSince, payload}: Run): number {
 		if (workingSince === undefined) return 0
-		const share = (this.#clock.now() - workingSince) / (payload.reportedMs ?? payload.workMs)
+		const share =
+			(this.#clock.now() - workingSince) / (payload.reportedMs ?? payload.workMs * this.pace)
 		return Math.min(PERCENT_DONE, Math.round(share * PERCENT_DONE))
 	}
 
