--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -9,10 +9,13 @@
 	type NodeEntry,
 	type NodeHealth,
 	type NodeReport,
+	type RunningReport,
 	type TaskRef,
 	EventLevel,
+	NODE_SLOW_MS,
 	NODE_FAILURES_MAX,
 	NODE_QUARANTINE_MS,
+	ProgressRates,
 	RUN_STALL_MS,
 	RUN_STALL_SHARE,
 	ReasonCode,
@@ -50,6 +53,7 @@
 	failedAt: 0,
 	quarantinedUntil: 0,
 	suspectUntil: 0,
+	slowUntil: 0,
 	pace: 1,
 	foreignRuns: []
 }
@@ -60,6 +64,7 @@
 	readonly #changedReports: Set<string>
 	readonly #ends = new Map<string, WorkerEnds>()
 	readonly #paces = new WorkerPaces()
+	readonly #rates = new ProgressRates()
 	#expiryCheckAt = 0
 
 	constructor(board: Board) {
@@ -70,6 +75,7 @@
 		const term = board.terms.get("loaded")
 		if (term === undefined) {
 			this.#ends.clear()
+			this.#rates.clear()
 			for (const id of [...board.health.keys()]) board.health.delete(id)
 			return undefined
 		}
@@ -98,6 +104,7 @@
 			this.#ends.set(id, ends)
 		}
 		const present = new Set<string>()
+		let isSlow: boolean | undefined
 		const foreignRuns: {taskId: string; run: number}[] = []
 		for (const running of report.running) {
 			const ref = board.runs.get(running.taskId)
@@ -112,7 +119,9 @@
 				ref.task.percent = running.percent
 				ref.task.progressAt = now
 			}
+			isSlow = this.#observeRate(running, ref, report.receivedAt) ?? isSlow
 		}
+		if (isSlow !== undefined) this.#recordSlowness(board, id, isSlow, now)
 		this.#recordForeignRuns(board, id, foreignRuns)
 		for (const end of report.ends) {
 			if (end.position <= ends.lastPosition) continue
@@ -133,6 +142,7 @@
 		const ref = findTaskRef(board, end.taskId)
 		const isCurrent =
 			ref !== undefined && board.runs.has(end.taskId) && isCurrentRun(ref, node, end.run)
+		this.#rates.delete(end.taskId)
 		board.record(EventLevel.info, "run-ended", {
 			task: end.taskId,
 			run: end.run,
@@ -157,6 +167,24 @@
 		else releaseRun(board, ref, end.end, now)
 	}
 
+	/** Runs that use only idle CPU are slow while others need it. */
+	#observeRate(
+		{taskId, run, percent}: RunningReport,
+		{spec}: TaskRef,
+		at: number
+	): boolean | undefined {
+		if (spec.usesIdleCpu || spec.longRunning) return undefined
+		return this.#rates.observe(taskId, run, percent, at)
+	}
+
+	#recordSlowness(board: Board, id: string, isSlow: boolean, now: number): void {
+		const health = board.health.get(id) ?? INITIAL_HEALTH
+		const wasSlow = health.slowUntil > now
+		if (!isSlow && !wasSlow) return
+		board.health.set(id, {...health, slowUntil: isSlow ? now + NODE_SLOW_MS : 0})
+		if (isSlow !== wasSlow) board.record(EventLevel.info, "worker-slow", {worker: id, isSlow})
+	}
+
 	/** Compares the run times of a step's tasks once all have ended; those of a gang end together. */
 	#recordPace(board: Board, {spec, step, task, occurrence, stepIndex}: TaskRef, now: number): void {
 		const isComparable = !spec.gang && spec.dataRack === undefined && task.run === 1
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -237,6 +237,9 @@
 export const NODE_FAILURES_MAX = 2
 export const NODE_QUARANTINE_MS = 8000
 
+/** How long a worker counts as slow after a report that shows it; workers report each 1.5 s. */
+export const NODE_SLOW_MS = 3500
+
 /**
  * A run that makes no progress for this time, and for this share of its estimate, is restarted on another worker.
  * Progress is reported in whole percents, and estimates are wrong by a factor of about three.
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -248,6 +248,8 @@
 	readonly quarantinedUntil: number
 	/** Before this monotonic time, the worker gets new runs only if no other worker fits. */
 	readonly suspectUntil: number
+	/** Before this monotonic time the worker is known to be much slower than before, and is chosen last as well. */
+	readonly slowUntil: number
 	/** Time that the worker takes for a task, relative to other workers; 1 if it is not known. */
 	readonly pace: number
 	/** Runs on the worker that its holder has no record of. */
--- a/src/utils/rooms.ts
+++ b/src/utils/rooms.ts
@@ -47,7 +47,7 @@
 		const health = board.health.get(node.registration.id)
 		if (health !== undefined && (health.quarantinedUntil > now || health.foreignRuns.length > 0))
 			continue
-		const suspect = health !== undefined && health.suspectUntil > now
+		const suspect = health !== undefined && (health.suspectUntil > now || health.slowUntil > now)
 		const pace = health?.pace ?? 1
 		const capacity = buildNodeCapacity(board, node, guaranteed, {suspect, pace}, now)
 		const {service} = node.registration
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -41,6 +41,8 @@
 	| {readonly status: 409; readonly body: {readonly clock_ms: number; readonly reason: string}}
 	| {readonly status: 421; readonly body: Readonly<Record<string, never>>}
 
+/** Share of its runs' progress that a slow worker loses. */
+const SLOW_LOSS = 0.8
 const PERCENT_DONE = 100
 /** How long a run lasts that fails because of its worker. */
 const FAILED_START_MS = 100
@@ -93,6 +95,10 @@
 	failsStarts = false
 	/** Time that it takes for a task, relative to the task's `workMs`; applies to runs that begin to work from now on. */
 	pace = 1
+	/** Since when its runs report a fifth of their progress; undefined while it is well. */
+	#slowSince: number | undefined
+	/** Progress lost to earlier slow times, in ms. */
+	#lostMs = 0
 	/** Longest lease that it grants. */
 	leaseMaxMs = 10000
 	/** Start of this incarnation, by the wall clock. */
@@ -124,6 +130,12 @@
 		fleetWorkers.add(this)
 	}
 
+	/** Makes its runs report a fifth of the progress that they should; they end when they would have. */
+	set isSlow(isSlow: boolean) {
+		this.#lostMs = this.#sumLost()
+		this.#slowSince = isSlow ? this.#clock.now() : undefined
+	}
+
 	get running(): readonly string[] {
 		return [...this.#runs.keys()]
 	}
@@ -280,10 +292,15 @@
 		this.#monitor.recordLostEnds(lostEnds.map(([, task]) => task))
 	}
 
+	#sumLost(): number {
+		if (this.#slowSince === undefined) return this.#lostMs
+		return this.#lostMs + (this.#clock.now() - this.#slowSince) * SLOW_LOSS
+	}
+
 	#computePercent({workingSince, payload}: Run): number {
 		if (workingSince === undefined) return 0
-		const share =
-			(this.#clock.now() - workingSince) / (payload.reportedMs ?? payload.workMs * this.pace)
+		const workedMs = this.#clock.now() - workingSince - this.#sumLost()
+		const share = Math.max(0, workedMs) / (payload.reportedMs ?? payload.workMs * this.pace)
 		return Math.min(PERCENT_DONE, Math.round(share * PERCENT_DONE))
 	}
 
