Know what a run has left after a change of the holder, and spare wide gangs

Change: progress counts from what the holder first saw of the run; without a rate the estimate counts for what is left. A gang's remaining time is that of its slowest member. Guaranteed work takes victims of up to 3,000 core-seconds for its first second and of any loss after it; the platform allows 2.7 s. Run times that a holder saw only in part show no pace.

--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -181,6 +181,38 @@
 		expect(movedAfterMs).to.be.within(3000, 5000)
 	})
 
+	// Regression test: a new holder took runs for endless whose progress it had not seen rise, and stopped them.
+	it("lets runs that end in time go on at a leaving worker after a change of the holder", async () => {
+		const {first, fleet, submit, advance, addHost, advanceUntil} = await createServingDomain({
+			workers: 1
+		})
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 2, gang: true, workMs: 12000}))
+		await advance(8500)
+		first.stop()
+		first.board.authority.delete("fleet")
+		const second = addHost()
+		fleet.addWorker("w2")
+		fleet.register("w1", "draining", 4500)
+		await advanceUntil(() => second.board.terms.has("loaded"))
+		await advance(4000)
+		expect(fleet.monitor.starts).to.have.length(2)
+		expect(fleet.monitor.done.size).to.equal(2)
+	})
+
+	// Load pattern: many guaranteed jobs at once, while a wide gang holds most workers.
+	it("does not stop a wide gang for guaranteed work while cheaper runs end within a second", async () => {
+		const {first, fleet, submit, advance} = await createServingDomain({workers: 5})
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, gpu: 8, gang: true, workMs: 60000}))
+		await advance(30000)
+		await submit(first, `${URGENT}${ID_B}`, createJob({gpu: 8, workMs: 1500}))
+		await advance(700)
+		await submit(first, `${URGENT}${ID_C}`, createJob({gpu: 8, workMs: 500}))
+		await advance(2500)
+		const stopped = fleet.monitor.starts.filter(({task, run}) => task.startsWith(ID_A) && run > 1)
+		expect(stopped).to.deep.equal([])
+		expect(fleet.monitor.starts.some(({task}) => task.startsWith(ID_C))).to.equal(true)
+	})
+
 	it("completes part of the urgent work in time at twice the load that the workers can carry", async () => {
 		const {first, fleet, ask, advance, clock} = await createServingDomain()
 		const workMs = 2500
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -228,7 +228,7 @@
 		if (ref.task.phase !== TaskPhase.starting) return
 		if (result.isOk()) {
 			ref.task.acknowledgedAt = now
-			recordRunning(board, ref, now)
+			recordRunning(board, ref, 0, now)
 			return
 		}
 		this.#settleFailedStart(board, ref, result.error, now)
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -68,6 +68,10 @@
  */
 const URGENT_LOSS_MAX = 1500
 
+/** The same for guaranteed work that has waited less than this time, and without bound after it. */
+const GUARANTEED_LOSS_MAX = 3000
+const GUARANTEE_PATIENCE_MS = 1000
+
 /** Added to the due time of an occurrence, because the wall clocks of hosts differ. */
 const DUE_MARGIN_MS = 20
 
@@ -244,7 +248,7 @@
 				refs: group,
 				spec,
 				rank,
-				lossMax: computeLossMax(ready),
+				lossMax: computeLossMax(ready, now),
 				mayWait,
 				prefersFast: workflow.record.priority === 0,
 				remoteCost: computeRemoteCost(board, ready, now - readyAt),
@@ -326,9 +330,13 @@
 	}
 }
 
-/** Only guaranteed work, and work of priority 0 that is expected to complete in time, may preempt. */
-function computeLossMax({rank, workflow, punctuality}: ReadyStep): number {
-	if (rank === GUARANTEED_RANK) return Infinity
+/**
+ * Only guaranteed work, and work of priority 0 that is expected to complete in time, may preempt. Guaranteed work waits
+ * for cheap victims at first: a gang of dozens of workers should not be lost for what other runs free within a second.
+ */
+function computeLossMax({rank, workflow, punctuality}: ReadyStep, now: number): number {
+	if (rank === GUARANTEED_RANK)
+		return now - workflow.acceptedAt < GUARANTEE_PATIENCE_MS ? GUARANTEED_LOSS_MAX : Infinity
 	return workflow.record.priority === 0 && punctuality === Punctuality.onTime ? URGENT_LOSS_MAX : -1
 }
 
@@ -343,7 +351,7 @@
 function computeRemoteCost(board: Board, {spec, workflow}: ReadyStep, waitedMs: number): number {
 	if (spec.dataRack === undefined && !spec.tightlyCoupled) return 0
 	if (workflow.record.priority === 0) return URGENT_LOSS_MAX
-	if (waitedMs < RACK_WAIT_MS) return Infinity
+	if (waitedMs < RACK_WAIT_MS) return now - workflow.acceptedAt < GUARANTEE_PATIENCE_MS ? GUARANTEED_LOSS_MAX : Infinity
 	const factor = board.settings.domain?.remoteFactor ?? 1
 	return (computeCores(spec) * spec.tasks * (factor - 1) * spec.estimateMs) / MS_PER_S
 }
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -113,7 +113,7 @@
 				continue
 			}
 			present.add(running.taskId)
-			recordRunning(board, ref, now)
+			recordRunning(board, ref, running.percent, now)
 			updateCheckpoint(ref, running.checkpoint)
 			if (running.percent !== ref.task.percent) {
 				ref.task.percent = running.percent
@@ -187,7 +187,8 @@
 
 	/** Compares the run times of a step's tasks once all have ended; those of a gang end together. */
 	#recordPace(board: Board, {spec, step, task, occurrence, stepIndex}: TaskRef, now: number): void {
-		const isComparable = !spec.gang && spec.dataRack === undefined && task.run === 1
+		const isWhole = task.run === 1 && task.startPercent === 0
+		const isComparable = isWhole && !spec.gang && spec.dataRack === undefined
 		const stepKey = `${occurrence.key}.${stepIndex}`
 		if (isComparable) this.#paces.recordRun(stepKey, task.workerId, now - task.startedAt)
 		const isLast = step.tasks.every(other => other === task || other.phase === TaskPhase.done)
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -115,8 +115,9 @@
 	percent: number
 	/** Monotonic time at which `percent` last changed. */
 	progressAt: number
-	/** Monotonic time at which the run was first reported as running. */
+	/** Monotonic time at which this holder first saw the run as running, and its progress then: 0 if it had just begun. */
 	startedAt: number
+	startPercent: number
 	/** Workers that this task failed on, oldest first. */
 	readonly failedOn: string[]
 }
--- a/src/utils/rooms.ts
+++ b/src/utils/rooms.ts
@@ -112,10 +112,19 @@
 	}
 }
 
-/** Uses the run's progress if it is known, else the caller's estimate. */
-export function estimateRemaining({task, spec}: TaskRef, now: number): number {
+/** Expected time until the run ends; a gang ends with the slowest of its members. */
+export function estimateRemaining({step, spec, task}: TaskRef, now: number): number {
+	const members = spec.gang ? step.tasks : [task]
+	return Math.max(...members.map(member => estimateMemberRemaining(member, spec, now)))
+}
+
+/** Uses the run's rate if it is known, else the caller's estimate for what its progress leaves. */
+function estimateMemberRemaining(task: TaskProgress, spec: StepSpec, now: number): number {
+	if (task.phase === TaskPhase.done) return 0
 	const remainingMs = computeRemaining(task, now)
-	return remainingMs === Infinity ? spec.estimateMs : remainingMs
+	if (remainingMs < Infinity) return remainingMs
+	const percent = task.phase === TaskPhase.running ? task.percent : 0
+	return (spec.estimateMs * (PERCENT_DONE - percent)) / PERCENT_DONE
 }
 
 /** A gang ends with the slowest of its members. */
@@ -124,14 +133,15 @@
 	return members.every(member => computeRemaining(member, now) < ENDS_SOON_MS)
 }
 
-/** Remaining time of a run at its rate up to the last report; infinite if that is not known. */
+/** Remaining time of a run at its rate since this holder first saw it; infinite if that is not known. */
 function computeRemaining(
-	{phase, percent, startedAt, progressAt}: TaskProgress,
+	{phase, percent, startPercent, startedAt, progressAt}: TaskProgress,
 	now: number
 ): number {
-	if (phase !== TaskPhase.running || percent <= 0) return Infinity
-	const totalMs = ((progressAt - startedAt) * PERCENT_DONE) / percent
-	const remainingMs = startedAt + totalMs - now
+	const gained = percent - startPercent
+	if (phase !== TaskPhase.running || gained <= 0) return Infinity
+	const msPerPercent = (progressAt - startedAt) / gained
+	const remainingMs = (PERCENT_DONE - percent) * msPerPercent - (now - progressAt)
 	// A run that is well past its projected end has no known end.
 	return remainingMs < -ENDS_SOON_MS ? Infinity : remainingMs
 }
@@ -139,7 +149,8 @@
 /** Core-seconds of work lost by stopping a run, including its whole gang if it has one. */
 function computeLoss({task, spec}: TaskRef, now: number): number {
 	if (spec.checkpoints) return 0
-	const ranMs = Math.max(0, now - task.startedAt)
+	const earlierMs = (spec.estimateMs * task.startPercent) / PERCENT_DONE
+	const ranMs = Math.max(0, now - task.startedAt) + earlierMs
 	return (computeCores(spec) * (spec.gang ? spec.tasks : 1) * ranMs) / MS_PER_S
 }
 
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -84,11 +84,15 @@
 	return refs.filter(({taskId}) => board.runs.has(taskId))
 }
 
-export function recordRunning(board: Board, ref: TaskRef, now: number): void {
-	if (ref.task.phase !== TaskPhase.starting) return
-	ref.task.phase = TaskPhase.running
-	ref.task.startedAt = now
-	ref.task.progressAt = now
+/** `percent` is the progress that the run has been reported with; 0 if its start has just been acknowledged. */
+export function recordRunning(board: Board, ref: TaskRef, percent: number, now: number): void {
+	const {task} = ref
+	if (task.phase !== TaskPhase.starting) return
+	task.phase = TaskPhase.running
+	task.startedAt = now
+	task.startPercent = percent
+	task.percent = percent
+	task.progressAt = now
 	board.runs.set(ref.taskId, ref)
 }
 
--- a/src/utils/workflow-rows.ts
+++ b/src/utils/workflow-rows.ts
@@ -163,5 +163,6 @@
 	task.acknowledgedAt = phase === "placed" ? now : undefined
 	task.progressAt = now
 	task.startedAt = now
+	task.startPercent = 0
 	task.failedOn.push(...failedOn)
 }
--- a/src/utils/workflows.ts
+++ b/src/utils/workflows.ts
@@ -77,6 +77,7 @@
 		percent: 0,
 		progressAt: 0,
 		startedAt: 0,
+		startPercent: 0,
 		failedOn: []
 	}
 }
