Take a domain over only on a read that shows its lease's end

Renewals were given up after 0.55 s though they took effect later, and each of 96 hosts added a take-over when it had heard nothing for 1.3 s. The domain changed hands twice, once to a small host.

Change: a host's long poll lasts until the lease ends, and it takes over only once an answer has shown the end. Renewals wait for their answer until shortly before the lease ends: one that took effect has moved the end. A term that is learned from a read is logged like the others.

--- a/__tests__/domain-failover.test.ts
+++ b/__tests__/domain-failover.test.ts
@@ -235,6 +235,24 @@
 		}
 	})
 
+	// Load pattern: a table so slow that renewals wait behind other commits. Take-overs of many hosts added to them.
+	it("does not happen while the table answers nobody", async () => {
+		const {advance, addHost, findHolder, plan} = createDomain()
+		for (let index = 0; index < 20; index++) addHost()
+		await advance(3000)
+		const holder = findHolder()
+		let takeOvers = 0
+		plan.isLost = (hostId, call) => {
+			if (call.path === "/v1/rows-tx" && hostId !== holder?.id) takeOvers++
+			return call.target === STORE_TARGET
+		}
+		await advance(6000)
+		expect(takeOvers).to.equal(0)
+		plan.isLost = () => false
+		await advance(3000)
+		expect(findHolder()).to.not.equal(undefined)
+	})
+
 	it("gives a domain on a slow table a longer lease than on a quick one", async () => {
 		const {first, plan, advance} = await createBusyDomain(0)
 		const readLease = () => first.board.authority.get("fleet")?.leaseMs
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -107,10 +107,9 @@
 	#computeTakeOverAt(board: Board, entry: AuthorityEntry | undefined): number {
 		if (entry === undefined || entry.isHeldHere) return Infinity
 		if (this.#wasThisHost(board, entry)) return this.#notBefore
-		// After an outage of the table every host finds the lease expired, so a host that leaves the zone to others counts
-		// from its own first read that showed no holder.
-		const isFromOwnRead = this.#lease.isDeferring && !this.#isViewContinuous
-		const freeAt = isFromOwnRead ? (this.#seenFreeAt ?? Infinity) : computeFreeAt(entry)
+		// Where reads last until the lease ends, one of them has to show the end: while the table answers nobody,
+		// take-overs would only add to its backlog, and after an outage every host finds the lease expired.
+		const freeAt = this.#rows.showsEnd ? (this.#seenFreeAt ?? Infinity) : computeFreeAt(entry)
 		const delayMs = this.#lease.computeTakeOverDelay(entry.epoch, this.#isViewContinuous)
 		return Math.max(this.#notBefore, freeAt + delayMs)
 	}
@@ -130,7 +129,9 @@
 		if (this.#read !== undefined) return Infinity
 		if (now < this.#readAt) return this.#readAt
 		this.#readAt = now + this.#rows.intervalMs
-		this.#read = this.#rows.read(board, this.name, READ, now)
+		const entry = board.authority.get(findAuthorityScope(board.settings))
+		const freeAt = entry === undefined ? now : computeFreeAt(entry)
+		this.#read = this.#rows.read(board, this.name, READ, freeAt, now)
 		return Infinity
 	}
 
@@ -138,7 +139,7 @@
 	#reread(board: Board, now: number): void {
 		this.#rows.reset()
 		this.#isOutdated = true
-		this.#read = this.#rows.read(board, this.name, READ, now)
+		this.#read = this.#rows.read(board, this.name, READ, now, now)
 	}
 
 	#renewIfDue(board: Board, entry: AuthorityEntry, now: number): number | undefined {
@@ -207,7 +208,8 @@
 		leaseMs: number,
 		writes: readonly RowWrite[]
 	): void {
-		const timeoutMs = this.#lease.computeCommitTimeout(leaseMs)
+		const timeoutMs =
+			subject === RENEW ? this.#lease.computeRenewTimeout(leaseMs) : this.#lease.takeOverTimeoutMs
 		const commandId = issueTableCommit(board, this.name, subject, writes, now, timeoutMs)
 		this.#commit = {commandId, leaseMs}
 	}
@@ -309,7 +311,7 @@
 		versions: readonly number[],
 		{sentAt, leaseMs}: {sentAt: number; leaseMs: number}
 	): void {
-		const {zone, holder: previous} = entry
+		const {zone} = entry
 		const [holderVersion = 0, leaseVersion = 0] = versions
 		const epoch = subject === TAKE ? entry.epoch + 1 : entry.epoch
 		this.#isRestarted = false
@@ -327,10 +329,20 @@
 			isHeldHere: true,
 			confirmedUntil: computeConfirmedUntil(sentAt, leaseMs)
 		})
-		if (subject === TAKE) {
-			const unrenewedMs = Math.round(sentAt - entry.observedAt)
-			board.record(EventLevel.info, "zone-taken", {zone, epoch, previous, unrenewedMs})
-		}
+		if (subject === TAKE) this.#recordTaken(board, {zone, epoch}, entry)
+	}
+
+	#recordTaken(
+		board: Board,
+		{zone, epoch}: Pick<AuthorityEntry, "zone" | "epoch">,
+		earlier: AuthorityEntry | undefined
+	): void {
+		board.record(EventLevel.info, "zone-taken", {
+			zone,
+			epoch,
+			previous: earlier?.holder,
+			unrenewedMs: Math.round(this.#takeOverSentAt - (earlier?.observedAt ?? 0))
+		})
 	}
 
 	#adoptRows(board: Board, rows: readonly TableRow[], now: number): void {
@@ -363,6 +375,7 @@
 			confirmedUntil: this.#findConfirmedUntil(known, isHeldHere, leaseMs)
 		}
 		board.authority.set(zone, entry)
+		if (isHeldHere && !known.isHeldHere) this.#recordTaken(board, entry, known)
 		const isFree = !isHeldHere && now >= computeFreeAt(entry)
 		this.#seenFreeAt = isFree ? (this.#seenFreeAt ?? now) : undefined
 		if (known !== undefined && !isUnchanged) this.#isViewContinuous = true
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -351,7 +351,7 @@
 function computeRemoteCost(board: Board, {spec, workflow}: ReadyStep, waitedMs: number): number {
 	if (spec.dataRack === undefined && !spec.tightlyCoupled) return 0
 	if (workflow.record.priority === 0) return URGENT_LOSS_MAX
-	if (waitedMs < RACK_WAIT_MS) return now - workflow.acceptedAt < GUARANTEE_PATIENCE_MS ? GUARANTEED_LOSS_MAX : Infinity
+	if (waitedMs < RACK_WAIT_MS) return Infinity
 	const factor = board.settings.domain?.remoteFactor ?? 1
 	return (computeCores(spec) * spec.tasks * (factor - 1) * spec.estimateMs) / MS_PER_S
 }
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -176,6 +176,8 @@
 export const DOMAIN_LEASE_RENEWALS = 3
 /** Delay after a failed renewal, short enough for three of four to be refused by an overloaded table. */
 export const DOMAIN_RETRY_DELAY_MS = 100
+/** Deadline of a take-over: below the outage deferral, so that large hosts are not kept from their next one. */
+export const DOMAIN_TAKE_OVER_TIMEOUT_MS = 900
 /**
  * The holder stops sending commands to workers this long before its lease ends and another host may take over, so
  * that two hosts never send commands at the same time.
--- a/src/policies/holder-lease.ts
+++ b/src/policies/holder-lease.ts
@@ -22,6 +22,7 @@
 	HOLDER_RENEW_INTERVAL_MS,
 	HOLDER_RETRY_DELAY_MS,
 	DOMAIN_RETRY_DELAY_MS,
+	DOMAIN_TAKE_OVER_TIMEOUT_MS,
 	FAR_ROUND_TRIP_MS,
 	TAKE_OVER_SPREAD_MS,
 	computeFraction,
@@ -36,8 +37,10 @@
 	/** Length of the next lease, if the last renewal was answered `renewalMs` after it was due. */
 	computeLease(renewalMs: number): number
 	computeRenewInterval(leaseMs: number): number
-	/** Deadline of a commit that writes this lease. */
-	computeCommitTimeout(leaseMs: number): number
+	/** Deadline of a commit that takes over or gives up. */
+	readonly takeOverTimeoutMs: number
+	/** Deadline of a renewal that writes this lease. */
+	computeRenewTimeout(leaseMs: number): number
 	/**
 	 * Time that this host waits after a zone has become free. `isViewContinuous` is false if it may have missed changes
 	 * of the holder's rows since the last renewal that it observed.
@@ -52,6 +55,7 @@
 /** Lease of one zone's holder. */
 export class FixedHolderLease implements HolderLeasePolicy {
 	readonly retryDelayMs = HOLDER_RETRY_DELAY_MS
+	readonly takeOverTimeoutMs = AUTHORITY_TIMEOUT_MS
 	readonly isDeferring = false
 
 	computeLease(): number {
@@ -62,7 +66,7 @@
 		return HOLDER_RENEW_INTERVAL_MS
 	}
 
-	computeCommitTimeout(): number {
+	computeRenewTimeout(): number {
 		return AUTHORITY_TIMEOUT_MS
 	}
 
@@ -88,6 +92,7 @@
 /** Lease of a domain's holder. */
 export class AdaptiveHolderLease implements HolderLeasePolicy {
 	readonly retryDelayMs = DOMAIN_RETRY_DELAY_MS
+	readonly takeOverTimeoutMs = DOMAIN_TAKE_OVER_TIMEOUT_MS
 	readonly isDeferring: boolean
 	readonly #hostId: string
 	/** Shortest round trip to the table so far. */
@@ -109,9 +114,9 @@
 		return leaseMs / DOMAIN_LEASE_RENEWALS
 	}
 
-	/** The answer to one renewal may be lost: the next one is then sent while this host still holds the domain. */
-	computeCommitTimeout(leaseMs: number): number {
-		return (leaseMs - DOMAIN_LEASE_MARGIN_MS) / 2
+	/** A renewal that took effect without an answer has moved the lease's end, so the next one still comes in time. */
+	computeRenewTimeout(leaseMs: number): number {
+		return leaseMs - DOMAIN_LEASE_MARGIN_MS
 	}
 
 	/**
--- a/src/utils/holder-rows.ts
+++ b/src/utils/holder-rows.ts
@@ -25,8 +25,10 @@
 export interface HolderRows {
 	/** Shortest time between two reads. */
 	readonly intervalMs: number
-	/** Issues the next read and returns the command's id. */
-	read(board: Board, owner: string, subject: string, now: number): string
+	/** True if reads are answered when the lease ends, so that the end is seen at once. */
+	readonly showsEnd: boolean
+	/** Issues the next read and returns the command's id; the lease ends at `freeAt` if it is not renewed. */
+	read(board: Board, owner: string, subject: string, freeAt: number, now: number): string
 	/** True if the read was to be answered at once, so that its time shows the distance of the table. */
 	isRoundTrip(command: Command): boolean
 	/** The current rows, according to the answer to a read. */
@@ -37,8 +39,9 @@
 
 export class PolledHolderRows implements HolderRows {
 	readonly intervalMs = HOLDER_RENEW_INTERVAL_MS
+	readonly showsEnd = false
 
-	read(board: Board, owner: string, subject: string, now: number): string {
+	read(board: Board, owner: string, subject: string, _freeAt: number, now: number): string {
 		const zone = findAuthorityScope(board.settings)
 		const keys = [formatHolderKey(zone), formatLeaseKey(zone)]
 		return issueTableRead(board, owner, subject, keys, now, AUTHORITY_TIMEOUT_MS)
@@ -58,22 +61,22 @@
 	}
 }
 
+/** Added to a wait for the end of a lease, so that the answer doesn't come just before it. */
+const END_MARGIN_MS = 5
+
 export class FollowedHolderRows implements HolderRows {
 	readonly intervalMs = HOLDER_FOLLOW_INTERVAL_MIN_MS
+	readonly showsEnd = true
 	readonly #rows = new Map<string, TableRow>()
 	#afterVersion: number | undefined
 
-	read(board: Board, owner: string, subject: string, now: number): string {
+	read(board: Board, owner: string, subject: string, freeAt: number, now: number): string {
 		const prefix = formatHolderPrefix(findAuthorityScope(board.settings))
 		const isFirst = this.#afterVersion === undefined
-		const request = {
-			prefix,
-			afterVersion: this.#afterVersion,
-			waitMs: isFirst ? 0 : LONG_POLL_WAIT_MS
-		}
-		const timeoutMs = isFirst
-			? HOLDER_READ_TIMEOUT_MS
-			: LONG_POLL_WAIT_MS + LONG_POLL_ANSWER_TIMEOUT_MS
+		const untilFreeMs = freeAt > now ? Math.ceil(freeAt - now) + END_MARGIN_MS : LONG_POLL_WAIT_MS
+		const waitMs = isFirst ? 0 : Math.min(LONG_POLL_WAIT_MS, untilFreeMs)
+		const request = {prefix, afterVersion: this.#afterVersion, waitMs}
+		const timeoutMs = isFirst ? HOLDER_READ_TIMEOUT_MS : waitMs + LONG_POLL_ANSWER_TIMEOUT_MS
 		return issueTableFollow(board, owner, subject, request, now, timeoutMs)
 	}
 
