Learn the pace of workers from running work, within seconds of a term

Change: each 1.5 s the rates of progress of a step's running tasks are compared; one look is enough, also at runs that an earlier holder started.

--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -242,14 +242,13 @@
 	})
 
 	// Load pattern: workers of unequal speed, and urgent work with little time to spare.
-	it("runs urgent work on workers that were faster with the steps before", async () => {
+	it("runs urgent work on workers that run other work faster", async () => {
 		const {first, fleet, submit, advance} = await createServingDomain({workers: 4})
 		for (const id of ["w1", "w3", "w4"]) fleet.workers.get(id)!.pace = 1.5
-		for (const id of [ID_A, ID_B]) {
-			await submit(first, `${BATCH}${id}`, createJob({count: 32, workMs: 1000}))
-			await advance(2500)
-		}
-		await submit(first, `${URGENT}${ID_C}`, createJob({count: 2, gpu: 4, gang: true}))
+		const running = createJob({count: 16, workMs: 20000, max_per_server: 4})
+		await submit(first, `${BATCH}${ID_A}`, running)
+		await advance(8000)
+		await submit(first, `${URGENT}${ID_C}`, createJob({count: 2, gpu: 2, gang: true}))
 		await advance(500)
 		const urgent = fleet.monitor.starts.filter(({task}) => task.startsWith(ID_C))
 		expect(urgent.map(({worker}) => worker)).to.deep.equal(["w2", "w2"])
--- a/__tests__/worker-pace.test.ts
+++ b/__tests__/worker-pace.test.ts
@@ -1,43 +1,65 @@
-/** How fast workers are, estimated from the run times of steps that have ended. */
+/** How fast workers are, estimated from the progress of the runs of one step. */
 import {expect} from "chai"
-import {WorkerPaces} from "../src/internal.js"
+import {
+	type TaskRef,
+	TaskPhase,
+	WorkerPaces,
+	createOccurrence,
+	createTaskRef,
+	createWorkflowEntry
+} from "../src/internal.js"
+import {decodeWorkflow} from "../platform/records.js"
 
 const SPEEDS: Readonly<Record<string, number>> = {fast: 0.8, mean: 1, slow: 1.25}
 const WORKERS = Object.keys(SPEEDS)
 
-/** Records a step of two tasks a worker, with work that varies between its tasks. */
-function recordStep(paces: WorkerPaces, stepKey: string, workMs: number): void {
-	for (const factor of [0.9, 1.1])
-		for (const worker of WORKERS)
-			paces.recordRun(stepKey, worker, workMs * factor * (SPEEDS[worker] ?? 1))
+/** Creates running tasks of one step, two on each worker, with work that varies between them. */
+function createRuns(workMs: number, ranMs: number, step: Record<string, unknown> = {}): TaskRef[] {
+	const factors = [0.9, 1.1]
+	const count = WORKERS.length * factors.length
+	const spec = decodeWorkflow({steps: [{count, gpu: 1, ...step}]})._unsafeUnwrap()
+	const record = {id: `work-${workMs}`, workspace: "office", queue: "batch", service: "trace"}
+	const limits = {priority: 2, maxAttempts: 2, acceptedAtWallMs: 0}
+	const workflow = createWorkflowEntry({...record, ...limits, spec}, 0, 0)
+	const occurrence = createOccurrence(workflow.record, 0)
+	return Array.from({length: count}, (_, index) => {
+		const ref = createTaskRef(workflow, occurrence, 0, index)!
+		const workerId = WORKERS[index % WORKERS.length]!
+		const factor = factors[Math.floor(index / WORKERS.length)]!
+		const totalMs = workMs * factor * SPEEDS[workerId]!
+		ref.task.phase = TaskPhase.running
+		ref.task.workerId = workerId
+		ref.task.startedAt = 1000
+		ref.task.startPercent = 30
+		ref.task.percent = Math.min(100, 30 + Math.round((ranMs / totalMs) * 100))
+		ref.task.progressAt = 1000 + ranMs
+		return ref
+	})
 }
 
 describe("the pace of workers", () => {
-	it("tells fast workers from slow ones after a few steps, whatever the steps' work", () => {
+	it("tells fast workers from slow ones from one look at running work that it has not seen begin", () => {
 		const paces = new WorkerPaces()
-		for (const [index, workMs] of [9500, 2000, 400000].entries()) {
-			recordStep(paces, `step-${index}`, workMs)
-			paces.finishStep(`step-${index}`)
-		}
+		paces.update([...createRuns(9500, 3000), ...createRuns(400000, 150000)])
 		expect(paces.find("fast")).to.be.within(0.7, 0.9)
 		expect(paces.find("mean")).to.be.within(0.9, 1.1)
 		expect(paces.find("slow")).to.be.within(1.1, 1.4)
 	})
 
-	it("knows nothing before a step has ended, or from a step of few tasks", () => {
+	it("knows nothing from little progress, few runs, waiting members or steps with a data rack", () => {
 		const paces = new WorkerPaces()
-		recordStep(paces, "open", 1000)
-		paces.recordRun("narrow", "fast", 1)
-		paces.recordRun("narrow", "slow", 1000)
-		expect([...paces.finishStep("narrow")]).to.deep.equal([])
+		const waiting = createRuns(1000, 5000)
+		const bound = createRuns(9500, 3000, {data_rack: "rack-1"})
+		const few = createRuns(8000, 3000).slice(0, 5)
+		paces.update([...createRuns(9500, 500), ...waiting, ...bound, ...few])
 		expect(WORKERS.map(worker => paces.find(worker))).to.deep.equal([1, 1, 1])
 	})
 
-	it("bounds what one run that was held up does to its worker's pace", () => {
+	it("bounds what runs that are held up do to their worker's pace", () => {
 		const paces = new WorkerPaces()
-		for (let index = 0; index < 9; index++) paces.recordRun("step", `w${index}`, 1000)
-		paces.recordRun("step", "stuck", 1000000)
-		paces.finishStep("step")
-		expect(paces.find("stuck")).to.be.below(1.5)
+		const runs = createRuns(9500, 3000)
+		for (const {task} of runs) if (task.workerId === "slow") task.progressAt += 1000000
+		paces.update(runs)
+		expect(paces.find("slow")).to.equal(2)
 	})
 })
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -46,6 +46,9 @@
 /** Interval of the check for runs on workers whose lease has expired. */
 const EXPIRY_CHECK_INTERVAL_MS = 200
 
+/** Interval at which the runs of each step are compared. */
+const PACE_INTERVAL_MS = 1500
+
 const PERCENT_DONE = 100
 
 const INITIAL_HEALTH: NodeHealth = {
@@ -66,6 +69,7 @@
 	readonly #paces = new WorkerPaces()
 	readonly #rates = new ProgressRates()
 	#expiryCheckAt = 0
+	#paceAt = 0
 
 	constructor(board: Board) {
 		this.#changedReports = board.nodeReports.watch()
@@ -92,6 +96,10 @@
 			this.#expiryCheckAt = now + EXPIRY_CHECK_INTERVAL_MS
 			this.#releaseExpired(board, term.loadedAt, now)
 		}
+		if (now >= this.#paceAt) {
+			this.#paceAt = now + PACE_INTERVAL_MS
+			this.#updatePaces(board)
+		}
 		return board.runs.size > 0 ? this.#expiryCheckAt : undefined
 	}
 
@@ -160,7 +168,6 @@
 	#settleRun(board: Board, node: NodeEntry, ref: TaskRef, end: EndReport, now: number): void {
 		updateCheckpoint(ref, end.checkpoint)
 		if (end.end === RunEnd.done && !ref.spec.longRunning) {
-			this.#recordPace(board, ref, now)
 			completeTask(board, ref, now)
 			this.#clearFailures(board, node.registration.id, ref, now)
 		} else if (end.end === RunEnd.failed) this.#handleFailure(board, node, ref, now)
@@ -185,17 +192,10 @@
 		if (isSlow !== wasSlow) board.record(EventLevel.info, "worker-slow", {worker: id, isSlow})
 	}
 
-	/** Compares the run times of a step's tasks once all have ended; those of a gang end together. */
-	#recordPace(board: Board, {spec, step, task, occurrence, stepIndex}: TaskRef, now: number): void {
-		const isWhole = task.run === 1 && task.startPercent === 0
-		const isComparable = isWhole && !spec.gang && spec.dataRack === undefined
-		const stepKey = `${occurrence.key}.${stepIndex}`
-		if (isComparable) this.#paces.recordRun(stepKey, task.workerId, now - task.startedAt)
-		const isLast = step.tasks.every(other => other === task || other.phase === TaskPhase.done)
-		if (!isLast) return
-		for (const id of this.#paces.finishStep(stepKey)) {
+	#updatePaces(board: Board): void {
+		for (const id of this.#paces.update(board.runs.values())) {
 			const health = board.health.get(id) ?? INITIAL_HEALTH
-			board.health.set(id, {...health, pace: this.#paces.find(id)})
+			board.health.setSilently(id, {...health, pace: this.#paces.find(id)})
 		}
 	}
 
--- a/src/utils/worker-pace.ts
+++ b/src/utils/worker-pace.ts
@@ -1,26 +1,23 @@
 /**
  * Estimates how fast each worker runs its tasks, compared with other workers. Tasks of one step have about the same work,
- * so the run times of a step that has ended show which of its workers are faster than the median. Nothing else does:
- * callers' estimates are off by factors, and workers don't report their speed.
+ * so the rates of their progress show which of its workers are faster than the median. Nothing else does: callers'
+ * estimates are off by factors, and workers don't report their speed. A new holder knows within seconds, since it needs
+ * only the progress of what is running.
  */
+import {type TaskProgress, type TaskRef, TaskPhase, groupBy} from "../internal.js"
 
-interface StepRun {
-	readonly workerId: string
-	readonly ranMs: number
-}
-
-/** Tasks of one step from which its run times are compared. */
-const STEP_TASKS_MIN = 6
-/** Weight of the latest step in a worker's pace: run times of one worker vary by about 15 %. */
-const PACE_WEIGHT = 0.4
+/** Runs of one step from which their rates are compared. */
+const STEP_RUNS_MIN = 6
+/** Progress from which a rate is known well enough: it is reported in whole percents. */
+const GAINED_PERCENT_MIN = 12
+const PERCENT_DONE = 100
+/** Weight of the latest comparison: tasks of one step differ by about 15 %, and are compared several times. */
+const PACE_WEIGHT = 0.3
 /** Bounds of one sample, so that a run that was held up for other reasons counts little. */
 const PACE_MIN = 0.5
 const PACE_MAX = 2
-/** Steps whose run times are kept at the same time. */
-const STEPS_MAX = 1000
 
 export class WorkerPaces {
-	readonly #steps = new Map<string, StepRun[]>()
 	readonly #paces = new Map<string, number>()
 
 	/** Time that the worker takes for a task, relative to the median of others; 1 while it is not known. */
@@ -28,27 +25,47 @@
 		return this.#paces.get(workerId) ?? 1
 	}
 
-	recordRun(stepKey: string, workerId: string, ranMs: number): void {
-		const runs = this.#steps.get(stepKey)
-		if (runs !== undefined) runs.push({workerId, ranMs})
-		else this.#steps.set(stepKey, [{workerId, ranMs}])
-		const [oldest] = this.#steps.keys()
-		if (this.#steps.size > STEPS_MAX && oldest !== undefined) this.#steps.delete(oldest)
+	/** Compares the runs of each step, and returns the workers whose pace has changed. */
+	update(runs: Iterable<TaskRef>): ReadonlySet<string> {
+		const comparable = [...runs].filter(isComparable)
+		const steps = groupBy(comparable, ({occurrence, stepIndex}) => `${occurrence.key}.${stepIndex}`)
+		const samples = new Map<string, number[]>()
+		for (const siblings of steps.values()) addSamples(samples, siblings)
+		for (const [workerId, ratios] of samples) {
+			const mean = ratios.reduce((sum, ratio) => sum + ratio, 0) / ratios.length
+			const known = this.#paces.get(workerId)
+			this.#paces.set(workerId, known === undefined ? mean : known + PACE_WEIGHT * (mean - known))
+		}
+		return new Set(samples.keys())
 	}
+}
 
-	/** Takes the run times of a step that has ended into account, and returns its workers. */
-	finishStep(stepKey: string): ReadonlySet<string> {
-		const runs = this.#steps.get(stepKey) ?? []
-		this.#steps.delete(stepKey)
-		if (runs.length < STEP_TASKS_MIN) return new Set()
-		const sorted = runs.map(({ranMs}) => ranMs).sort((a, b) => a - b)
-		const medianMs = sorted[Math.floor(sorted.length / 2)] ?? 0
-		if (medianMs <= 0) return new Set()
-		for (const {workerId, ranMs} of runs) {
-			const sample = Math.min(PACE_MAX, Math.max(PACE_MIN, ranMs / medianMs))
-			const known = this.find(workerId)
-			this.#paces.set(workerId, known + PACE_WEIGHT * (sample - known))
-		}
-		return new Set(runs.map(({workerId}) => workerId))
+/** A member of a gang at 100 percent waits for the others, and a step bound to a rack runs slower in others. */
+function isComparable({task, spec}: TaskRef): boolean {
+	const {phase, percent, startPercent} = task
+	if (phase !== TaskPhase.running || spec.longRunning || spec.usesIdleCpu) return false
+	if (spec.dataRack !== undefined || percent >= PERCENT_DONE) return false
+	return percent - startPercent >= GAINED_PERCENT_MIN
+}
+
+function addSamples(samples: Map<string, number[]>, siblings: readonly TaskRef[]): void {
+	if (siblings.length < STEP_RUNS_MIN) return
+	const times = siblings.map(({task}) => computeTimePerPercent(task))
+	const median = [...times].sort((a, b) => a - b)[Math.floor(times.length / 2)] ?? 0
+	if (median <= 0) return
+	for (const [index, {task}] of siblings.entries()) {
+		const ratio = Math.min(PACE_MAX, Math.max(PACE_MIN, (times[index] ?? 0) / median))
+		const known = samples.get(task.workerId)
+		if (known === undefined) samples.set(task.workerId, [ratio])
+		else known.push(ratio)
 	}
 }
+
+function computeTimePerPercent({
+	percent,
+	startPercent,
+	startedAt,
+	progressAt
+}: TaskProgress): number {
+	return (progressAt - startedAt) / (percent - startPercent)
+}
