Wait longer for a holder's renewal while the table answers late

Change: a host whose reads return 150 ms late or more waits ten times as long as they are late, 3 s at most, before it takes over.

Result: in the test a holder keeps its domain though a slow table refuses its renewals for 2 s; it loses it without the change.

--- a/__tests__/domain-failover.test.ts
+++ b/__tests__/domain-failover.test.ts
@@ -253,6 +253,22 @@
 		expect(findHolder()).to.not.equal(undefined)
 	})
 
+	// Load pattern: a slow table that refuses most of what waits in its one part, renewals too, for some seconds.
+	it("does not happen while a slow table refuses the holder's renewals for two seconds", async () => {
+		const {advance, addHost, findHolder, plan} = createDomain()
+		for (let index = 0; index < 4; index++) addHost()
+		await advance(3000)
+		const holder = findHolder()
+		plan.computeDelay = () => 125
+		await advance(1500)
+		plan.isRefused = (hostId, call) => hostId === holder?.id && call.path === "/v1/rows-tx"
+		await advance(2000)
+		plan.isRefused = () => false
+		await advance(3000)
+		expect(findHolder()?.id).to.equal(holder?.id)
+		expect(holder?.board.authority.get("fleet")?.epoch).to.equal(1)
+	})
+
 	it("gives a domain on a slow table a longer lease than on a quick one", async () => {
 		const {first, plan, advance} = await createBusyDomain(0)
 		const readLease = () => first.board.authority.get("fleet")?.leaseMs
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -221,7 +221,8 @@
 			if (result.isErr()) this.#settleFailedRead(board, now)
 			else {
 				this.#isOutdated = false
-				if (this.#rows.isRoundTrip(command)) this.#lease.recordRoundTrip(now - command.issuedAt)
+				const roundTripMs = this.#rows.findRoundTrip(completion, now)
+				if (roundTripMs !== undefined) this.#lease.recordRoundTrip(roundTripMs)
 				this.#adoptRows(board, this.#rows.adopt(completion), now)
 			}
 			return
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -161,6 +161,10 @@
 export const TAKE_OVER_SPREAD_MS = 100
 /** Round trip to the table, with a new connection, from which a host counts as far from it. */
 export const FAR_ROUND_TRIP_MS = 80
+/** Round trip from which the table counts as slow, and how much longer than it hosts then wait for a renewal. */
+export const SLOW_ROUND_TRIP_MS = 150
+export const TAKE_OVER_PATIENCE_FACTOR = 10
+export const TAKE_OVER_PATIENCE_MAX_MS = 3000
 /** Deadline of a read of the holder's rows that waits for no change; with the retry delay below the outage deferral. */
 export const HOLDER_READ_TIMEOUT_MS = 700
 /** Shortest time between two long polls of the holder's rows. */
--- a/src/policies/holder-lease.ts
+++ b/src/policies/holder-lease.ts
@@ -21,6 +21,9 @@
 	HOLDER_OUTAGE_DEFERRAL_MS,
 	HOLDER_RENEW_INTERVAL_MS,
 	HOLDER_RETRY_DELAY_MS,
+	SLOW_ROUND_TRIP_MS,
+	TAKE_OVER_PATIENCE_FACTOR,
+	TAKE_OVER_PATIENCE_MAX_MS,
 	DOMAIN_RETRY_DELAY_MS,
 	DOMAIN_TAKE_OVER_TIMEOUT_MS,
 	FAR_ROUND_TRIP_MS,
@@ -46,7 +49,7 @@
 	 * of the holder's rows since the last renewal that it observed.
 	 */
 	computeTakeOverDelay(epoch: number, isViewContinuous: boolean): number
-	/** Records how long a read of the holder's rows took. */
+	/** Records how long a read of the holder's rows took beyond its wait. */
 	recordRoundTrip(ms: number): void
 	encodeLease(holder: string, leaseMs: number): string
 	decodeLease(value: string | undefined): number
@@ -95,8 +98,9 @@
 	readonly takeOverTimeoutMs = DOMAIN_TAKE_OVER_TIMEOUT_MS
 	readonly isDeferring: boolean
 	readonly #hostId: string
-	/** Shortest round trip to the table so far. */
-	#roundTripMs = Infinity
+	/** Shortest and latest round trip to the table. */
+	#shortestMs = Infinity
+	#latestMs = 0
 
 	constructor(hostId: string, {cores, coreShare}: DomainSettings) {
 		this.#hostId = hostId
@@ -124,15 +128,22 @@
 	 * go first, since a holder waits for several of its answers before a start.
 	 */
 	computeTakeOverDelay(epoch: number, isViewContinuous: boolean): number {
-		const distance = Math.min(1, this.#roundTripMs / FAR_ROUND_TRIP_MS)
+		const distance = Math.min(1, this.#shortestMs / FAR_ROUND_TRIP_MS)
 		const chance = computeFraction(`${this.#hostId} ${epoch}`)
-		const spreadMs = (TAKE_OVER_SPREAD_MS * (distance + chance)) / 2
-		if (!this.isDeferring) return spreadMs
-		return spreadMs + (isViewContinuous ? HOLDER_DEFERRAL_MS : HOLDER_OUTAGE_DEFERRAL_MS)
+		const delayMs = (TAKE_OVER_SPREAD_MS * (distance + chance)) / 2 + this.#computePatience()
+		if (!this.isDeferring) return delayMs
+		return delayMs + (isViewContinuous ? HOLDER_DEFERRAL_MS : HOLDER_OUTAGE_DEFERRAL_MS)
+	}
+
+	/** A table that answers this host late answers the holder's renewals late as well, or refuses some. */
+	#computePatience(): number {
+		if (this.#latestMs < SLOW_ROUND_TRIP_MS) return 0
+		return Math.min(TAKE_OVER_PATIENCE_MAX_MS, this.#latestMs * TAKE_OVER_PATIENCE_FACTOR)
 	}
 
 	recordRoundTrip(ms: number): void {
-		this.#roundTripMs = Math.min(this.#roundTripMs, ms)
+		this.#shortestMs = Math.min(this.#shortestMs, ms)
+		this.#latestMs = ms
 	}
 
 	encodeLease(holder: string, leaseMs: number): string {
--- a/src/utils/holder-rows.ts
+++ b/src/utils/holder-rows.ts
@@ -5,7 +5,6 @@
  */
 import {
 	type Board,
-	type Command,
 	type Completion,
 	type TableRow,
 	AUTHORITY_TIMEOUT_MS,
@@ -29,8 +28,8 @@
 	readonly showsEnd: boolean
 	/** Issues the next read and returns the command's id; the lease ends at `freeAt` if it is not renewed. */
 	read(board: Board, owner: string, subject: string, freeAt: number, now: number): string
-	/** True if the read was to be answered at once, so that its time shows the distance of the table. */
-	isRoundTrip(command: Command): boolean
+	/** Time that a read took beyond its wait; undefined if a change ended the wait. */
+	findRoundTrip(completion: Completion, now: number): number | undefined
 	/** The current rows, according to the answer to a read. */
 	adopt(completion: Completion): readonly TableRow[]
 	/** Discards what is known, since changes may have been missed: the next read is answered at once. */
@@ -47,8 +46,8 @@
 		return issueTableRead(board, owner, subject, keys, now, AUTHORITY_TIMEOUT_MS)
 	}
 
-	isRoundTrip(): boolean {
-		return true
+	findRoundTrip({command}: Completion, now: number): number {
+		return now - command.issuedAt
 	}
 
 	adopt(completion: Completion): readonly TableRow[] {
@@ -80,8 +79,11 @@
 		return issueTableFollow(board, owner, subject, request, now, timeoutMs)
 	}
 
-	isRoundTrip(command: Command): boolean {
-		return (command as Command<"table-follow">).request.waitMs === 0
+	findRoundTrip(completion: Completion, now: number): number | undefined {
+		const {command, result} = completion as Completion<"table-follow">
+		const {waitMs} = command.request
+		const isWhole = result.isOk() && (waitMs === 0 || result.value.rows.length === 0)
+		return isWhole ? now - command.issuedAt - waitMs : undefined
 	}
 
 	adopt(completion: Completion): readonly TableRow[] {
