Give each holder an epoch of its own again

Cause: since the holder's rows are followed by a long poll, a poll in flight could show a host its own take-over before the answer to the commit came; the epoch was then counted up twice at this host. Its successor took the same epoch, so that workers could not tell the two apart.

Change: the epoch is the one that the commit wrote.

Result: a test with commits that are answered later than polls, which fails on the code before (expected 3 to equal 2).

--- a/__tests__/domain-failover.test.ts
+++ b/__tests__/domain-failover.test.ts
@@ -185,6 +185,30 @@
 		}
 	})
 
+	// Regression test: a holder whose long poll showed its take-over before the commit's answer counted its epoch twice, so
+	// that it and its successor commanded workers under the same one.
+	it("gives each holder an epoch of its own, the one in the holder row", async () => {
+		const {fleet, plan, advance, advanceUntil, addHost, findHolder} = createDomain()
+		plan.computeDelay = (_, call) => (call.path === "/v1/rows-tx" ? 10 : 2)
+		const readRow = () => {
+			const {rows} = fleet.store.readRange("zone", "main", "fleet/holder", undefined, 1)
+			return JSON.parse(Buffer.from(rows[0]!.value!, "base64").toString()) as {epoch: number}
+		}
+		for (let index = 0; index < 5; index++) addHost()
+		const epochs: number[] = []
+		for (let term = 0; term < 4; term++) {
+			await advanceUntil(() => findHolder() !== undefined)
+			await advance(1500)
+			const holder = findHolder()!
+			const {epoch} = holder.board.authority.get("fleet")!
+			expect(epoch).to.equal(readRow().epoch)
+			epochs.push(epoch)
+			holder.stop()
+			holder.board.authority.delete("fleet")
+		}
+		expect(epochs).to.deep.equal([1, 2, 3, 4])
+	})
+
 	it("is seen by most hosts before they try to take the domain over too", async () => {
 		const {advance, addHost, findHolder, plan} = createDomain()
 		for (let index = 0; index < 97; index++) addHost()
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -38,9 +38,10 @@
 })
 type HolderRow = z.infer<typeof holderSchema>
 
-/** A commit in flight, and the lease that it writes. */
+/** A commit in flight, and the epoch and lease that it writes. */
 interface PendingCommit {
 	readonly commandId: string
+	readonly epoch: number
 	readonly leaseMs: number
 }
 
@@ -156,7 +157,7 @@
 		// The renewal may take effect without an answer; other hosts then use its lease, which may be shorter.
 		const confirmedUntil = Math.min(entry.confirmedUntil, computeConfirmedUntil(now, leaseMs))
 		board.authority.setSilently(entry.zone, {...entry, confirmedUntil})
-		this.#issueCommit(board, now, RENEW, leaseMs, [
+		this.#issueCommit(board, now, RENEW, {epoch: entry.epoch, leaseMs}, [
 			{key: formatHolderKey(entry.zone), ifVersion: entry.holderVersion, value: undefined},
 			{key: formatLeaseKey(entry.zone), ifVersion: entry.leaseVersion, value: lease}
 		])
@@ -171,7 +172,7 @@
 			address: formatPeerUrl(board),
 			epoch: entry.epoch + 1
 		}
-		this.#issueCommit(board, now, TAKE, leaseMs, [
+		this.#issueCommit(board, now, TAKE, {epoch: row.epoch, leaseMs}, [
 			{
 				key: formatHolderKey(entry.zone),
 				ifVersion: entry.holderVersion,
@@ -196,7 +197,7 @@
 		const row: HolderRow = {holder: "", address: "", epoch: entry.epoch}
 		// Another host may take over before the answer arrives here.
 		board.authority.set(entry.zone, {...entry, confirmedUntil: -Infinity})
-		this.#issueCommit(board, now, YIELD, entry.leaseMs, [
+		this.#issueCommit(board, now, YIELD, entry, [
 			{key: formatHolderKey(entry.zone), ifVersion: entry.holderVersion, value: JSON.stringify(row)}
 		])
 	}
@@ -205,13 +206,13 @@
 		board: Board,
 		now: number,
 		subject: string,
-		leaseMs: number,
+		{epoch, leaseMs}: Pick<AuthorityEntry, "epoch" | "leaseMs">,
 		writes: readonly RowWrite[]
 	): void {
 		const timeoutMs =
 			subject === RENEW ? this.#lease.computeRenewTimeout(leaseMs) : this.#lease.takeOverTimeoutMs
 		const commandId = issueTableCommit(board, this.name, subject, writes, now, timeoutMs)
-		this.#commit = {commandId, leaseMs}
+		this.#commit = {commandId, epoch, leaseMs}
 	}
 
 	#settle(board: Board, completion: Completion, now: number): void {
@@ -261,7 +262,7 @@
 	#settleCommit(
 		board: Board,
 		{command, result}: Completion<"table-commit">,
-		{leaseMs}: PendingCommit,
+		{epoch, leaseMs}: PendingCommit,
 		now: number
 	): void {
 		if (result.isErr()) return
@@ -283,7 +284,8 @@
 		this.#renewalMs = subject === RENEW ? now - this.#renewDueAt : now - issuedAt
 		this.#renewDueAt = issuedAt + this.#lease.computeRenewInterval(leaseMs)
 		this.#renewAt = this.#renewDueAt
-		this.#adoptCommit(board, entry, subject, result.value.versions, {sentAt: issuedAt, leaseMs})
+		const term = {epoch, sentAt: issuedAt, leaseMs}
+		this.#adoptCommit(board, entry, subject, result.value.versions, term)
 	}
 
 	/**
@@ -310,11 +312,10 @@
 		entry: AuthorityEntry,
 		subject: string,
 		versions: readonly number[],
-		{sentAt, leaseMs}: {sentAt: number; leaseMs: number}
+		{epoch, sentAt, leaseMs}: {epoch: number; sentAt: number; leaseMs: number}
 	): void {
 		const {zone} = entry
 		const [holderVersion = 0, leaseVersion = 0] = versions
-		const epoch = subject === TAKE ? entry.epoch + 1 : entry.epoch
 		this.#isRestarted = false
 		// The answer to a long poll in flight may be older than this commit.
 		this.#read = undefined
@@ -330,7 +331,8 @@
 			isHeldHere: true,
 			confirmedUntil: computeConfirmedUntil(sentAt, leaseMs)
 		})
-		if (subject === TAKE) this.#recordTaken(board, {zone, epoch}, entry)
+		// A read may have shown the new holder before the answer to its commit.
+		if (subject === TAKE && !entry.isHeldHere) this.#recordTaken(board, {zone, epoch}, entry)
 	}
 
 	#recordTaken(
