Start the runs of a worker elsewhere once another one answers at its address

Change: if a call that names the worker is refused by another one at the address that the worker itself last answered from, the worker's process has ended, and its runs with it. At an address that it never answered from, the list may be wrong, and its lease is waited for.

Result: two tests; the first fails without the change, the second without the comparison of addresses.

--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -291,6 +291,38 @@
 		expect(fleet.monitor.violations).to.deep.equal([])
 	})
 
+	// Regression test: runs of a worker that had crashed, and come back under another id, were waited for as long as its lease.
+	it("starts runs elsewhere at once when another worker answers at the address of theirs", async () => {
+		const {first, fleet, plan, submit, advance, advanceUntil} = await createServingDomain()
+		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 30000}))
+		await advance(1000)
+		const [{worker: crashed} = {worker: ""}] = fleet.monitor.starts
+		plan.isAnswerLost = (_, call) => call.target === crashed
+		await advance(2000)
+		plan.isAnswerLost = () => false
+		fleet.workers.get(crashed)!.restart()
+		const next = fleet.addWorker("w3", {address: `${crashed}:7000`})
+		fleet.workers.set(crashed, next)
+		const waitedMs = await advanceUntil(() => fleet.monitor.starts.length > 1)
+		expect(waitedMs).to.be.below(3000)
+		expect(fleet.monitor.violations).to.deep.equal([])
+	})
+
+	it("waits for the lease of a worker that is listed at the address of another one", async () => {
+		const {first, fleet, submit, advance, advanceUntil} = await createServingDomain()
+		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 30000}))
+		await advance(3000)
+		const [{worker} = {worker: ""}] = fleet.monitor.starts
+		const other = worker === "w1" ? "w2" : "w1"
+		const entry = {service: "trace", zone: "zone-a", state: "ready", labels: ["kind-a", "rack-1"]}
+		const capacity = {cpu: 32000, mem_mb: 131072, gpu: 8}
+		const born = fleet.workers.get(worker)!.born
+		fleet.store.putRow("servers", worker, {...entry, capacity, born, address: `${other}:7000`})
+		const waitedMs = await advanceUntil(() => fleet.monitor.starts.length > 1, 12000)
+		expect(waitedMs).to.be.above(8000)
+		expect(fleet.monitor.violations).to.deep.equal([])
+	})
+
 	// Regression test: runs were waited for 9.9 s, though workers granted leases of 6 s only.
 	it("gives up the runs of an unreachable worker when the longest lease that workers grant has expired", async () => {
 		const leaseMs = 6000
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -5,6 +5,8 @@
  */
 import {
 	type Board,
+	type CallError,
+	type Command,
 	type Completion,
 	type Controller,
 	type LeaseAnswer,
@@ -20,6 +22,7 @@
 	NODE_UNSAVED_DELAY_MS,
 	Outage,
 	PLATFORM_TIMEOUT_MS,
+	RefusalCode,
 	RefusedError,
 	SectionName,
 	WORKER_LIST_INTERVAL_MS,
@@ -198,6 +201,7 @@
 				clockMs: 0,
 				clockReadAt: 0,
 				answeredAt: 0,
+				answeredFrom: undefined,
 				leaseExpiresAt: computeLeaseExpiry(
 					board,
 					this.#termStartedAt + DOMAIN_LEASE_MS - DOMAIN_LEASE_MARGIN_MS
@@ -242,7 +246,11 @@
 		if (node === undefined || command.request.epoch !== this.#epoch) return
 		if (result.isErr()) {
 			this.#renewAt.set(id, now + NODE_RETRY_DELAY_MS)
-			board.nodes.set(id, {...node, failures: node.failures + 1})
+			const isGone = isReplaced(node, command.target, result.error)
+			const leaseExpiresAt = isGone ? Math.min(now, node.leaseExpiresAt) : node.leaseExpiresAt
+			board.nodes.set(id, {...node, failures: node.failures + 1, leaseExpiresAt})
+			if (isGone && node.leaseExpiresAt > now)
+				board.record(EventLevel.info, "worker-replaced", {worker: id, address: command.target})
 			if (node.failures === 0) {
 				const reason = result.error instanceof RefusedError ? result.error.code : "no-answer"
 				const fields = {worker: id, detail: result.error.message}
@@ -250,7 +258,7 @@
 			}
 			return
 		}
-		this.#adoptAnswer(board, node, result.value, command.issuedAt, now)
+		this.#adoptAnswer(board, node, result.value, command, now)
 		const hasUnsaved = result.value.ends.length > 0
 		this.#renewAt.set(id, hasUnsaved ? now + NODE_UNSAVED_DELAY_MS : now)
 	}
@@ -259,7 +267,7 @@
 		board: Board,
 		node: NodeEntry,
 		{incarnation, clockMs, running, ends}: LeaseAnswer,
-		sentAt: number,
+		{issuedAt: sentAt, target}: Command<"node-renew">,
 		now: number
 	): void {
 		const {id} = node.registration
@@ -272,6 +280,7 @@
 			clockMs,
 			clockReadAt: now,
 			answeredAt: now,
+			answeredFrom: target,
 			failures: 0
 		}
 		if (node.incarnation === incarnation && node.failures === 0) board.nodes.setSilently(id, entry)
@@ -280,6 +289,15 @@
 	}
 }
 
+/**
+ * True if another worker answers at the address at which this one did: its process has ended, and its runs with it. At an
+ * address that it never answered from, the list may be wrong.
+ */
+function isReplaced({answeredFrom}: NodeEntry, target: string, error: CallError): boolean {
+	const isOther = error instanceof RefusedError && error.code === RefusalCode.otherIncarnation
+	return isOther && target === answeredFrom
+}
+
 /** The earliest estimate counts: reading the same row again would move the time of leaving to later. */
 function computeLeavesAt(
 	{isDraining, remainingMs, incarnation}: WorkerRegistration,
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -224,8 +224,9 @@
 	/** The worker's clock in its last answer, and the local monotonic time at which the answer arrived. */
 	readonly clockMs: number
 	readonly clockReadAt: number
-	/** Monotonic time of the last answer. */
+	/** Monotonic time of the last answer, and the address that it came from; undefined before the first one. */
 	readonly answeredAt: number
+	readonly answeredFrom: string | undefined
 	/** Monotonic time by which, unless renewed, every lease granted by this or an earlier holder has expired. */
 	readonly leaseExpiresAt: number
 	readonly failures: number
