--- a/__tests__/domain-restarts.test.ts
+++ b/__tests__/domain-restarts.test.ts
@@ -18,7 +18,7 @@
 const PAUSE_MS = 6000
 
 /** Withdraws the callers' key, and removes one worker from the list, which still answers. */
-function withdraw({fleet}: Awaited<ReturnType<typeof createServingDomain>>): void {
+function removeAccess({fleet}: Awaited<ReturnType<typeof createServingDomain>>): void {
 	fleet.store.putRow("op", "config", createCatalogRecord(2, {keys: ["a-new-key"]}))
 	fleet.store.deleteRow("servers", "w1")
 }
@@ -28,7 +28,7 @@
 		const domain = await createServingDomain()
 		const {first, fleet, addHost, advanceUntil, advance, ask} = domain
 		first.stop()
-		withdraw(domain)
+		removeAccess(domain)
 		const restarted = addHost({}, first.id)
 		await advanceUntil(() => restarted.board.terms.has("loaded"))
 		const spec = decodeWorkflow(createJob({count: 16, workMs: 500}))
@@ -47,7 +47,7 @@
 		const [, second] = hosts
 		await submit(first, `${BATCH}${ID_A}`, createJob())
 		second!.clock.pause()
-		withdraw(domain)
+		removeAccess(domain)
 		await advance(PAUSE_MS)
 		second!.clock.resume()
 		expect(await readState(second!, `${BATCH}${ID_A}`)).to.equal("platform-unavailable")
--- a/__tests__/lateness.test.ts
+++ b/__tests__/lateness.test.ts
@@ -1,8 +1,8 @@
 /** The split of workflows' ages and of lost work, from log lines. */
 import {expect} from "chai"
 import {DayLogReader, parseLogLine} from "../bench/day-log.js"
-import {formatLateness, renderPlot} from "../bench/lateness-report.js"
-import {AgePart, listLostWork, splitAges} from "../bench/lateness.js"
+import {formatLateness, formatPlot} from "../bench/lateness-report.js"
+import {AgePart, listLostWork, measureAges} from "../bench/lateness.js"
 
 const ID = "00000000000000aa"
 const TASK = `${ID}.0.0.0`
@@ -41,7 +41,7 @@
 
 describe("the split of workflows' ages", () => {
 	it("names what each part of a late workflow's age went to", () => {
-		const [age] = splitAges(
+		const [age] = measureAges(
 			createDay([
 				[0, "request-refused", {path: `/urgent/${ID}`, action: "submit"}],
 				[200, "request-answered", {workflow: ID, action: "submit", outcome: "queued"}],
@@ -91,6 +91,6 @@
 			expect(parseLogLine(line)).to.equal(undefined)
 		const day = createDay([TAKEN_UP, ...createStart(200, TASK, 1), ...ENDED])
 		expect(formatLateness(day)).to.include("urgent")
-		expect(renderPlot(day)).to.include("<svg")
+		expect(formatPlot(day)).to.include("<svg")
 	})
 })
--- a/__tests__/odd-entries.test.ts
+++ b/__tests__/odd-entries.test.ts
@@ -29,7 +29,7 @@
 	return {table: "servers", key, schema_version: 1, value: Buffer.from(text).toString("base64")}
 }
 
-function nest(depth: number): string {
+function buildNested(depth: number): string {
 	return "[".repeat(depth) + "]".repeat(depth)
 }
 
@@ -56,8 +56,8 @@
 }
 
 const ODD_TEXTS: Readonly<Record<string, string>> = {
-	"deep nesting": nest(NESTING),
-	"deep nesting in a field": `{"labels":${nest(NESTING)}}`,
+	"deep nesting": buildNested(NESTING),
+	"deep nesting in a field": `{"labels":${buildNested(NESTING)}}`,
 	"a number beyond all": JSON.stringify(createRegistration()).replace('"born":1', '"born":1e999'),
 	"plain text": "ready",
 	nothing: "",
@@ -148,7 +148,13 @@
 		{table: "zone", key: "fleet/holder"}
 	]
 	for (const {table, key} of OWN_ROWS)
-		for (const text of ["{", nest(NESTING), '{"epoch":1e999}', "[[1]]", '{"state":"resting"}'])
+		for (const text of [
+			"{",
+			buildNested(NESTING),
+			'{"epoch":1e999}',
+			"[[1]]",
+			'{"state":"resting"}'
+		])
 			it(`schedules other work though another writer left ${text.slice(0, 20)} in ${table}/${key}`, async () => {
 				const domain = await createServingDomain({hosts: 2})
 				const {first, fleet, submit, advance, advanceUntil, hosts, readState} = domain
--- a/bench/lateness-report.ts
+++ b/bench/lateness-report.ts
@@ -3,7 +3,7 @@
 import {createInterface} from "node:readline"
 import {groupBy} from "../src/internal.js"
 import {type DayLog, DayLogReader, parseLogLine} from "./day-log.js"
-import {type LostWork, type WorkflowAge, AgePart, listLostWork, splitAges} from "./lateness.js"
+import {type LostWork, type WorkflowAge, AgePart, listLostWork, measureAges} from "./lateness.js"
 
 const MS_PER_S = 1000
 const PARTS = Object.values(AgePart)
@@ -30,7 +30,7 @@
 
 /** The tables of the report, by queue, by workspace and by second of acceptance. */
 export function formatLateness(day: DayLog): string {
-	const ages = splitAges(day)
+	const ages = measureAges(day)
 	const late = ages.filter(({isLate}) => isLate === true)
 	const formatSecond = ({workflow}: WorkflowAge) =>
 		`${Math.floor(((workflow.acceptedAt ?? day.startedAt) - day.startedAt) / MS_PER_S)} s`
@@ -81,12 +81,12 @@
 const LEGEND_HEIGHT = 20
 
 /** One bar for each workflow in order of acceptance, its parts stacked. */
-export function renderPlot(day: DayLog): string {
-	const ages = splitAges(day).sort(
+export function formatPlot(day: DayLog): string {
+	const ages = measureAges(day).sort(
 		(a, b) => a.workflow.firstAnsweredAt - b.workflow.firstAnsweredAt
 	)
 	const longestMs = Math.max(1, ...ages.map(({totalMs}) => totalMs))
-	const bars = ages.map((age, index) => renderBar(age, index * BAR_WIDTH, PLOT_HEIGHT / longestMs))
+	const bars = ages.map((age, index) => formatBar(age, index * BAR_WIDTH, PLOT_HEIGHT / longestMs))
 	const legend = PARTS.map(
 		(part, index) =>
 			`<rect x="${index * 190}" y="${PLOT_HEIGHT + 5}" width="12" height="12" fill="${COLORS[part]}"/>` +
@@ -98,7 +98,7 @@
 	return `<!doctype html><title>Ages of workflows</title>${svg}${bars.join("")}${legend.join("")}</svg>`
 }
 
-function renderBar(
+function formatBar(
 	{workflow, parts, totalMs, isLate}: WorkflowAge,
 	x: number,
 	scale: number
@@ -116,5 +116,5 @@
 export async function reportLateness(path: string, plotPath: string): Promise<void> {
 	const day = await readDayLog(path)
 	console.log(formatLateness(day))
-	if (plotPath !== "") writeFileSync(plotPath, renderPlot(day))
+	if (plotPath !== "") writeFileSync(plotPath, formatPlot(day))
 }
--- a/bench/lateness.ts
+++ b/bench/lateness.ts
@@ -38,15 +38,19 @@
 const WAIT_LOG_AGE_MS = 2500
 
 /** Ages of the workflows that ended as completed or failed. */
-export function splitAges({workflows, gaps}: DayLog): WorkflowAge[] {
+export function measureAges({workflows, gaps}: DayLog): WorkflowAge[] {
 	return workflows.flatMap(workflow =>
 		workflow.endedAt === undefined || workflow.state === "cancelled"
 			? []
-			: [splitAge(workflow, workflow.endedAt, gaps)]
+			: [measureAge(workflow, workflow.endedAt, gaps)]
 	)
 }
 
-function splitAge(workflow: WorkflowLog, endedAt: number, gaps: readonly HolderGap[]): WorkflowAge {
+function measureAge(
+	workflow: WorkflowLog,
+	endedAt: number,
+	gaps: readonly HolderGap[]
+): WorkflowAge {
 	const parts = new Map<AgePart, number>()
 	const add = (part: AgePart, ms: number) => {
 		if (ms > 0) parts.set(part, (parts.get(part) ?? 0) + ms)
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -5,7 +5,6 @@
  * that can't reach the table stays holder: workers obey the highest epoch they have seen. A domain's holder sends no
  * commands from shortly before the end of its lease, nor once it has sent the commit that gives the domain up.
  */
-import {z} from "zod"
 import {
 	type AuthorityEntry,
 	type Board,
@@ -13,10 +12,10 @@
 	type Completion,
 	type Controller,
 	type HolderLeasePolicy,
+	type HolderRow,
 	type HolderRows,
 	type RowWrite,
 	type TableRow,
-	DOMAIN_LEASE_MARGIN_MS,
 	EventLevel,
 	FixedHolderLease,
 	HOLDER_RETRY_DELAY_MS,
@@ -24,20 +23,16 @@
 	PolledHolderRows,
 	RETRY_BASE_MS,
 	SectionName,
-	decodeJson,
+	computeConfirmedUntil,
+	computeFreeAt,
+	decodeHolderRow,
 	findAuthorityScope,
 	formatHolderKey,
 	formatLeaseKey,
+	formatPeerUrl,
 	issueTableCommit
 } from "../internal.js"
 
-const holderSchema = z.object({
-	holder: z.string(),
-	address: z.string(),
-	epoch: z.int().min(0)
-})
-type HolderRow = z.infer<typeof holderSchema>
-
 /** A commit in flight, and the epoch and lease that it writes. */
 interface PendingCommit {
 	readonly commandId: string
@@ -137,7 +132,7 @@
 	}
 
 	/** Reads the current rows at once; the answer to a read in flight is ignored. */
-	#reread(board: Board, now: number): void {
+	#readAgain(board: Board, now: number): void {
 		this.#rows.reset()
 		this.#isOutdated = true
 		this.#read = this.#rows.read(board, this.name, READ, now, now)
@@ -238,23 +233,23 @@
 	#settleFailedRead(board: Board, now: number): void {
 		board.record(EventLevel.debug, "authority-unsettled", {subject: READ})
 		this.#rows.reset()
-		this.#forgetView()
+		this.#resetView()
 		this.#readAt = Math.max(this.#readAt, now + HOLDER_RETRY_DELAY_MS)
 	}
 
 	/** After a take-over or yield without an answer the rows are read again; a failed renewal is retried soon. */
 	#settleFailedCommit(board: Board, {subject, issuedAt}: Command, now: number): void {
 		board.record(EventLevel.debug, "authority-unsettled", {subject})
-		this.#forgetView()
+		this.#resetView()
 		if (subject === RENEW) {
 			this.#renewAt = Math.max(now, issuedAt + this.#lease.retryDelayMs)
 			return
 		}
 		this.#notBefore = Math.max(now, issuedAt + RETRY_BASE_MS)
-		this.#reread(board, now)
+		this.#readAgain(board, now)
 	}
 
-	#forgetView(): void {
+	#resetView(): void {
 		this.#seenFreeAt = undefined
 		this.#isViewContinuous = false
 	}
@@ -271,14 +266,14 @@
 		if (entry === undefined) return
 		if (!result.value.committed) {
 			if (subject === RENEW) this.#settleConflict(board, entry, result.value.conflicts, now)
-			else this.#reread(board, now)
+			else this.#readAgain(board, now)
 			return
 		}
 		if (subject === YIELD) {
 			const {zone} = entry
 			board.authority.set(zone, {...entry, holder: "", isHeldHere: false, observedAt: issuedAt})
 			board.record(EventLevel.info, "zone-yielded", {zone})
-			this.#reread(board, now)
+			this.#readAgain(board, now)
 			return
 		}
 		this.#renewalMs = subject === RENEW ? now - this.#renewDueAt : now - issuedAt
@@ -300,7 +295,7 @@
 	): void {
 		const [row, ...others] = conflicts
 		if (row?.key !== formatLeaseKey(entry.zone) || others.length > 0) {
-			this.#reread(board, now)
+			this.#readAgain(board, now)
 			return
 		}
 		board.authority.setSilently(entry.zone, {...entry, leaseVersion: row.version})
@@ -354,7 +349,7 @@
 		const holderRow = rows.find(row => row.key === formatHolderKey(zone))
 		const leaseRow = rows.find(row => row.key === formatLeaseKey(zone))
 		const known = board.authority.get(zone)
-		const value = this.#decodeHolder(board, holderRow)
+		const value = decodeHolderRow(board, holderRow)
 		const leaseVersion = leaseRow?.version ?? 0
 		if (known === undefined) this.#isRestarted = value.holder === hostId
 		const holderVersion = holderRow?.version ?? 0
@@ -386,21 +381,6 @@
 		if (isHeldHere && !isUnchanged) this.#renewAt = now
 	}
 
-	/**
-	 * A malformed row, which another writer must have left, names no holder. Versions count the table's commits, so they
-	 * are above all epochs in use.
-	 */
-	#decodeHolder(board: Board, row: TableRow | undefined): HolderRow {
-		if (row === undefined) return {holder: "", address: "", epoch: 0}
-		return decodeJson("holder", holderSchema, row.value).match(
-			holder => holder,
-			error => {
-				board.record(EventLevel.warn, "holder-malformed", {detail: error.message}, "malformed")
-				return {holder: "", address: "", epoch: row.version}
-			}
-		)
-	}
-
 	/**
 	 * A read does not extend this host's own term: other hosts count from its last renewal. Another host's lease is
 	 * counted from the arrival of the answer here, not from the sending of the read, since the holder may have renewed
@@ -426,21 +406,3 @@
 		return computeConfirmedUntil(this.#takeOverSentAt, leaseMs)
 	}
 }
-
-/** Time from which the zone has no holder if its rows don't change. */
-function computeFreeAt({holder, observedAt, leaseMs}: AuthorityEntry): number {
-	return holder === "" ? observedAt : observedAt + leaseMs + 1
-}
-
-/** Time until which the holder may send commands after a renewal sent at `sentAt`. */
-function computeConfirmedUntil(sentAt: number, leaseMs: number): number {
-	return sentAt + leaseMs - DOMAIN_LEASE_MARGIN_MS
-}
-
-function formatPeerUrl(board: Board): string {
-	const {hostId, peerAddress} = board.settings
-	const listed = board.hosts.get(hostId)?.peerAddress
-	if (listed !== undefined && listed !== "") return listed
-	const {host, port} = peerAddress
-	return `http://${host}:${port}`
-}
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -22,7 +22,6 @@
 	Outage,
 	PLATFORM_TIMEOUT_MS,
 	PROGRESS_PREFIX,
-	ReasonCode,
 	SectionName,
 	WORKFLOW_PREFIX,
 	WorkflowLoad,
@@ -31,7 +30,6 @@
 	addChanges,
 	addRemoval,
 	adoptVersions,
-	computeObjective,
 	countOccurrences,
 	createCommitBatch,
 	createOccurrence,
@@ -40,10 +38,12 @@
 	decodeWorkflowRecord,
 	decodeWorkflowState,
 	endWorkflow,
+	findObjective,
 	findTerm,
 	formatHolderKey,
 	isFinal,
 	isOccurrenceDone,
+	recordMalformedRow,
 	recordSaved,
 	issueTableCommit,
 	issueTableFollow,
@@ -225,7 +225,7 @@
 		if (board.workflows.has(id) || this.#excluded.has(id)) return
 		const decoded = decodeWorkflowRecord(row.value)
 		if (decoded.isErr() || decoded.value.id !== id) {
-			recordMalformed(board, row, decoded.isErr() ? decoded.error.message : "another id")
+			recordMalformedRow(board, row, decoded.isErr() ? decoded.error.message : "another id")
 			return
 		}
 		const record = decoded.value
@@ -247,7 +247,7 @@
 		if (board.terms.has("loaded")) return
 		const decoded = decodeWorkflowState(row.value)
 		if (decoded.isErr()) {
-			recordMalformed(board, row, decoded.error.message)
+			recordMalformedRow(board, row, decoded.error.message)
 			this.#exclude(board, entry)
 			return
 		}
@@ -270,7 +270,11 @@
 		const isDue = /^\d+$/.test(index) && occurrence.index < countOccurrences(workflow.record)
 		const restored = restoreOccurrence(occurrence, row.value, row.version, now)
 		if (!isDue || restored.isErr()) {
-			recordMalformed(board, row, restored.isErr() ? restored.error.message : "no such occurrence")
+			recordMalformedRow(
+				board,
+				row,
+				restored.isErr() ? restored.error.message : "no such occurrence"
+			)
 			// Without its progress, work that is done or running would start again.
 			if (isDue) this.#exclude(board, workflow)
 			return
@@ -401,19 +405,3 @@
 	entry.cancelRequested = true
 	endWorkflow(board, entry, WorkflowState.cancelled, now)
 }
-
-function recordMalformed(board: Board, {key, version}: TableRow, detail: string): void {
-	board.record(
-		EventLevel.warn,
-		"workflow-row-malformed",
-		{key, version, detail},
-		ReasonCode.malformed
-	)
-}
-
-/** Undefined if the queue is no longer configured. */
-function findObjective(board: Board, {record, criticalPathsMs}: WorkflowEntry): number | undefined {
-	const queues = board.catalog.get("current")?.catalog.queues ?? []
-	const queue = queues.find(({name}) => name === record.queue)
-	return queue === undefined ? undefined : Math.round(computeObjective(criticalPathsMs, queue))
-}
--- a/src/utils/queues.ts
+++ b/src/utils/queues.ts
@@ -1,6 +1,13 @@
-/** Finds the queue and the workspace that a caller's request is for. */
+/** Finds the queue and the workspace that a caller's request is for, and what a queue promises. */
 import {timingSafeEqual} from "node:crypto"
-import {type Catalog, type QueueConfig, type WorkspaceAccess} from "../internal.js"
+import {
+	type Board,
+	type Catalog,
+	type QueueConfig,
+	type WorkflowEntry,
+	type WorkspaceAccess,
+	computeObjective
+} from "../internal.js"
 
 /** The queue with the longest path prefix among those of the host, and the rest of the path. */
 export function findQueue(
@@ -27,3 +34,13 @@
 		}
 	return found
 }
+
+/** Time from acceptance in which a workflow should complete; undefined if its queue is no longer configured. */
+export function findObjective(
+	board: Board,
+	{record, criticalPathsMs}: WorkflowEntry
+): number | undefined {
+	const queues = board.catalog.get("current")?.catalog.queues ?? []
+	const queue = queues.find(({name}) => name === record.queue)
+	return queue === undefined ? undefined : Math.round(computeObjective(criticalPathsMs, queue))
+}
--- a/src/utils/workflow-rows.ts
+++ b/src/utils/workflow-rows.ts
@@ -5,11 +5,15 @@
 import {type Result} from "neverthrow"
 import {z} from "zod"
 import {
+	type Board,
 	type MalformedError,
 	type Occurrence,
+	type TableRow,
 	type TaskProgress,
 	type WorkflowRecord,
 	type WorkflowStateRow,
+	EventLevel,
+	ReasonCode,
 	TaskPhase,
 	WorkflowState,
 	decodeJson
@@ -166,3 +170,9 @@
 	task.startPercent = 0
 	task.failedOn.push(...failedOn)
 }
+
+/** Logs a row that can't be read. */
+export function recordMalformedRow(board: Board, {key, version}: TableRow, detail: string): void {
+	const fields = {key, version, detail}
+	board.record(EventLevel.warn, "workflow-row-malformed", fields, ReasonCode.malformed)
+}
