Take a domain that was given up at once, however slow the first read was

Since a host waits longer if its reads come back late, and the read that counted was its first one, made while the process started, since renewals end all later ones early.

Change: lateness is measured only by a read that waited in vain, as the one that shows a lease's end does, and not waited for if the holder has given the domain up.

--- a/__tests__/domain-failover.test.ts
+++ b/__tests__/domain-failover.test.ts
@@ -277,6 +277,22 @@
 		expect(findHolder()).to.not.equal(undefined)
 	})
 
+	// Regression test, incident inc-2897: a host took its first read, slow while it started, for a slow table, and waited 2.7 s
+	// though the holder had given the domain up.
+	it("comes at once when the holder gives the domain up, to a host whose first read was slow", async () => {
+		const {plan, addHost, advance, advanceUntil, findHolder} = createDomain()
+		const first = addHost()
+		await advanceUntil(() => findHolder() !== undefined)
+		plan.computeDelay = hostId => (hostId === first.id ? 2 : 150)
+		const second = addHost()
+		await advance(400)
+		plan.computeDelay = () => 2
+		await advance(3000)
+		first.board.lifecycle.set("state", Lifecycle.drained)
+		const tookMs = await advanceUntil(() => findHolder()?.id === second.id)
+		expect(tookMs).to.be.below(500)
+	})
+
 	// Load pattern: a slow table that refuses most of what waits in its one part, renewals too, for some seconds.
 	it("does not happen while a slow table refuses the holder's renewals for two seconds", async () => {
 		const {advance, addHost, findHolder, plan} = createDomain()
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -106,7 +106,7 @@
 		// Where reads last until the lease ends, one of them has to show the end: while the table answers nobody,
 		// take-overs would only add to its backlog, and after an outage every host finds the lease expired.
 		const freeAt = this.#rows.showsEnd ? (this.#seenFreeAt ?? Infinity) : computeFreeAt(entry)
-		const delayMs = this.#lease.computeTakeOverDelay(entry.epoch, this.#isViewContinuous)
+		const delayMs = this.#lease.computeTakeOverDelay(entry, this.#isViewContinuous)
 		return Math.max(this.#notBefore, freeAt + delayMs)
 	}
 
@@ -217,8 +217,7 @@
 			if (result.isErr()) this.#settleFailedRead(board, now)
 			else {
 				this.#isOutdated = false
-				const roundTripMs = this.#rows.findRoundTrip(completion, now)
-				if (roundTripMs !== undefined) this.#lease.recordRoundTrip(roundTripMs)
+				this.#recordTimes(completion, now)
 				this.#adoptRows(board, this.#rows.adopt(completion), now)
 			}
 			return
@@ -230,6 +229,13 @@
 		else this.#settleCommit(board, completion as Completion<"table-commit">, pending, now)
 	}
 
+	#recordTimes(completion: Completion, now: number): void {
+		const roundTripMs = this.#rows.findRoundTrip(completion, now)
+		if (roundTripMs !== undefined) this.#lease.recordRoundTrip(roundTripMs)
+		const lateMs = this.#rows.findLateness(completion, now)
+		if (lateMs !== undefined) this.#lease.recordLateness(lateMs)
+	}
+
 	#settleFailedRead(board: Board, now: number): void {
 		board.record(EventLevel.debug, "authority-unsettled", {subject: READ})
 		this.#rows.reset()
--- a/src/policies/holder-lease.ts
+++ b/src/policies/holder-lease.ts
@@ -8,6 +8,7 @@
  */
 import {z} from "zod"
 import {
+	type AuthorityEntry,
 	type DomainSettings,
 	type HostSettings,
 	AUTHORITY_TIMEOUT_MS,
@@ -32,6 +33,9 @@
 	decodeJson
 } from "../internal.js"
 
+/** The last term of a zone that has no holder now; `holder` is empty if the holder gave it up. */
+type FreeZone = Pick<AuthorityEntry, "epoch" | "holder">
+
 export interface HolderLeasePolicy {
 	/** Delay after a failed renewal. */
 	readonly retryDelayMs: number
@@ -48,9 +52,11 @@
 	 * Time that this host waits after a zone has become free. `isViewContinuous` is false if it may have missed changes
 	 * of the holder's rows since the last renewal that it observed.
 	 */
-	computeTakeOverDelay(epoch: number, isViewContinuous: boolean): number
-	/** Records how long a read of the holder's rows took beyond its wait. */
+	computeTakeOverDelay(free: FreeZone, isViewContinuous: boolean): number
+	/** Records how long a read of the holder's rows took that waited for nothing. */
 	recordRoundTrip(ms: number): void
+	/** Records how late a read came back that waited for a change in vain. */
+	recordLateness(ms: number): void
 	encodeLease(holder: string, leaseMs: number): string
 	decodeLease(value: string | undefined): number
 }
@@ -81,6 +87,10 @@
 		// The holders of zones take no account of their distance to the table.
 	}
 
+	recordLateness(): void {
+		// Nor of how slow the table is.
+	}
+
 	encodeLease(holder: string): string {
 		return holder
 	}
@@ -98,9 +108,10 @@
 	readonly takeOverTimeoutMs = DOMAIN_TAKE_OVER_TIMEOUT_MS
 	readonly isDeferring: boolean
 	readonly #hostId: string
-	/** Shortest and latest round trip to the table. */
-	#shortestMs = Infinity
-	#latestMs = 0
+	/** Shortest round trip to the table so far. */
+	#roundTripMs = Infinity
+	/** How late the latest read came back that no change ended. */
+	#lateMs = 0
 
 	constructor(hostId: string, {cores, coreShare}: DomainSettings) {
 		this.#hostId = hostId
@@ -127,23 +138,27 @@
 	 * Hosts see the end of a lease at the same moment; the spread keeps them from writing at once. Hosts near the table
 	 * go first, since a holder waits for several of its answers before a start.
 	 */
-	computeTakeOverDelay(epoch: number, isViewContinuous: boolean): number {
-		const distance = Math.min(1, this.#shortestMs / FAR_ROUND_TRIP_MS)
+	computeTakeOverDelay({epoch, holder}: FreeZone, isViewContinuous: boolean): number {
+		const distance = Math.min(1, this.#roundTripMs / FAR_ROUND_TRIP_MS)
 		const chance = computeFraction(`${this.#hostId} ${epoch}`)
-		const delayMs = (TAKE_OVER_SPREAD_MS * (distance + chance)) / 2 + this.#computePatience()
+		const patienceMs = holder === "" ? 0 : this.#computePatience()
+		const delayMs = (TAKE_OVER_SPREAD_MS * (distance + chance)) / 2 + patienceMs
 		if (!this.isDeferring) return delayMs
 		return delayMs + (isViewContinuous ? HOLDER_DEFERRAL_MS : HOLDER_OUTAGE_DEFERRAL_MS)
 	}
 
 	/** A table that answers this host late answers the holder's renewals late as well, or refuses some. */
 	#computePatience(): number {
-		if (this.#latestMs < SLOW_ROUND_TRIP_MS) return 0
-		return Math.min(TAKE_OVER_PATIENCE_MAX_MS, this.#latestMs * TAKE_OVER_PATIENCE_FACTOR)
+		if (this.#lateMs < SLOW_ROUND_TRIP_MS) return 0
+		return Math.min(TAKE_OVER_PATIENCE_MAX_MS, this.#lateMs * TAKE_OVER_PATIENCE_FACTOR)
 	}
 
 	recordRoundTrip(ms: number): void {
-		this.#shortestMs = Math.min(this.#shortestMs, ms)
-		this.#latestMs = ms
+		this.#roundTripMs = Math.min(this.#roundTripMs, ms)
+	}
+
+	recordLateness(ms: number): void {
+		this.#lateMs = ms
 	}
 
 	encodeLease(holder: string, leaseMs: number): string {
--- a/src/utils/holder-rows.ts
+++ b/src/utils/holder-rows.ts
@@ -28,8 +28,10 @@
 	readonly showsEnd: boolean
 	/** Issues the next read and returns the command's id; the lease ends at `freeAt` if it is not renewed. */
 	read(board: Board, owner: string, subject: string, freeAt: number, now: number): string
-	/** Time that a read took beyond its wait; undefined if a change ended the wait. */
+	/** Time that a read took which waited for nothing; undefined for others. */
 	findRoundTrip(completion: Completion, now: number): number | undefined
+	/** Time that a read took beyond its whole wait, which no change ended; undefined for others. */
+	findLateness(completion: Completion, now: number): number | undefined
 	/** The current rows, according to the answer to a read. */
 	adopt(completion: Completion): readonly TableRow[]
 	/** Discards what is known, since changes may have been missed: the next read is answered at once. */
@@ -50,6 +52,10 @@
 		return now - command.issuedAt
 	}
 
+	findLateness(): undefined {
+		return undefined
+	}
+
 	adopt(completion: Completion): readonly TableRow[] {
 		const {result} = completion as Completion<"table-read">
 		return result.unwrapOr([])
@@ -80,9 +86,14 @@
 	}
 
 	findRoundTrip(completion: Completion, now: number): number | undefined {
+		const {command} = completion as Completion<"table-follow">
+		return command.request.waitMs === 0 ? now - command.issuedAt : undefined
+	}
+
+	findLateness(completion: Completion, now: number): number | undefined {
 		const {command, result} = completion as Completion<"table-follow">
 		const {waitMs} = command.request
-		const isWhole = result.isOk() && (waitMs === 0 || result.value.rows.length === 0)
+		const isWhole = waitMs > 0 && result.isOk() && result.value.rows.length === 0
 		return isWhole ? now - command.issuedAt - waitMs : undefined
 	}
 
