--- /dev/null
+++ b/review/2/case.ts
@@ -0,0 +1,63 @@
+/**
+ * A caller hands in a job that recurs every 400 ms and cancels it after about 110 times. The jobs that are handed in after
+ * that are accepted; each has to be run, since all workers are idle.
+ */
+import {BATCH, EXIT_BROKEN, EXIT_HELD, EXIT_NOT_RUN, Rig, hasTrouble, sleep} from "../rig.js"
+
+const STOP_MS = 900
+const WORKERS = 8
+const INTERVAL_MS = 400
+const REPEATS = 400
+const CANCEL_AT_MS = 45000
+/** Longest time that a job may wait while there is room for it: 14 s of `finish_s` and 3 s more. */
+const WAIT_MAX_MS = 17000
+const RECURRING = "00000000000000a0"
+
+const rig = new Rig(process.argv[2] ?? ".")
+try {
+	await rig.startStore()
+	for (let index = 0; index < WORKERS; index++) await rig.addWorker(`w${index}`, STOP_MS)
+	await rig.startDaemons(3, STOP_MS)
+	await sleep(3000)
+	const beganAt = Date.now()
+	const accepted = await rig.call(0, "POST", `${BATCH}${RECURRING}`, {
+		spec: JSON.stringify({workMs: 200}),
+		steps: [{count: 1, gpu: 1, cpu: 1000, mem_mb: 1000, estimate_ms: 200}],
+		first_run_ms: beganAt,
+		interval_ms: INTERVAL_MS,
+		repeat_count: REPEATS
+	})
+	if (accepted.status !== 200) rig.finish(EXIT_NOT_RUN, "the recurring job was not accepted")
+	await submitJobs(rig, "b", 1)
+	await sleep(CANCEL_AT_MS - (Date.now() - beganAt))
+	if (hasTrouble()) await rig.call(1, "DELETE", `${BATCH}${RECURRING}`)
+	await sleep(2000)
+	const ids = await submitJobs(rig, "c", 3)
+	await sleep(WAIT_MAX_MS)
+	const states: unknown[] = []
+	for (const id of ids) states.push((await rig.call(2, "GET", `${BATCH}${id}`)).body.state)
+	const started = ids.filter(id => rig.fleet.monitor.starts.some(({task}) => task.startsWith(id)))
+	if (rig.hasLostDaemon()) rig.finish(EXIT_NOT_RUN, "a daemon has ended")
+	if (started.length < ids.length)
+		rig.finish(
+			EXIT_BROKEN,
+			`${ids.length - started.length} of ${ids.length} accepted jobs were not started in ${WAIT_MAX_MS} ms beside idle workers; states ${states.join(", ")}`
+		)
+	rig.finish(EXIT_HELD, `all jobs were started; states ${states.join(", ")}`)
+} catch (error) {
+	rig.finish(EXIT_NOT_RUN, String(error))
+}
+
+/** Hands in jobs of one task; returns the ids of those that were accepted. */
+async function submitJobs(target: Rig, prefix: string, count: number): Promise<string[]> {
+	const ids: string[] = []
+	for (let index = 0; index < count; index++) {
+		const id = `00000000000000${prefix}${index}`
+		const answer = await target.call(index, "POST", `${BATCH}${id}`, {
+			spec: JSON.stringify({workMs: 500}),
+			steps: [{count: 2, gpu: 1, cpu: 1000, mem_mb: 1000, estimate_ms: 500}]
+		})
+		if (answer.status === 200) ids.push(id)
+	}
+	return ids
+}
