--- a/review/rig.ts
+++ b/review/rig.ts
@@ -31,6 +31,8 @@
 const ROW_BYTES_MAX = 65536
 /** Number of ended runs that a worker lists at a time; the others follow once these are acknowledged. */
 const ENDS_LISTED_MAX = 500
+/** A case that has not finished by then could not run. */
+const CASE_MAX_MS = 115000
 const HTTP_UNAVAILABLE = 503
 
 export const EXIT_HELD = 0
@@ -78,6 +80,16 @@
 		this.#recordFile = openSync(join(folder, "record.txt"), "w")
 		this.fleet = new FleetStandIn(new SystemClock())
 		this.record(`trouble: ${hasTrouble() ? "yes" : "no"}`)
+		process.on("exit", () => {
+			this.#killDaemons()
+		})
+		for (const signal of ["SIGTERM", "SIGINT"])
+			process.on(signal, () => {
+				process.exit(EXIT_NOT_RUN)
+			})
+		setTimeout(() => {
+			this.finish(EXIT_NOT_RUN, "it took too long")
+		}, CASE_MAX_MS).unref()
 	}
 
 	record(line: string): void {
@@ -182,13 +194,17 @@
 		this.record(`${outcomes[code] ?? ""}: ${reason}`)
 		process.stdout.write(`${outcomes[code] ?? ""}: ${reason}\n`)
 		clearInterval(this.#heartbeat)
-		for (const daemon of this.#daemons) daemon.kill("SIGKILL")
+		this.#killDaemons()
 		for (const server of this.#servers) server.closeAllConnections()
 		closeSync(this.#recordFile)
 		rmSync(this.#temporary, {recursive: true, force: true})
 		process.exit(code)
 	}
 
+	#killDaemons(): void {
+		for (const daemon of this.#daemons) daemon.kill("SIGKILL")
+	}
+
 	async #startDaemon(index: number, stopMs: number): Promise<void> {
 		const zone = ZONES[index % ZONES.length] ?? "zone-a"
 		const [port, readiness, metrics, peer] = await findPorts(4)
