Answer a long poll of the stand-in's store with the version that its rows show

Two commits in one step of the manual clock woke a waiter with the rows of the first and answered with the version of the second, so a follower that went on from there never saw the second. The platform's store answers with both of one moment. Seen while a test submitted 13 jobs in a row: two of them were not taken up. In the product nothing changes.

--- a/standins/fleet/fleet.ts
+++ b/standins/fleet/fleet.ts
@@ -137,9 +137,8 @@
 	async #pollFeed(query: URLSearchParams): Promise<HttpAnswer> {
 		const table = query.get("table") ?? ""
 		const waitMs = Number(query.get("wait_ms") ?? 0)
-		const rows = await this.store.pollChanges(table, Number(query.get("after")), waitMs)
-		if (rows === undefined) return {status: 410, body: {}}
-		return {status: 200, body: {rows, schema_version: this.store.version}}
+		const changes = await this.store.pollChanges(table, Number(query.get("after")), waitMs)
+		return changes === undefined ? {status: 410, body: {}} : {status: 200, body: changes}
 	}
 
 	async #handleWorker(worker: FleetWorker, {method, path, body}: FleetCall): Promise<HttpAnswer> {
--- a/standins/fleet/store.ts
+++ b/standins/fleet/store.ts
@@ -26,10 +26,16 @@
 
 const PAGE_ROWS = 500
 
+/** Changed rows, and the version up to which they are complete. */
+export interface StoredChanges {
+	readonly rows: readonly StoredRow[]
+	readonly schema_version: number
+}
+
 interface Waiter {
 	readonly table: string
 	readonly after: number
-	readonly resolve: (rows: readonly StoredRow[]) => void
+	readonly resolve: (changes: StoredChanges) => void
 }
 
 export class StoreCore {
@@ -87,15 +93,15 @@
 		table: string,
 		after: number,
 		waitMs: number
-	): Promise<readonly StoredRow[] | undefined> {
+	): Promise<StoredChanges | undefined> {
 		if (after < this.#clearedVersion) return undefined
-		const rows = this.#listChanges(table, after)
-		if (rows.length > 0 || waitMs === 0) return rows
+		const changes = this.#listChanges(table, after)
+		if (changes.rows.length > 0 || waitMs === 0) return changes
 		return new Promise(resolve => {
 			const waiter = {table, after, resolve}
 			this.#waiters.add(waiter)
 			this.#clock.schedule(waitMs, () => {
-				if (this.#waiters.delete(waiter)) resolve([])
+				if (this.#waiters.delete(waiter)) resolve(this.#listChanges(table, after))
 			})
 		})
 	}
@@ -105,8 +111,9 @@
 		this.#history = []
 	}
 
-	#listChanges(table: string, after: number): readonly StoredRow[] {
-		return this.#history.filter(row => row.table === table && row.schema_version > after)
+	#listChanges(table: string, after: number): StoredChanges {
+		const rows = this.#history.filter(row => row.table === table && row.schema_version > after)
+		return {rows, schema_version: this.#version}
 	}
 
 	#write(row: StoredRow): void {
@@ -117,10 +124,10 @@
 
 	#wakeWaiters(): void {
 		for (const waiter of [...this.#waiters]) {
-			const rows = this.#listChanges(waiter.table, waiter.after)
-			if (rows.length === 0) continue
+			const changes = this.#listChanges(waiter.table, waiter.after)
+			if (changes.rows.length === 0) continue
 			this.#waiters.delete(waiter)
-			waiter.resolve(rows)
+			waiter.resolve(changes)
 		}
 	}
 }
