Know a run by its worker and number, not by the worker's incarnation

Cause: a start without an answer, or its repetition, is carried out by the new incarnation, since commands name only the id. The next report was then read as proof that the run of the earlier incarnation was lost, though it listed the run, and the task was started elsewhere.

Now a run that the new incarnation lists is kept, and one that it does not list is released only if each start sent for it was answered; else the worker is told to stop it, after which it refuses the late start. A start is repeated only where a first one would be sent. Related: a worker that did not answer gets no acknowledgement of ends, which would make a new incarnation forget ends that nobody has seen.

The stand-in of a worker answered calls that an earlier incarnation had accepted; it no longer does.

--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -120,6 +120,8 @@
 		const isRenewed =
 			mayRenewLeases(board, now) && node.incarnation !== undefined && node.failures === 0
 		const acknowledged = this.#findAcknowledged(board, node)
+		// A worker that did not answer may have restarted since, and counts its ends from 1 again.
+		const isSameIncarnation = node.failures === 0
 		// Leases are computed from the worker's clock, which comes with its first answer, and after a failure the next
 		// answer shows whether the worker may get runs again.
 		const isAnswerUrgent = node.incarnation === undefined || node.failures > 0
@@ -135,7 +137,7 @@
 				workerId: id,
 				epoch: this.#epoch,
 				leaseUntilMs: isRenewed ? computeLeaseEnd(board, node, now) : undefined,
-				acknowledged,
+				acknowledged: isSameIncarnation ? acknowledged : 0,
 				waitMs
 			},
 			timeoutMs: waitMs + NODE_ANSWER_TIMEOUT_MS,
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -129,6 +129,7 @@
 		if (node === undefined || term === undefined) return
 		task.phase = TaskPhase.starting
 		task.starts++
+		task.openStarts++
 		task.orderedAt = now
 		board.issue<"start-run">({
 			kind: CommandKind.runStart,
@@ -225,6 +226,7 @@
 	}
 
 	#settleStart(board: Board, ref: TaskRef, {result}: Completion, now: number): void {
+		if (result.isOk() || isRefusedOrUnsent(result.error)) ref.task.openStarts--
 		if (ref.task.phase !== TaskPhase.starting) return
 		if (result.isOk()) {
 			ref.task.acknowledgedAt = now
@@ -239,17 +241,20 @@
 		const reason = error instanceof RefusedError ? error.code : "no-answer"
 		const fields = {task: taskId, run: task.run, worker: task.workerId, detail: error.message}
 		board.record(EventLevel.info, "start-failed", fields, reason)
-		const isRefused = error instanceof RefusedError
-		const isUnsent = error instanceof TransportError && !error.sent
 		const mayHaveRun = task.starts > 1 || reason === RefusalCode.alreadyRan
-		if ((isRefused || isUnsent) && !mayHaveRun) {
+		if (isRefusedOrUnsent(error) && !mayHaveRun) {
 			task.failedOn.push(task.workerId)
 			releaseRun(board, ref, reason, now)
-		} else if (!isRefused && task.starts < RUN_STARTS_MAX && isTermConfirmed(board, now))
+		} else if (!(error instanceof RefusedError) && this.#mayRepeat(board, ref, now))
 			this.#sendStart(board, ref, now)
 		else stopRun(board, ref, ReasonCode.workerRefused, now)
 	}
 
+	#mayRepeat(board: Board, ref: TaskRef, now: number): boolean {
+		const isLeft = ref.task.starts < RUN_STARTS_MAX
+		return isLeft && isTermConfirmed(board, now) && this.#canStart(board, ref, now)
+	}
+
 	/** After a stop the worker refuses a delayed start of the run; its next report shows whether the run still exists. */
 	#settleStop(board: Board, ref: TaskRef, {result}: Completion, now: number): void {
 		if (ref.task.phase !== TaskPhase.stopping) return
@@ -261,3 +266,8 @@
 		}
 	}
 }
+
+/** True if the command had no effect and will have none. */
+function isRefusedOrUnsent(error: CallError): boolean {
+	return error instanceof RefusedError || (error instanceof TransportError && !error.sent)
+}
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -31,6 +31,7 @@
 	isCurrentRun,
 	isSaved,
 	listTaskRefs,
+	recordIncarnation,
 	recordRunning,
 	releaseRun,
 	stopRun
@@ -121,6 +122,7 @@
 				continue
 			}
 			present.add(running.taskId)
+			recordIncarnation(ref, node.incarnation)
 			recordRunning(board, ref, running.percent, now)
 			updateCheckpoint(ref, running.checkpoint)
 			if (running.percent !== ref.task.percent) {
@@ -247,7 +249,10 @@
 			board.record(EventLevel.info, "worker-closed", {worker: id, failed: failedWorkflows.length})
 	}
 
-	/** A run that was acknowledged before the report was requested and is not in the report no longer exists. */
+	/**
+	 * A run that was acknowledged before the report was requested and is not in the report no longer exists. Neither does
+	 * one of an earlier incarnation, unless a start of it can still arrive.
+	 */
 	#releaseAbsent(
 		board: Board,
 		node: NodeEntry,
@@ -259,7 +264,7 @@
 			const {task, taskId} = ref
 			if (present.has(taskId)) continue
 			if (task.incarnation !== node.incarnation) {
-				releaseRun(board, ref, "worker-restarted", now)
+				this.#settleRestarted(board, ref, node.incarnation ?? "", report, now)
 				continue
 			}
 			if (task.phase === TaskPhase.planned || task.phase === TaskPhase.waiting) continue
@@ -268,6 +273,25 @@
 		}
 	}
 
+	/** A worker refuses a late start only once it has been told to stop that run. */
+	#settleRestarted(
+		board: Board,
+		ref: TaskRef,
+		incarnation: string,
+		{sentAt}: NodeReport,
+		now: number
+	): void {
+		const {starts, openStarts, acknowledgedAt = -Infinity} = ref.task
+		// This incarnation may have answered the start after it had made the report.
+		if (starts > 0 && sentAt <= acknowledgedAt) return
+		if (openStarts === 0) {
+			releaseRun(board, ref, "worker-restarted", now)
+			return
+		}
+		recordIncarnation(ref, incarnation)
+		stopRun(board, ref, ReasonCode.workerLost, now)
+	}
+
 	/** Stops runs that make no progress on a worker that answers; they are started elsewhere. */
 	#stopStalled(board: Board, node: NodeEntry, {receivedAt}: NodeReport, now: number): void {
 		for (const ref of [...board.runs.listOn(node.registration.id).values()]) {
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -112,6 +112,8 @@
 	acknowledgedAt: number | undefined
 	/** Number of starts sent for this run. */
 	starts: number
+	/** Number of those without an answer, which a worker may still carry out. */
+	openStarts: number
 	percent: number
 	/** Monotonic time at which `percent` last changed. */
 	progressAt: number
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -56,6 +56,7 @@
 	task.workerId = workerId
 	task.incarnation = incarnation
 	task.starts = 0
+	task.openStarts = 0
 	task.percent = 0
 	task.progressAt = now
 	task.acknowledgedAt = undefined
@@ -171,11 +172,17 @@
 	})
 }
 
-/** True if the worker's run is the task's current one. */
-export function isCurrentRun(
-	{task}: TaskRef,
-	{registration, incarnation}: NodeEntry,
-	run: number
-): boolean {
-	return task.workerId === registration.id && task.incarnation === incarnation && task.run === run
+/** True if the worker's run is the task's current one, whichever incarnation of the worker carried out the start. */
+export function isCurrentRun({task}: TaskRef, {registration}: NodeEntry, run: number): boolean {
+	return task.workerId === registration.id && task.run === run
+}
+
+/** Records that the run is, or may be, on another incarnation of its worker. */
+export function recordIncarnation({task}: TaskRef, incarnation: string): void {
+	if (task.incarnation === incarnation) return
+	task.incarnation = incarnation
+	if (task.phase !== TaskPhase.stopping) return
+	// The earlier incarnation may have acknowledged the stop.
+	task.acknowledgedAt = undefined
+	task.orderedAt = -Infinity
 }
--- a/src/utils/workflows.ts
+++ b/src/utils/workflows.ts
@@ -74,6 +74,7 @@
 		orderedAt: 0,
 		acknowledgedAt: undefined,
 		starts: 0,
+		openStarts: 0,
 		percent: 0,
 		progressAt: 0,
 		startedAt: 0,
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -90,7 +90,8 @@
 	readonly #monitor: FleetMonitor
 	readonly #fleetWorkers: Set<FleetWorker>
 	readonly #capacity: ResourceDemand
-	readonly stopMs: number
+	/** Time that it takes to stop a run. */
+	stopMs: number
 	/** From now on, every run that it starts fails; those it started before go on. */
 	failsStarts = false
 	/** Time that it takes for a task, relative to the task's `workMs`; applies to runs that begin to work from now on. */
@@ -104,6 +105,7 @@
 	/** Start of this incarnation, by the wall clock. */
 	born: number
 	#token = 0
+	#restarts = 0
 	#ends: End[] = []
 	#position = 0
 	#leaseUntil = 0
@@ -152,6 +154,7 @@
 		this.#position = 0
 		this.#token = 0
 		this.#highestRun.clear()
+		this.#restarts++
 		this.born = this.#clock.readWallClock()
 	}
 
@@ -199,8 +202,11 @@
 		if (!this.#acceptToken(command.fencing_token)) return this.#refuse("fence")
 		this.#ends = this.#ends.filter(([position]) => position > command.ack_seq)
 		if (command.until_ms !== undefined) this.#renew(command.until_ms)
+		const restarts = this.#restarts
 		if (this.#ends.length === 0 && command.wait_ms !== undefined && command.wait_ms > 0)
 			await this.#waitForEnd(command.wait_ms)
+		// The connections of an earlier incarnation are gone.
+		if (restarts !== this.#restarts) return new Promise(() => undefined)
 		const running = [...this.#runs.values()].map(run => [
 			run.task,
 			run.run,
