Keep a commit of the holder within the limits of the platform's table

Cause: all rows of one workflow went into one commit, two entries each; the table takes 100 and refused it, and the holder sent it again for ever, with the changes of every other workflow behind it.

CommitBatch counts entries and bytes. What is left of a workflow is committed after the workflows that wait already; nothing of it has to be atomic: the state goes first, each occurrence stands for itself, and a new holder deletes what is left.

--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -7,14 +7,14 @@
 import {
 	type AuthorityEntry,
 	type Board,
-	type CommitBatch,
 	type Completion,
 	type Controller,
 	type TableChanges,
+	type RowWrite,
 	type TableRow,
 	type WorkflowEntry,
-	COMMIT_ROWS_MAX,
 	CommandKind,
+	CommitBatch,
 	EventLevel,
 	LONG_POLL_ANSWER_TIMEOUT_MS,
 	LONG_POLL_WAIT_MS,
@@ -31,7 +31,6 @@
 	addRemoval,
 	adoptVersions,
 	countOccurrences,
-	createCommitBatch,
 	createOccurrence,
 	createTaskRef,
 	createWorkflowEntry,
@@ -58,6 +57,9 @@
 const PROGRESS = "progress"
 const COMMIT = "commit"
 
+/** Number of keys that an event about a conflict names. */
+const CONFLICTS_LOGGED_MAX = 40
+
 /** First digits of workflow ids, which are spread evenly: one read for each. */
 const ID_DIGITS = "0123456789abcdef"
 
@@ -301,13 +303,13 @@
 	#commit(board: Board, term: AuthorityEntry, now: number): number {
 		if (this.#batch !== undefined || !board.terms.has("loaded")) return Infinity
 		if (now < this.#nextCommitAt) return this.#nextCommitAt
-		const batch = this.#collectBatch(board, now)
-		if (batch.writes.length === 0) return this.#findNextRemoval(board)
 		const holderCheck = {
 			key: formatHolderKey(term.zone),
 			ifVersion: term.holderVersion,
 			value: undefined
 		}
+		const batch = this.#collectBatch(board, holderCheck, now)
+		if (batch.writes.length === 0) return this.#findNextRemoval(board)
 		this.#batch = batch
 		issueTableCommit(
 			board,
@@ -329,13 +331,15 @@
 		return board.settings.domain?.stateKeptMs ?? Infinity
 	}
 
-	#collectBatch(board: Board, now: number): CommitBatch {
-		const batch = createCommitBatch()
+	#collectBatch(board: Board, holderCheck: RowWrite, now: number): CommitBatch {
+		const batch = new CommitBatch([holderCheck])
 		for (const id of this.#dirty) {
-			if (batch.writes.length >= COMMIT_ROWS_MAX) break
 			this.#dirty.delete(id)
 			const entry = board.workflows.get(id)
-			if (entry !== undefined) addChanges(batch, entry)
+			if (entry === undefined || addChanges(batch, entry)) continue
+			// The rest of its changes comes after those of the workflows that wait already.
+			this.#dirty.add(id)
+			break
 		}
 		this.#collectRemovals(board, batch, now)
 		return batch
@@ -346,9 +350,8 @@
 		for (const id of this.#ended) {
 			const entry = board.workflows.get(id)
 			if (entry !== undefined && (entry.endedAt ?? now) + this.#findStateKeptMs(board) > now) return
-			if (batch.writes.length >= COMMIT_ROWS_MAX) return
+			if (entry !== undefined && !addRemoval(batch, entry)) return
 			this.#ended.delete(id)
-			if (entry !== undefined) addRemoval(batch, entry)
 		}
 	}
 
@@ -394,7 +397,7 @@
 	): void {
 		const versions = new Map(conflicts.map(row => [row.key, row.version]))
 		adoptVersions(batch, versions)
-		const keys = [...versions.keys()].slice(0, COMMIT_ROWS_MAX).join(" ")
+		const keys = [...versions.keys()].slice(0, CONFLICTS_LOGGED_MAX).join(" ")
 		board.record(EventLevel.info, "workflow-commit-conflict", {keys})
 		this.#nextCommitAt = now + OUTAGE_RETRY_MIN_MS
 	}
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -266,8 +266,9 @@
 /** Delay before the tasks of a step are placed again after a refused start. */
 export const STEP_RETRY_DELAY_MS = 150
 
-/** Maximum number of row writes in one commit, below the platform's limit. */
-export const COMMIT_ROWS_MAX = 40
+/** Limits of the platform's table on one commit: the conditions and changes in it, and its size as it is sent. */
+export const COMMIT_ENTRIES_MAX = 100
+export const COMMIT_BYTES_MAX = 1_000_000
 
 /** Deadline of one call to the platform's table on behalf of a waiting caller. */
 export const INTAKE_CALL_TIMEOUT_MS = 1200
--- a/src/utils/commit-batch.ts
+++ b/src/utils/commit-batch.ts
@@ -1,5 +1,12 @@
-/** A commit of the workflow log: the rows that it writes, and the state that is durable once it has succeeded. */
+/**
+ * A commit of the workflow log: the rows that it writes, and the state that is durable once it has succeeded. The platform
+ * limits the size of a commit, so a workflow with more changes than fit is written in several; its state goes first, and
+ * the row of each occurrence stands for itself.
+ */
 import {
+	ANY_VERSION,
+	COMMIT_BYTES_MAX,
+	COMMIT_ENTRIES_MAX,
 	type Board,
 	type Occurrence,
 	type RowWrite,
@@ -24,11 +31,55 @@
 	readonly revision: number
 	readonly isRemoved: boolean
 }
-export interface CommitBatch {
-	readonly writes: RowWrite[]
-	readonly states: SavedState[]
-	readonly occurrences: SavedOccurrence[]
-	readonly removed: WorkflowEntry[]
+
+/** Bytes that the names of a row and the encoding of one entry take at most. */
+const ENTRY_OVERHEAD_BYTES = 1000
+const BASE64_GROUP_BYTES = 3
+const BASE64_GROUP_CHARACTERS = 4
+
+export class CommitBatch {
+	readonly writes: RowWrite[] = []
+	readonly states: SavedState[] = []
+	readonly occurrences: SavedOccurrence[] = []
+	readonly removed: WorkflowEntry[] = []
+	#entries = 0
+	#bytes = 0
+
+	/** The batch contains `conditions` in any case. */
+	constructor(conditions: readonly RowWrite[] = []) {
+		this.#count(conditions)
+	}
+
+	/** Adds all of the writes, or none if the commit would become too large. */
+	add(writes: readonly RowWrite[]): boolean {
+		if (this.#entries + sumEntries(writes) > COMMIT_ENTRIES_MAX) return false
+		if (this.#bytes + sumBytes(writes) > COMMIT_BYTES_MAX) return false
+		this.#count(writes)
+		this.writes.push(...writes)
+		return true
+	}
+
+	#count(writes: readonly RowWrite[]): void {
+		this.#entries += sumEntries(writes)
+		this.#bytes += sumBytes(writes)
+	}
+}
+
+/** The check of a row's version and its change are two entries. */
+function sumEntries(writes: readonly RowWrite[]): number {
+	return writes.reduce(
+		(sum, {ifVersion, value}) =>
+			sum + Number(ifVersion !== ANY_VERSION) + Number(value !== undefined),
+		0
+	)
+}
+
+function sumBytes(writes: readonly RowWrite[]): number {
+	return writes.reduce((sum, {value}) => sum + ENTRY_OVERHEAD_BYTES + computeBase64(value), 0)
+}
+
+function computeBase64(value: RowWrite["value"]): number {
+	return Math.ceil(Buffer.byteLength(value ?? "") / BASE64_GROUP_BYTES) * BASE64_GROUP_CHARACTERS
 }
 
 export interface WorkflowStateRow {
@@ -36,46 +87,47 @@
 	readonly state: WorkflowState
 }
 
-export function createCommitBatch(): CommitBatch {
-	return {writes: [], states: [], occurrences: [], removed: []}
-}
-
-/** Adds the changes of one workflow that are not in the table yet. */
-export function addChanges(batch: CommitBatch, entry: WorkflowEntry): void {
-	const {record, state, stateVersion} = entry
-	const isEnded = isFinal(state)
+/** Adds the changes of one workflow that are not in the table yet. Returns false if not all of them fit. */
+export function addChanges(batch: CommitBatch, entry: WorkflowEntry): boolean {
+	if (!addState(batch, entry)) return false
+	const isEnded = isFinal(entry.state)
 	for (const occurrence of entry.occurrences.values()) {
 		const {key, rowVersion, revision, savedRevision} = occurrence
 		const isRemoved = isEnded && rowVersion > 0
 		if (!isRemoved && (revision === savedRevision || isEnded)) continue
-		batch.writes.push({
+		const write = {
 			key: formatProgressKey(key),
 			ifVersion: rowVersion,
 			value: isRemoved ? null : encodeOccurrence(occurrence)
-		})
+		}
+		if (!batch.add([write])) return false
 		batch.occurrences.push({occurrence, revision, isRemoved})
 	}
-	if (state === entry.savedState && (entry.pendingRemoved || state === WorkflowState.queued)) return
+	return true
+}
+
+function addState(batch: CommitBatch, entry: WorkflowEntry): boolean {
+	const {record, state, stateVersion} = entry
+	if (state === entry.savedState && (entry.pendingRemoved || state === WorkflowState.queued))
+		return true
 	const row: WorkflowStateRow = {workspace: record.workspace, state}
-	batch.writes.push({
-		key: formatStateKey(record.id),
-		ifVersion: stateVersion,
-		value: JSON.stringify(row)
-	})
+	const writes: RowWrite[] = [
+		{key: formatStateKey(record.id), ifVersion: stateVersion, value: JSON.stringify(row)}
+	]
 	if (!entry.pendingRemoved)
-		batch.writes.push({key: formatPendingKey(record.id), ifVersion: -1, value: null})
+		writes.push({key: formatPendingKey(record.id), ifVersion: ANY_VERSION, value: null})
+	if (!batch.add(writes)) return false
 	batch.states.push({entry, state})
+	return true
 }
 
-/** Adds the deletion of all rows of a workflow that ended long ago. */
-export function addRemoval(batch: CommitBatch, entry: WorkflowEntry): void {
+/** Adds the deletion of all rows of a workflow that ended long ago. Returns false if they don't fit. */
+export function addRemoval(batch: CommitBatch, entry: WorkflowEntry): boolean {
 	const {id} = entry.record
+	const keys = [formatWorkflowKey(id), formatStateKey(id), formatCancelKey(id)]
+	if (!batch.add(keys.map(key => ({key, ifVersion: ANY_VERSION, value: null})))) return false
 	batch.removed.push(entry)
-	batch.writes.push(
-		{key: formatWorkflowKey(id), ifVersion: -1, value: null},
-		{key: formatStateKey(id), ifVersion: -1, value: null},
-		{key: formatCancelKey(id), ifVersion: -1, value: null}
-	)
+	return true
 }
 
 /** Records what a successful commit has made durable; `versions` holds the new row versions by key. */
--- a/standins/fleet/fleet.ts
+++ b/standins/fleet/fleet.ts
@@ -66,6 +66,8 @@
 	readonly store: StoreCore
 	readonly monitor = new FleetMonitor()
 	readonly workers = new Map<string, FleetWorker>()
+	/** Why the store refused transactions as too large. */
+	readonly excesses: string[] = []
 	readonly #fleetWorkers = new Set<FleetWorker>()
 	readonly #options = new Map<string, FleetWorkerOptions>()
 	readonly #clock: Clock
@@ -112,7 +114,13 @@
 	async #handleStore({method, path, query, body}: FleetCall): Promise<HttpAnswer> {
 		switch (`${method} ${path}`) {
 			case "POST /v1/rows-tx": {
-				const {status, ...answer} = this.store.transact(transactionSchema.parse(body))
+				const transaction = transactionSchema.parse(body)
+				const excess = this.store.findExcess(transaction)
+				if (excess !== undefined) {
+					this.excesses.push(excess)
+					return {status: 400, body: {error: excess}}
+				}
+				const {status, ...answer} = this.store.transact(transaction)
 				return {status, body: answer}
 			}
 			case "GET /v1/rows-get":
--- a/standins/fleet/store.ts
+++ b/standins/fleet/store.ts
@@ -25,6 +25,10 @@
 	| {readonly status: 412; readonly rows: readonly StoredRow[]}
 
 const PAGE_ROWS = 500
+/** Limits of one transaction. */
+const ENTRIES_MAX = 100
+const CALL_BYTES_MAX = 1_000_000
+const ROW_BYTES_MAX = 65536
 
 /** Changed rows, and the version up to which they are complete. */
 export interface StoredChanges {
@@ -69,6 +73,17 @@
 		return {status: 200, schema_version: this.#version}
 	}
 
+	/** What makes the store refuse the transaction, of which it then applies nothing; undefined if there is nothing. */
+	findExcess(transaction: Transaction): string | undefined {
+		const {precondition, put, delete: deletions} = transaction
+		const entries = precondition.length + put.length + deletions.length
+		if (entries > ENTRIES_MAX) return `${entries} entries, at most ${ENTRIES_MAX}`
+		const bytes = Buffer.byteLength(JSON.stringify(transaction))
+		if (bytes > CALL_BYTES_MAX) return `${bytes} bytes, at most ${CALL_BYTES_MAX}`
+		const large = put.find(({value}) => Buffer.from(value, "base64").length > ROW_BYTES_MAX)
+		return large === undefined ? undefined : `${large.key} has over ${ROW_BYTES_MAX} bytes`
+	}
+
 	/** Writes a row as JSON, as operators and workers do. */
 	putRow(table: string, key: string, value: unknown): void {
 		const encoded = Buffer.from(JSON.stringify(value)).toString("base64")
