Judge leases of others without what only the wall clock counted

Cause: the system clock takes a forward step of the wall clock for a suspension and counts it. That ends the host's own lease early, which is safe, and also the leases that it granted, which is not.

The loop publishes the time in doubt on the board; leases of workers, the lease of another holder, and the clocks of workers and endpoints are judged without it (utils/steady-time), everything that this host may do with it, as before. Related, in the product's own zones: the lease of a gang's worker, and permits in another process's clock.

--- a/__tests__/permits.test.ts
+++ b/__tests__/permits.test.ts
@@ -120,6 +120,15 @@
 		fc.assert(property, {seed: 11, numRuns: 1000})
 	})
 
+	it("are no longer if the wall clock is set forward between the reading of the other clock and the evidence", () => {
+		const {settings} = createRig().findHolder("zone-a")!
+		const [readAt, evidenceAt, stepMs] = [1000, 1100, 2000]
+		const board = createBoard(settings, evidenceAt + stepMs)
+		board.clockJumps.set("total", stepMs)
+		const until = computePermitUntil(board, {remoteClockMs: 5000, remoteClockReadAt: readAt})
+		expect(until).to.be.at.most(5000 + evidenceAt - readAt + START_PERMIT_MS)
+	})
+
 	it("let nothing start in a zone once a permit's duration has passed since it was taken out", function () {
 		this.timeout(180000)
 		let starts = 0
--- a/bench/zone-board.ts
+++ b/bench/zone-board.ts
@@ -148,6 +148,7 @@
 		attempt: 1,
 		stage: GangStage.running,
 		since: now,
+		createdAt: now,
 		claimed: true,
 		settling: false,
 		checkpointFirst: false,
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -25,6 +25,7 @@
 	SectionName,
 	computeConfirmedUntil,
 	computeFreeAt,
+	computeSteadyTime,
 	decodeHolderRow,
 	findAuthorityScope,
 	formatHolderKey,
@@ -105,7 +106,9 @@
 		if (this.#wasThisHost(board, entry)) return this.#notBefore
 		// Where reads last until the lease ends, one of them has to show the end: while the table answers nobody,
 		// take-overs would only add to its backlog, and after an outage every host finds the lease expired.
-		const freeAt = this.#rows.showsEnd ? (this.#seenFreeAt ?? Infinity) : computeFreeAt(entry)
+		const freeAt = this.#rows.showsEnd
+			? (this.#seenFreeAt ?? Infinity)
+			: computeFreeAt(board, entry)
 		const delayMs = this.#lease.computeTakeOverDelay(entry, this.#isViewContinuous)
 		return Math.max(this.#notBefore, freeAt + delayMs)
 	}
@@ -126,7 +129,7 @@
 		if (now < this.#readAt) return this.#readAt
 		this.#readAt = now + this.#rows.intervalMs
 		const entry = board.authority.get(findAuthorityScope(board.settings))
-		const freeAt = entry === undefined ? now : computeFreeAt(entry)
+		const freeAt = entry === undefined ? now : computeFreeAt(board, entry)
 		this.#read = this.#rows.read(board, this.name, READ, freeAt, now)
 		return Infinity
 	}
@@ -281,7 +284,8 @@
 		}
 		if (subject === YIELD) {
 			const {zone} = entry
-			board.authority.set(zone, {...entry, holder: "", isHeldHere: false, observedAt: issuedAt})
+			const observedAt = computeSteadyTime(board, issuedAt)
+			board.authority.set(zone, {...entry, holder: "", isHeldHere: false, observedAt})
 			board.record(EventLevel.info, "zone-yielded", {zone})
 			this.#readAgain(board, now)
 			return
@@ -331,7 +335,7 @@
 			epoch,
 			holderVersion,
 			leaseVersion,
-			observedAt: sentAt,
+			observedAt: computeSteadyTime(board, sentAt),
 			leaseMs,
 			isHeldHere: true,
 			confirmedUntil: computeConfirmedUntil(sentAt, leaseMs)
@@ -349,7 +353,9 @@
 			zone,
 			epoch,
 			previous: earlier?.holder,
-			unrenewedMs: Math.round(this.#takeOverSentAt - (earlier?.observedAt ?? 0))
+			unrenewedMs: Math.round(
+				computeSteadyTime(board, this.#takeOverSentAt) - (earlier?.observedAt ?? 0)
+			)
 		})
 	}
 
@@ -377,14 +383,14 @@
 			epoch: value.epoch,
 			holderVersion,
 			leaseVersion,
-			observedAt: this.#findObservedAt(known, isHeldHere, isUnchanged, now),
+			observedAt: this.#findObservedAt(board, known, {isHeldHere, isUnchanged}, now),
 			leaseMs,
 			isHeldHere,
 			confirmedUntil: this.#findConfirmedUntil(known, isHeldHere, leaseMs)
 		}
 		board.authority.set(zone, entry)
 		if (isHeldHere && !known.isHeldHere) this.#recordTaken(board, entry, known)
-		const isFree = !isHeldHere && now >= computeFreeAt(entry)
+		const isFree = !isHeldHere && now >= computeFreeAt(board, entry)
 		this.#seenFreeAt = isFree ? (this.#seenFreeAt ?? now) : undefined
 		if (known !== undefined && !isUnchanged) this.#isViewContinuous = true
 		// A renewal whose answer was lost has changed the lease row; renew at once with the new version.
@@ -397,13 +403,14 @@
 	 * it in between.
 	 */
 	#findObservedAt(
+		board: Board,
 		known: AuthorityEntry | undefined,
-		isHeldHere: boolean,
-		isUnchanged: boolean,
+		{isHeldHere, isUnchanged}: {isHeldHere: boolean; isUnchanged: boolean},
 		now: number
 	): number {
-		if (isHeldHere) return known?.isHeldHere === true ? known.observedAt : this.#takeOverSentAt
-		return isUnchanged && known !== undefined ? known.observedAt : now
+		const isKnown = isHeldHere ? known?.isHeldHere === true : isUnchanged
+		if (isKnown && known !== undefined) return known.observedAt
+		return computeSteadyTime(board, isHeldHere ? this.#takeOverSentAt : now)
 	}
 
 	#findConfirmedUntil(
--- a/src/controllers/endpoint.ts
+++ b/src/controllers/endpoint.ts
@@ -12,7 +12,8 @@
 	ENDPOINT_POLL_INTERVAL_MS,
 	ENDPOINT_STATUS_TIMEOUT_MS,
 	HostRole,
-	SectionName
+	SectionName,
+	computeSteadyTime
 } from "../internal.js"
 
 export class EndpointController implements Controller {
@@ -67,7 +68,7 @@
 			leaving: leaving || host.leaving,
 			confirmedAt: command.issuedAt,
 			remoteClockMs: clockMs,
-			remoteClockReadAt: now
+			remoteClockReadAt: computeSteadyTime(board, now)
 		})
 	}
 }
--- a/src/controllers/gang.ts
+++ b/src/controllers/gang.ts
@@ -30,6 +30,7 @@
 	computeOutcome,
 	computeRan,
 	findReportedChange,
+	computeSteadyTime,
 	createGang,
 	createRecoveredGang,
 	findEpoch,
@@ -81,7 +82,10 @@
 		for (const {record} of board.jobs.values()) {
 			if (record.spec.kind !== JobKind.task || record.state !== JobState.claimed) continue
 			if (board.gangs.has(record.id) || record.claim === undefined) continue
-			board.gangs.set(record.id, createRecoveredGang(record.id, record.claim, now))
+			board.gangs.set(
+				record.id,
+				createRecoveredGang(record.id, record.claim, now, computeSteadyTime(board, now))
+			)
 			const fields = {job: record.id, epoch, claimedBy: record.claim.epoch}
 			board.record(EventLevel.info, "gang-recovered", fields)
 		}
@@ -96,7 +100,8 @@
 			job.record,
 			placement,
 			`${findEpoch(board)}-${board.nextSequence()}`,
-			now
+			now,
+			computeSteadyTime(board, now)
 		)
 		board.gangs.set(jobId, gang)
 		for (const index of gang.members.keys()) issueReserve(board, this.name, gang, index, now)
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -27,6 +27,7 @@
 	WORKER_LIST_INTERVAL_MS,
 	computeLeaseExpiry,
 	computeLeaseEnd,
+	computeSteadyTime,
 	findTerm,
 	mayRenewLeases
 } from "../internal.js"
@@ -37,6 +38,7 @@
 	readonly name = "node"
 	readonly reads = [SectionName.completions, SectionName.authority, SectionName.acknowledgements]
 	#epoch = 0
+	/** Steady time of this term's start. */
 	#termStartedAt = 0
 	#listInFlight = false
 	#listAt = 0
@@ -58,7 +60,7 @@
 		if (term.epoch !== this.#epoch) {
 			this.#removeAll(board)
 			this.#epoch = term.epoch
-			this.#termStartedAt = now
+			this.#termStartedAt = computeSteadyTime(board, now)
 		}
 		return Math.min(this.#listWorkers(board, now), this.#renewAll(board, now))
 	}
@@ -146,7 +148,10 @@
 		if (isRenewed)
 			board.nodes.setSilently(id, {
 				...node,
-				leaseExpiresAt: Math.max(node.leaseExpiresAt, computeLeaseExpiry(board, now))
+				leaseExpiresAt: Math.max(
+					node.leaseExpiresAt,
+					computeLeaseExpiry(board, computeSteadyTime(board, now))
+				)
 			})
 	}
 
@@ -172,7 +177,7 @@
 		}
 		for (const [id, node] of [...board.nodes.entries()]) {
 			if (listed.has(id)) continue
-			if (now > node.leaseExpiresAt) {
+			if (computeSteadyTime(board, now) > node.leaseExpiresAt) {
 				board.nodes.delete(id)
 				board.nodeReports.take(id)
 				this.#renewAt.delete(id)
@@ -245,9 +250,10 @@
 		if (result.isErr()) {
 			this.#renewAt.set(id, now + NODE_RETRY_DELAY_MS)
 			const isGone = isReplaced(node, command.target, result.error)
-			const leaseExpiresAt = isGone ? Math.min(now, node.leaseExpiresAt) : node.leaseExpiresAt
+			const steadyNow = computeSteadyTime(board, now)
+			const leaseExpiresAt = isGone ? Math.min(steadyNow, node.leaseExpiresAt) : node.leaseExpiresAt
 			board.nodes.set(id, {...node, failures: node.failures + 1, leaseExpiresAt})
-			if (isGone && node.leaseExpiresAt > now)
+			if (isGone && node.leaseExpiresAt > steadyNow)
 				board.record(EventLevel.info, "worker-replaced", {worker: id, address: command.target})
 			if (node.failures === 0) {
 				const reason = result.error instanceof RefusedError ? result.error.code : "no-answer"
@@ -276,7 +282,7 @@
 			...node,
 			incarnation,
 			clockMs,
-			clockReadAt: now,
+			clockReadAt: computeSteadyTime(board, now),
 			answeredAt: now,
 			answeredFrom: target,
 			failures: 0
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -23,6 +23,7 @@
 	TransportError,
 	computeLeaseExpiry,
 	computeLeaseEnd,
+	computeSteadyTime,
 	findTerm,
 	isNodeSchedulable,
 	isSaved,
@@ -163,7 +164,10 @@
 
 	/** A start renews the worker's lease, so the time by which runs on that worker have expired moves as well. */
 	#extendExpiry(board: Board, node: NodeEntry, now: number): void {
-		const expiresAt = Math.max(node.leaseExpiresAt, computeLeaseExpiry(board, now))
+		const expiresAt = Math.max(
+			node.leaseExpiresAt,
+			computeLeaseExpiry(board, computeSteadyTime(board, now))
+		)
 		board.nodes.setSilently(node.registration.id, {...node, leaseExpiresAt: expiresAt})
 	}
 
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -26,6 +26,7 @@
 	WorkflowState,
 	completeTask,
 	computeLeaseExpiry,
+	computeSteadyTime,
 	endWorkflow,
 	findTaskRef,
 	isCurrentRun,
@@ -323,10 +324,11 @@
 
 	/** A worker whose lease has expired runs nothing, even if it can't be reached. */
 	#releaseExpired(board: Board, loadedAt: number, now: number): void {
+		const steadyNow = computeSteadyTime(board, now)
 		for (const workerId of [...board.runs.listWorkers()]) {
 			const node = board.nodes.get(workerId)
 			// A worker that has not been listed in this term has leases of earlier holders only.
-			if (now <= (node?.leaseExpiresAt ?? computeLeaseExpiry(board, loadedAt))) continue
+			if (steadyNow <= (node?.leaseExpiresAt ?? computeLeaseExpiry(board, loadedAt))) continue
 			const refs = [...board.runs.listOn(workerId).values()].filter(
 				({task}) => task.phase !== TaskPhase.planned
 			)
@@ -336,7 +338,7 @@
 				runs: refs.length,
 				isListed: node?.listed ?? false,
 				// Since its last answer, or since the load of a term in which it has not been listed.
-				silentMs: Math.round(now - (node?.answeredAt ?? loadedAt))
+				silentMs: Math.round(node === undefined ? steadyNow - loadedAt : now - node.answeredAt)
 			})
 			for (const ref of refs) releaseRun(board, ref, RunEnd.lapsed, now)
 		}
--- a/src/controllers/worker.ts
+++ b/src/controllers/worker.ts
@@ -20,7 +20,8 @@
 	WORKER_LOST_MS,
 	WORKER_RENEW_INTERVAL_MS,
 	WORKER_TIMEOUT_MS,
-	computePermitUntil
+	computePermitUntil,
+	computeSteadyTime
 } from "../internal.js"
 
 export class WorkerController implements Controller {
@@ -98,7 +99,8 @@
 			if (known === undefined) this.#nextAt.delete(command.subject)
 			const state = buildState(known, result.value)
 			if (state === undefined) return
-			const entry = buildEntry(host, result.value, state, command.issuedAt, now)
+			const readAt = computeSteadyTime(board, now)
+			const entry = buildEntry(host, result.value, state, command.issuedAt, readAt)
 			if (known !== undefined && isUnchanged(known, entry, now))
 				board.workers.setSilently(host.id, entry)
 			else board.workers.set(host.id, entry)
@@ -123,7 +125,8 @@
 	/** Removes unlisted workers, but only after their lease has expired, so that their tasks can be settled. */
 	#removeUnlisted(board: Board, listed: ReadonlySet<string>, now: number): void {
 		for (const [id, entry] of [...board.workers.entries()]) {
-			if (listed.has(id) || now - entry.confirmedAt < 2 * WORKER_LEASE_MS) continue
+			const silentMs = computeSteadyTime(board, now) - entry.remoteClockReadAt
+			if (listed.has(id) || silentMs < 2 * WORKER_LEASE_MS) continue
 			board.workers.delete(id)
 			this.#nextAt.delete(id)
 		}
@@ -159,7 +162,7 @@
 	{epoch, revision, clockMs}: WorkerStatus,
 	{incarnation, capacity, tasks}: WorkerState,
 	sentAt: number,
-	now: number
+	readAt: number
 ): WorkerEntry {
 	return {
 		host,
@@ -170,7 +173,7 @@
 		revision,
 		confirmedAt: sentAt,
 		remoteClockMs: clockMs,
-		remoteClockReadAt: now,
+		remoteClockReadAt: readAt,
 		consecutiveFailures: 0
 	}
 }
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -30,6 +30,7 @@
 	addChanges,
 	addRemoval,
 	adoptVersions,
+	computeSteadyTime,
 	countOccurrences,
 	createOccurrence,
 	createTaskRef,
@@ -200,7 +201,7 @@
 		this.#afterVersion = load.version
 		this.#adoptRows(board, load.workflowRows, now)
 		for (const row of load.progressRows) this.#restoreProgress(board, row, now)
-		board.terms.set("loaded", {epoch: this.#epoch, loadedAt: now})
+		board.terms.set("loaded", {epoch: this.#epoch, loadedAt: computeSteadyTime(board, now)})
 		const fields = {epoch: this.#epoch, workflows: board.workflows.size, runs: board.runs.size}
 		board.record(EventLevel.info, "workflows-loaded", fields)
 	}
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -87,6 +87,7 @@
 	outbox: "outbox",
 	completions: "completions",
 	events: "events",
+	clockJumps: "clockJumps",
 	lifecycle: "lifecycle"
 } as const
 export type SectionName = (typeof SectionName)[keyof typeof SectionName]
@@ -174,6 +175,8 @@
 	readonly outbox = new Section<string, Command>()
 	readonly completions = new Section<string, Completion>()
 	readonly events = new Section<number, BoardEvent>()
+	/** Milliseconds of the time of decisions that may not have passed, since only the wall clock counted them. */
+	readonly clockJumps = new Section<"total", number>()
 	/** Keyed `state`. */
 	readonly lifecycle = new Section<"state", Lifecycle>()
 	#sequence = 0
--- a/src/core/clock.ts
+++ b/src/core/clock.ts
@@ -3,8 +3,10 @@
  * no decision compares it. Tests and benchmarks use the manual clock.
  */
 export interface Clock {
-	/** Monotonic milliseconds since an arbitrary start. */
+	/** Monotonic milliseconds since an arbitrary start, never less than have passed. */
 	now(): number
+	/** Milliseconds of `now` that may not have passed: only the wall clock counted them. */
+	readJumps(): number
 	/** Runs `callback` once after `delayMs`, or earlier if that is more than 24 days; the returned function cancels it. */
 	schedule(delayMs: number, callback: () => void): () => void
 	/** Wall-clock milliseconds since the epoch, for display only. */
@@ -19,20 +21,25 @@
 
 /**
  * The monotonic clock stops while the machine is suspended, but leases and permits continue to elapse. Time that only
- * the wall clock counted is therefore added. A wall clock that is set forward makes leases and permits expire early,
- * which is safe; one that is set back has no effect.
+ * the wall clock counted is therefore added to it: this host's own leases and permits may end early, but never late. A
+ * wall clock that is set forward looks the same, so leases that this host has granted, or that another host holds, are
+ * judged without that time. A wall clock that is set back has no effect.
  */
 export class SystemClock implements Clock {
-	#suspendedMs = 0
+	#jumpsMs = 0
 	#wallOffsetMs = Date.now() - performance.now()
 
 	now(): number {
 		const monotonicMs = performance.now()
 		const wallOffsetMs = Date.now() - monotonicMs
 		const jumpMs = wallOffsetMs - this.#wallOffsetMs
-		if (jumpMs > SUSPENSION_MIN_MS) this.#suspendedMs += jumpMs
+		if (jumpMs > SUSPENSION_MIN_MS) this.#jumpsMs += jumpMs
 		if (Math.abs(jumpMs) > SUSPENSION_MIN_MS) this.#wallOffsetMs = wallOffsetMs
-		return monotonicMs + this.#suspendedMs
+		return monotonicMs + this.#jumpsMs
+	}
+
+	readJumps(): number {
+		return this.#jumpsMs
 	}
 
 	schedule(delayMs: number, callback: () => void): () => void {
@@ -63,6 +70,10 @@
 		return this.#now
 	}
 
+	readJumps(): number {
+		return 0
+	}
+
 	schedule(delayMs: number, callback: () => void): () => void {
 		const timer = {dueAt: this.#now + Math.max(0, delayMs), order: this.#order++, callback}
 		this.#timers.add(timer)
--- a/src/core/controller.ts
+++ b/src/core/controller.ts
@@ -12,7 +12,7 @@
 	/**
 	 * Makes the decisions that are due, from the board alone.
 	 *
-	 * @param now monotonic milliseconds
+	 * @param now monotonic milliseconds, for what this host may do; see `computeSteadyTime` for what others may do
 	 * @returns when to step again even if nothing changes, or undefined to wait for a change
 	 */
 	step(board: Board, now: number): number | undefined
--- a/src/core/loop.ts
+++ b/src/core/loop.ts
@@ -97,6 +97,7 @@
 
 	#runRound(): boolean {
 		const now = this.#clock.now()
+		this.#publishJumps()
 		let stepped = false
 		for (const slot of this.#slots) {
 			if (!slot.dirty && (slot.nextAt === undefined || slot.nextAt > now)) continue
@@ -110,6 +111,12 @@
 		return stepped
 	}
 
+	#publishJumps(): void {
+		const jumpsMs = this.#clock.readJumps()
+		if (jumpsMs !== (this.#board.clockJumps.get("total") ?? 0))
+			this.#board.clockJumps.set("total", jumpsMs)
+	}
+
 	#armTimer(): void {
 		this.#cancelTimer?.()
 		this.#cancelTimer = undefined
--- a/src/types/cluster.ts
+++ b/src/types/cluster.ts
@@ -60,7 +60,7 @@
 	readonly revision?: string | undefined
 	/** Monotonic time at which the last answered renewal was sent. */
 	readonly confirmedAt: number
-	/** The worker's clock in that answer, and the local monotonic time at which the answer arrived. */
+	/** The worker's clock in that answer, and the steady time at which the answer arrived here. */
 	readonly remoteClockMs: number
 	readonly remoteClockReadAt: number
 	readonly consecutiveFailures: number
@@ -75,7 +75,7 @@
 	readonly foreignInUse: number
 	readonly leaving: boolean
 	readonly confirmedAt: number
-	/** The endpoint's clock in its last answer, and the local monotonic time at which the answer arrived. */
+	/** The endpoint's clock in its last answer, and the steady time at which the answer arrived here. */
 	readonly remoteClockMs: number
 	readonly remoteClockReadAt: number
 }
@@ -90,7 +90,7 @@
 	readonly holderVersion: number
 	/** Version of the lease row, which changes at every renewal. */
 	readonly leaseVersion: number
-	/** Monotonic time at which this lease version was first read, or at which this host sent its write. */
+	/** Steady time at which this lease version was first read, or at which this host sent its write. */
 	readonly observedAt: number
 	/** Time from `observedAt` without a renewal after which another host may take over, as the holder chose it. */
 	readonly leaseMs: number
--- a/src/types/scheduling.ts
+++ b/src/types/scheduling.ts
@@ -83,6 +83,8 @@
 	readonly stage: GangStage
 	readonly members: readonly GangMember[]
 	readonly since: number
+	/** Steady time at which this holder created the entry. */
+	readonly createdAt: number
 	/** True once the start claim is durable. */
 	readonly claimed: boolean
 	/** True while the job's end or requeue is being committed. */
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -223,13 +223,13 @@
 	readonly listed: boolean
 	/** The incarnation in the worker's last answer; undefined until it has answered this holder. */
 	readonly incarnation: string | undefined
-	/** The worker's clock in its last answer, and the local monotonic time at which the answer arrived. */
+	/** The worker's clock in its last answer, and the steady time at which the answer arrived here. */
 	readonly clockMs: number
 	readonly clockReadAt: number
 	/** Monotonic time of the last answer, and the address that it came from; undefined before the first one. */
 	readonly answeredAt: number
 	readonly answeredFrom: string | undefined
-	/** Monotonic time by which, unless renewed, every lease granted by this or an earlier holder has expired. */
+	/** Steady time by which, unless renewed, every lease granted by this or an earlier holder has expired. */
 	readonly leaseExpiresAt: number
 	readonly failures: number
 	/** Earliest monotonic time at which a draining worker leaves; undefined if the worker does not announce it. */
@@ -260,7 +260,7 @@
 	readonly foreignRuns: readonly {readonly taskId: string; readonly run: number}[]
 }
 
-/** The holder's term, from the time at which it has loaded the domain's workflows. */
+/** The holder's term, from the steady time at which it has loaded the domain's workflows. */
 export interface TermEntry {
 	readonly epoch: number
 	readonly loadedAt: number
--- a/src/utils/gangs.ts
+++ b/src/utils/gangs.ts
@@ -18,6 +18,7 @@
 	TaskState,
 	WORKER_LEASE_MS,
 	WORKER_LOST_MS,
+	computeSteadyTime,
 	formatTaskId
 } from "../internal.js"
 
@@ -26,13 +27,15 @@
 	record: JobRecord,
 	placement: PlacementDecision,
 	tryId: string,
-	now: number
+	now: number,
+	createdAt = now
 ): GangEntry {
 	return {
 		jobId: record.id,
 		attempt: record.attempts + 1,
 		stage: GangStage.reserving,
 		since: now,
+		createdAt,
 		claimed: false,
 		settling: false,
 		checkpointFirst: false,
@@ -47,12 +50,18 @@
 }
 
 /** Creates a gang from the claim of an earlier holder; the gang may be anywhere between its claim and its end. */
-export function createRecoveredGang(jobId: string, claim: StartClaim, now: number): GangEntry {
+export function createRecoveredGang(
+	jobId: string,
+	claim: StartClaim,
+	now: number,
+	createdAt = now
+): GangEntry {
 	return {
 		jobId,
 		attempt: claim.attempt,
 		stage: GangStage.running,
 		since: now,
+		createdAt,
 		claimed: true,
 		settling: false,
 		checkpointFirst: false,
@@ -166,8 +175,8 @@
 	member: GangMember,
 	now: number
 ): boolean {
-	const confirmedAt = board.workers.get(member.workerId)?.confirmedAt ?? gang.since
-	return now - confirmedAt > WORKER_LEASE_MS + LEASE_MARGIN_MS
+	const renewedAt = board.workers.get(member.workerId)?.remoteClockReadAt ?? gang.createdAt
+	return computeSteadyTime(board, now) - renewedAt > WORKER_LEASE_MS + LEASE_MARGIN_MS
 }
 
 function combineAnswers(gang: GangEntry): string {
--- a/src/utils/holder-terms.ts
+++ b/src/utils/holder-terms.ts
@@ -6,7 +6,8 @@
 	type TableRow,
 	DOMAIN_LEASE_MARGIN_MS,
 	EventLevel,
-	decodeJson
+	decodeJson,
+	findClockJumps
 } from "../internal.js"
 
 const holderSchema = z.object({
@@ -31,9 +32,10 @@
 	)
 }
 
-/** Time from which the zone has no holder if its rows don't change. */
-export function computeFreeAt({holder, observedAt, leaseMs}: AuthorityEntry): number {
-	return holder === "" ? observedAt : observedAt + leaseMs + 1
+/** Time from which the zone has no holder if its rows don't change and the wall clock is not set forward. */
+export function computeFreeAt(board: Board, {holder, observedAt, leaseMs}: AuthorityEntry): number {
+	const freeAt = holder === "" ? observedAt : observedAt + leaseMs + 1
+	return freeAt + findClockJumps(board)
 }
 
 /** Time until which the holder may send commands after a renewal sent at `sentAt`. */
--- a/src/utils/nodes.ts
+++ b/src/utils/nodes.ts
@@ -9,6 +9,7 @@
 	NODE_LEASE_MARGIN_MS,
 	NODE_LEASE_MS,
 	WORKER_CLOCK_ERROR,
+	computeSteadyTime,
 	isPlatformLost
 } from "../internal.js"
 
@@ -18,14 +19,15 @@
 
 /** End of a lease that is granted now, in the worker's own clock as estimated. */
 export function computeLeaseEnd(
-	{settings}: Board,
+	board: Board,
 	{clockMs, clockReadAt}: NodeEntry,
 	now: number
 ): number {
-	return Math.floor(clockMs + (now - clockReadAt) + computeNodeLease(settings))
+	const elapsedMs = computeSteadyTime(board, now) - clockReadAt
+	return Math.floor(clockMs + elapsedMs + computeNodeLease(board.settings))
 }
 
-/** Time at which a lease granted at `grantedAt` has certainly expired on the worker, however slow its clock is. */
+/** Steady time at which a lease granted at `grantedAt` has certainly expired on the worker, however slow its clock is. */
 export function computeLeaseExpiry({settings}: Board, grantedAt: number): number {
 	return grantedAt + computeNodeLease(settings) / (1 - WORKER_CLOCK_ERROR) + NODE_LEASE_MARGIN_MS
 }
--- a/src/utils/permit.ts
+++ b/src/utils/permit.ts
@@ -1,6 +1,6 @@
-import {type Board, START_PERMIT_MS} from "../internal.js"
+import {type Board, START_PERMIT_MS, computeSteadyTime} from "../internal.js"
 
-/** A reading of another process's clock, and when it arrived at this host. */
+/** A reading of another process's clock, and the steady time at which it arrived at this host. */
 export interface ClockReading {
 	readonly remoteClockMs: number
 	readonly remoteClockReadAt: number
@@ -22,7 +22,8 @@
 	const permitMs = computePermitMs(board)
 	const evidenceAt = board.bundle.get("current")?.evidenceAt
 	if (permitMs === 0 || evidenceAt === undefined) return 0
-	return Math.max(0, reading.remoteClockMs + (evidenceAt - reading.remoteClockReadAt) + permitMs)
+	const elapsedMs = computeSteadyTime(board, evidenceAt) - reading.remoteClockReadAt
+	return Math.max(0, reading.remoteClockMs + elapsedMs + permitMs)
 }
 
 /** True while this host's own evidence is recent enough to start work in its zone. */
