Take no run for lost by a report whose list of ends may be cut short

Cause: a worker lists 500 ends at a time, and the next ones once these are acknowledged, which takes the store. A run that was neither running nor listed was taken for lost.

The stand-in of a worker lists 500 ends at a time now.

--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -270,7 +270,7 @@
 	#adoptAnswer(
 		board: Board,
 		node: NodeEntry,
-		{incarnation, clockMs, running, ends}: LeaseAnswer,
+		{incarnation, clockMs, running, ends, mayHaveMoreEnds}: LeaseAnswer,
 		{issuedAt: sentAt, target}: Command<"node-renew">,
 		now: number
 	): void {
@@ -289,7 +289,7 @@
 		}
 		if (node.incarnation === incarnation && node.failures === 0) board.nodes.setSilently(id, entry)
 		else board.nodes.set(id, entry)
-		board.nodeReports.set(id, {sentAt, receivedAt: now, running, ends})
+		board.nodeReports.set(id, {sentAt, receivedAt: now, running, ends, mayHaveMoreEnds})
 	}
 }
 
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -139,7 +139,7 @@
 			ends.lastPosition = end.position
 			this.#handleEnd(board, node, end, ends, now)
 		}
-		this.#releaseAbsent(board, node, report, present, now)
+		if (!report.mayHaveMoreEnds) this.#releaseAbsent(board, node, report, present, now)
 		this.#stopStalled(board, node, report, now)
 	}
 
@@ -251,8 +251,8 @@
 	}
 
 	/**
-	 * A run that was acknowledged before the report was requested and is not in the report no longer exists. Neither does
-	 * one of an earlier incarnation, unless a start of it can still arrive.
+	 * A run that was acknowledged before the report was requested and is not in the report, which lists all ends, no
+	 * longer exists. Neither does one of an earlier incarnation, unless a start of it can still arrive.
 	 */
 	#releaseAbsent(
 		board: Board,
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -205,6 +205,8 @@
 	readonly clockMs: number
 	readonly running: readonly RunningReport[]
 	readonly ends: readonly EndReport[]
+	/** True if the list of ends may be cut short, so that a run that is not in the answer may have ended. */
+	readonly mayHaveMoreEnds: boolean
 }
 
 /** The latest report of a worker about its runs. */
@@ -214,6 +216,7 @@
 	readonly receivedAt: number
 	readonly running: readonly RunningReport[]
 	readonly ends: readonly EndReport[]
+	readonly mayHaveMoreEnds: boolean
 }
 
 /** The state of a worker as the domain's holder knows it. */
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -44,6 +44,8 @@
 /** Share of its runs' progress that a slow worker loses. */
 const SLOW_LOSS = 0.8
 const PERCENT_DONE = 100
+/** Ends listed at a time. */
+const ENDS_LISTED_MAX = 500
 /** How long a run lasts that fails because of its worker. */
 const FAILED_START_MS = 100
 
@@ -213,7 +215,8 @@
 			"",
 			this.#computePercent(run)
 		])
-		return this.#answer({running, ended_runs: this.#ends, born: this.born})
+		const ended_runs = this.#ends.slice(0, ENDS_LISTED_MAX)
+		return this.#answer({running, ended_runs, born: this.born})
 	}
 
 	#begin(task: string, run: number, payload: Payload): void {
