Cut the progress of an occurrence into rows that the table takes

A task keeps the latest eight workers that it failed on, not one entry for each failure; this also bounds refused starts, as of queues with advice. The text of an occurrence goes on in up to ten rows, written together; a text beyond that leaves out checkpoints. A job whose record exceeds a row is refused at once as malformed; before, its caller was told that the outcome was unknown.

Against causes not thought of: a commit refused for its content is made again workflow by workflow, and a workflow that is refused alone is left out for 10 s (event workflow-commit-refused).

--- a/__tests__/loop.test.ts
+++ b/__tests__/loop.test.ts
@@ -63,6 +63,7 @@
 		let delays = 0
 		const counting: Clock = {
 			now: () => clock.now(),
+			readJumps: () => clock.readJumps(),
 			readWallClock: () => clock.readWallClock(),
 			schedule: (delayMs, callback) => {
 				if (delayMs > 0) delays++
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -31,6 +31,7 @@
 	isTermConfirmed,
 	listRuns,
 	listTaskRefs,
+	recordFailedWorker,
 	recordRunning,
 	releaseRun,
 	stopRun
@@ -247,7 +248,7 @@
 		board.record(EventLevel.info, "start-failed", fields, reason)
 		const mayHaveRun = task.starts > 1 || reason === RefusalCode.alreadyRan
 		if (isRefusedOrUnsent(error) && !mayHaveRun) {
-			task.failedOn.push(task.workerId)
+			recordFailedWorker(task, task.workerId)
 			releaseRun(board, ref, reason, now)
 		} else if (!(error instanceof RefusedError) && this.#mayRepeat(board, ref, now))
 			this.#sendStart(board, ref, now)
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -32,6 +32,7 @@
 	isCurrentRun,
 	isSaved,
 	listTaskRefs,
+	recordFailedWorker,
 	recordIncarnation,
 	recordRunning,
 	releaseRun,
@@ -225,7 +226,7 @@
 			if (step.gangFailedRun !== task.run) step.gangFailures++
 			step.gangFailedRun = task.run
 		} else task.failures++
-		task.failedOn.push(id)
+		recordFailedWorker(task, id)
 		this.#markSuspect(board, id, workflow.record.id, now)
 		const failures = spec.gang ? step.gangFailures : task.failures
 		releaseRun(board, ref, RunEnd.failed, now)
@@ -302,7 +303,7 @@
 			if (task.phase !== TaskPhase.running || !mayStall) continue
 			const stallMs = Math.max(RUN_STALL_MS, spec.estimateMs * RUN_STALL_SHARE)
 			if (receivedAt - task.progressAt < stallMs) continue
-			task.failedOn.push(node.registration.id)
+			recordFailedWorker(task, node.registration.id)
 			this.#markSuspect(board, node.registration.id, workflow.record.id, now)
 			stopRun(board, ref, ReasonCode.taskFailed, now)
 		}
--- a/src/controllers/workflow-intake.ts
+++ b/src/controllers/workflow-intake.ts
@@ -14,6 +14,7 @@
 	type TableRow,
 	type WorkflowRecord,
 	type WorkflowRequest,
+	type WorkflowSpec,
 	CommandKind,
 	EventLevel,
 	INTAKE_CALL_TIMEOUT_MS,
@@ -21,6 +22,7 @@
 	INTAKE_REFUSED_RETRIES,
 	INTAKE_RETRY_DELAY_MS,
 	PLATFORM_RETRY_AFTER_MS,
+	ROW_BYTES_MAX,
 	RanState,
 	ReasonCode,
 	RefusedError,
@@ -158,6 +160,15 @@
 			this.#refuseStale(board, request, entry, now)
 			return
 		}
+		if (action === WorkflowAction.submit && spec?.isOk() === true) {
+			const record = buildRecord(rest, workspace, queue, spec.value, this.#readWallClock())
+			const bytes = Buffer.byteLength(JSON.stringify(record))
+			if (bytes > ROW_BYTES_MAX) {
+				const detail = `the workflow takes ${bytes} bytes in the platform's table, which stores up to ${ROW_BYTES_MAX}`
+				this.#refuse(board, request, ReasonCode.malformed, detail, now)
+				return
+			}
+		}
 		const operation: IntakeOperation = {
 			request,
 			action,
@@ -193,16 +204,8 @@
 
 	#buildRows({request, queue, workspace, workflowId}: IntakeOperation): RowWrite[] | undefined {
 		if (request.spec?.isOk() !== true) return undefined
-		const record: WorkflowRecord = {
-			id: workflowId,
-			workspace,
-			queue: queue.name,
-			service: queue.service,
-			priority: queue.priority,
-			maxAttempts: queue.maxAttempts,
-			acceptedAtWallMs: this.#readWallClock(),
-			spec: request.spec.value
-		}
+		const {value: spec} = request.spec
+		const record = buildRecord(workflowId, workspace, queue, spec, this.#readWallClock())
 		return [
 			{key: formatWorkflowKey(workflowId), ifVersion: 0, value: JSON.stringify(record)},
 			{key: formatPendingKey(workflowId), ifVersion: 0, value: queue.name}
@@ -371,6 +374,17 @@
 	}
 }
 
+function buildRecord(
+	id: string,
+	workspace: string,
+	queue: QueueConfig,
+	spec: WorkflowSpec,
+	acceptedAtWallMs: number
+): WorkflowRecord {
+	const {name, service, priority, maxAttempts} = queue
+	return {id, workspace, queue: name, service, priority, maxAttempts, acceptedAtWallMs, spec}
+}
+
 function computeGiveUpAt({request}: IntakeOperation): number {
 	return request.arrivedAt + Math.max(INTAKE_MARGIN_MS, request.replyTimeoutMs - INTAKE_MARGIN_MS)
 }
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -7,12 +7,15 @@
 import {
 	type AuthorityEntry,
 	type Board,
+	type CallError,
 	type Completion,
 	type Controller,
 	type TableChanges,
+	type ProgressRows,
 	type RowWrite,
 	type TableRow,
 	type WorkflowEntry,
+	COMMIT_REFUSED_RETRY_MS,
 	CommandKind,
 	CommitBatch,
 	EventLevel,
@@ -22,6 +25,9 @@
 	Outage,
 	PLATFORM_TIMEOUT_MS,
 	PROGRESS_PREFIX,
+	ReasonCode,
+	RefusalCode,
+	RefusedError,
 	SectionName,
 	WORKFLOW_PREFIX,
 	WorkflowLoad,
@@ -41,6 +47,7 @@
 	findObjective,
 	findTerm,
 	formatHolderKey,
+	groupProgressRows,
 	isFinal,
 	isOccurrenceDone,
 	recordMalformedRow,
@@ -85,6 +92,10 @@
 	readonly #ended = new Set<string>()
 	/** Workflows with a malformed row, which are not scheduled in this term. */
 	readonly #excluded = new Set<string>()
+	/** Workflows left out of commits until a monotonic time, since the platform refused their changes. */
+	readonly #refusedUntil = new Map<string, number>()
+	/** Number of commits still to be made of one workflow each, after a commit of several was refused. */
+	#singleCommits = 0
 
 	constructor(board: Board, readWallClock: () => number) {
 		this.#readWallClock = readWallClock
@@ -118,6 +129,8 @@
 		this.#dirty.clear()
 		this.#ended.clear()
 		this.#excluded.clear()
+		this.#refusedUntil.clear()
+		this.#singleCommits = 0
 		for (const id of [...board.runs.keys()]) board.runs.delete(id)
 		for (const id of [...board.workflows.keys()]) board.workflows.delete(id)
 		board.terms.delete("loaded")
@@ -200,7 +213,7 @@
 		this.#pollOutage.recordSuccess(board)
 		this.#afterVersion = load.version
 		this.#adoptRows(board, load.workflowRows, now)
-		for (const row of load.progressRows) this.#restoreProgress(board, row, now)
+		for (const rows of groupProgressRows(load.progressRows)) this.#restoreProgress(board, rows, now)
 		board.terms.set("loaded", {epoch: this.#epoch, loadedAt: computeSteadyTime(board, now)})
 		const fields = {epoch: this.#epoch, workflows: board.workflows.size, runs: board.runs.size}
 		board.record(EventLevel.info, "workflows-loaded", fields)
@@ -264,20 +277,19 @@
 		}
 	}
 
-	#restoreProgress(board: Board, row: TableRow, now: number): void {
-		const key = row.key.slice(PROGRESS_PREFIX.length)
-		const [id = "", index = ""] = key.split(".")
+	#restoreProgress(board: Board, {key, rows}: ProgressRows, now: number): void {
+		const [id = "", index = "", ...others] = key.split(".")
 		const workflow = board.workflows.get(id)
 		if (workflow === undefined) return
 		const occurrence = createOccurrence(workflow.record, Number(index))
-		const isDue = /^\d+$/.test(index) && occurrence.index < countOccurrences(workflow.record)
-		const restored = restoreOccurrence(occurrence, row.value, row.version, now)
+		const isDue =
+			/^\d+$/.test(index) &&
+			others.length === 0 &&
+			occurrence.index < countOccurrences(workflow.record)
+		const restored = restoreOccurrence(occurrence, rows, now)
 		if (!isDue || restored.isErr()) {
-			recordMalformedRow(
-				board,
-				row,
-				restored.isErr() ? restored.error.message : "no such occurrence"
-			)
+			const detail = restored.isErr() ? restored.error.message : "no such occurrence"
+			for (const row of rows) recordMalformedRow(board, row, detail)
 			// Without its progress, work that is done or running would start again.
 			if (isDue) this.#exclude(board, workflow)
 			return
@@ -310,7 +322,8 @@
 			value: undefined
 		}
 		const batch = this.#collectBatch(board, holderCheck, now)
-		if (batch.writes.length === 0) return this.#findNextRemoval(board)
+		if (batch.writes.length === 0)
+			return Math.min(this.#findNextRemoval(board), ...this.#refusedUntil.values())
 		this.#batch = batch
 		issueTableCommit(
 			board,
@@ -334,15 +347,21 @@
 
 	#collectBatch(board: Board, holderCheck: RowWrite, now: number): CommitBatch {
 		const batch = new CommitBatch([holderCheck])
+		for (const [id, until] of this.#refusedUntil) if (until <= now) this.#refusedUntil.delete(id)
 		for (const id of this.#dirty) {
-			this.#dirty.delete(id)
+			if (this.#singleCommits > 0 && batch.writes.length > 0) return batch
+			if (this.#refusedUntil.has(id)) continue
 			const entry = board.workflows.get(id)
-			if (entry === undefined || addChanges(batch, entry)) continue
+			const writesBefore = batch.writes.length
+			const isComplete = entry === undefined || addChanges(batch, entry)
 			// The rest of its changes comes after those of the workflows that wait already.
+			if (isComplete || batch.writes.length > writesBefore) this.#dirty.delete(id)
+			if (isComplete) continue
 			this.#dirty.add(id)
 			break
 		}
-		this.#collectRemovals(board, batch, now)
+		if (this.#singleCommits === 0 || batch.writes.length === 0)
+			this.#collectRemovals(board, batch, now)
 		return batch
 	}
 
@@ -360,9 +379,12 @@
 		const batch = this.#batch
 		this.#batch = undefined
 		if (batch === undefined) return
+		this.#singleCommits = Math.max(0, this.#singleCommits - 1)
 		if (result.isErr()) {
 			this.#restoreBatch(batch)
 			this.#nextCommitAt = now + this.#commitOutage.recordFailure(board, result.error)
+			if (isRefusedForContent(result.error))
+				this.#withholdRefused(board, batch, result.error.message, now)
 			return
 		}
 		this.#commitOutage.recordSuccess(board)
@@ -378,6 +400,19 @@
 		for (const {entry, state} of batch.states) if (isFinal(state)) this.#ended.add(entry.record.id)
 	}
 
+	/** Commits the batch's workflows one by one, and leaves out one that the platform refuses by itself. */
+	#withholdRefused(board: Board, batch: CommitBatch, detail: string, now: number): void {
+		const ids = batch.listWorkflows()
+		const [workflow = ""] = ids
+		if (ids.length > 1) {
+			this.#singleCommits = ids.length
+			return
+		}
+		this.#refusedUntil.set(workflow, now + COMMIT_REFUSED_RETRY_MS)
+		const fields = {workflow, writes: batch.writes.length, detail}
+		board.record(EventLevel.warn, "workflow-commit-refused", fields, ReasonCode.malformed)
+	}
+
 	#restoreBatch(batch: CommitBatch): void {
 		for (const {entry} of batch.states) this.#dirty.add(entry.record.id)
 		for (const {occurrence} of batch.occurrences)
@@ -404,6 +439,11 @@
 	}
 }
 
+/** True if the same commit would be refused again. */
+function isRefusedForContent(error: CallError): boolean {
+	return error instanceof RefusedError && error.code === RefusalCode.malformed
+}
+
 function cancelWorkflow(board: Board, entry: WorkflowEntry, now: number): void {
 	if (entry.cancelRequested) return
 	entry.cancelRequested = true
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -269,6 +269,14 @@
 /** Limits of the platform's table on one commit: the conditions and changes in it, and its size as it is sent. */
 export const COMMIT_ENTRIES_MAX = 100
 export const COMMIT_BYTES_MAX = 1_000_000
+/** Size of one row's value, and how many rows the progress of one occurrence takes at most; they fit into one commit. */
+export const ROW_BYTES_MAX = 65536
+export const PROGRESS_ROWS_MAX = 10
+/** How long a workflow whose commit alone the platform refuses is left out of commits. */
+export const COMMIT_REFUSED_RETRY_MS = 10000
+
+/** Number of workers that a task is known to have failed on; long-running tasks may fail any number of times. */
+export const FAILED_WORKERS_MAX = 8
 
 /** Deadline of one call to the platform's table on behalf of a waiting caller. */
 export const INTAKE_CALL_TIMEOUT_MS = 1200
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -120,7 +120,7 @@
 	/** Monotonic time at which this holder first saw the run as running, and its progress then: 0 if it had just begun. */
 	startedAt: number
 	startPercent: number
-	/** Workers that this task failed on, oldest first. */
+	/** The latest workers that this task failed on, oldest first. */
 	readonly failedOn: string[]
 }
 
@@ -139,8 +139,8 @@
 	readonly index: number
 	readonly dueWallMs: number
 	readonly steps: StepProgress[]
-	/** Version of the occurrence's row in the table; 0 before the first write. */
-	rowVersion: number
+	/** Versions of the occurrence's rows in the table, in their order; 0 for a row that is absent. */
+	readonly rowVersions: number[]
 	/** Incremented at each change that must become durable. */
 	revision: number
 	/** Latest revision written to the table. */
--- a/src/utils/commit-batch.ts
+++ b/src/utils/commit-batch.ts
@@ -29,7 +29,8 @@
 interface SavedOccurrence {
 	readonly occurrence: Occurrence
 	readonly revision: number
-	readonly isRemoved: boolean
+	/** Number of its rows before or after the commit, whichever is larger. */
+	readonly rows: number
 }
 
 /** Bytes that the names of a row and the encoding of one entry take at most. */
@@ -42,26 +43,34 @@
 	readonly states: SavedState[] = []
 	readonly occurrences: SavedOccurrence[] = []
 	readonly removed: WorkflowEntry[] = []
-	#entries = 0
-	#bytes = 0
+	#entries: number
+	#bytes: number
 
 	/** The batch contains `conditions` in any case. */
 	constructor(conditions: readonly RowWrite[] = []) {
-		this.#count(conditions)
+		this.#entries = sumEntries(conditions)
+		this.#bytes = sumBytes(conditions)
 	}
 
 	/** Adds all of the writes, or none if the commit would become too large. */
 	add(writes: readonly RowWrite[]): boolean {
-		if (this.#entries + sumEntries(writes) > COMMIT_ENTRIES_MAX) return false
-		if (this.#bytes + sumBytes(writes) > COMMIT_BYTES_MAX) return false
-		this.#count(writes)
+		const entries = this.#entries + sumEntries(writes)
+		const bytes = this.#bytes + sumBytes(writes)
+		if (entries > COMMIT_ENTRIES_MAX || bytes > COMMIT_BYTES_MAX) return false
+		this.#entries = entries
+		this.#bytes = bytes
 		this.writes.push(...writes)
 		return true
 	}
 
-	#count(writes: readonly RowWrite[]): void {
-		this.#entries += sumEntries(writes)
-		this.#bytes += sumBytes(writes)
+	/** Ids of the workflows whose rows it changes. */
+	listWorkflows(): string[] {
+		const ids = [
+			...this.states.map(({entry}) => entry.record.id),
+			...this.occurrences.map(({occurrence}) => occurrence.key.split(".")[0] ?? ""),
+			...this.removed.map(({record}) => record.id)
+		]
+		return [...new Set(ids)]
 	}
 }
 
@@ -92,20 +101,30 @@
 	if (!addState(batch, entry)) return false
 	const isEnded = isFinal(entry.state)
 	for (const occurrence of entry.occurrences.values()) {
-		const {key, rowVersion, revision, savedRevision} = occurrence
-		const isRemoved = isEnded && rowVersion > 0
-		if (!isRemoved && (revision === savedRevision || isEnded)) continue
-		const write = {
-			key: formatProgressKey(key),
-			ifVersion: rowVersion,
-			value: isRemoved ? null : encodeOccurrence(occurrence)
-		}
-		if (!batch.add([write])) return false
-		batch.occurrences.push({occurrence, revision, isRemoved})
+		const {revision, savedRevision, rowVersions} = occurrence
+		if (!isEnded && revision === savedRevision) continue
+		const values = isEnded ? [] : encodeOccurrence(occurrence)
+		const writes = buildProgressWrites(occurrence, values)
+		if (writes.length === 0) continue
+		if (!batch.add(writes)) return false
+		const rows = Math.max(values.length, rowVersions.length)
+		batch.occurrences.push({occurrence, revision, rows})
 	}
 	return true
 }
 
+/** Replaces the occurrence's rows by rows with these values. */
+function buildProgressWrites({key, rowVersions}: Occurrence, values: readonly string[]) {
+	const writes: RowWrite[] = []
+	for (let part = 0; part < Math.max(values.length, rowVersions.length); part++) {
+		const ifVersion = rowVersions[part] ?? 0
+		const value = values[part] ?? null
+		if (value !== null || ifVersion > 0)
+			writes.push({key: formatProgressKey(key, part), ifVersion, value})
+	}
+	return writes
+}
+
 function addState(batch: CommitBatch, entry: WorkflowEntry): boolean {
 	const {record, state, stateVersion} = entry
 	if (state === entry.savedState && (entry.pendingRemoved || state === WorkflowState.queued))
@@ -145,11 +164,10 @@
 		touched.add(entry)
 		board.record(EventLevel.info, "workflow-state", {workflow: id, state})
 	}
-	for (const {occurrence, revision, isRemoved} of batch.occurrences) {
+	for (const saved of batch.occurrences) {
+		const {occurrence, revision} = saved
 		occurrence.savedRevision = revision
-		occurrence.rowVersion = isRemoved
-			? 0
-			: (versions.get(formatProgressKey(occurrence.key)) ?? occurrence.rowVersion)
+		recordRowVersions(saved, versions)
 		const [id = ""] = occurrence.key.split(".")
 		const entry = board.workflows.get(id)
 		if (entry !== undefined) touched.add(entry)
@@ -165,6 +183,13 @@
 ): void {
 	for (const {entry} of states)
 		entry.stateVersion = versions.get(formatStateKey(entry.record.id)) ?? entry.stateVersion
-	for (const {occurrence} of occurrences)
-		occurrence.rowVersion = versions.get(formatProgressKey(occurrence.key)) ?? occurrence.rowVersion
+	for (const saved of occurrences) recordRowVersions(saved, versions)
+}
+
+function recordRowVersions(
+	{occurrence: {key, rowVersions}, rows}: SavedOccurrence,
+	versions: ReadonlyMap<string, number>
+): void {
+	for (let part = 0; part < rows; part++)
+		rowVersions[part] = versions.get(formatProgressKey(key, part)) ?? rowVersions[part] ?? 0
 }
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -3,9 +3,11 @@
 	type Board,
 	type NodeEntry,
 	type Occurrence,
+	type TaskProgress,
 	type TaskRef,
 	type WorkflowEntry,
 	EventLevel,
+	FAILED_WORKERS_MAX,
 	ReasonCode,
 	STEP_RETRY_DELAY_MS,
 	TaskPhase,
@@ -85,6 +87,14 @@
 	return refs.filter(({taskId}) => board.runs.has(taskId))
 }
 
+/** Records that the task failed on the worker. */
+export function recordFailedWorker({failedOn}: TaskProgress, workerId: string): void {
+	const known = failedOn.indexOf(workerId)
+	if (known >= 0) failedOn.splice(known, 1)
+	failedOn.push(workerId)
+	if (failedOn.length > FAILED_WORKERS_MAX) failedOn.shift()
+}
+
 /** `percent` is the progress that the run has been reported with; 0 if its start has just been acknowledged. */
 export function recordRunning(board: Board, ref: TaskRef, percent: number, now: number): void {
 	const {task} = ref
--- a/src/utils/workflow-rows.ts
+++ b/src/utils/workflow-rows.ts
@@ -8,15 +8,21 @@
 	type Board,
 	type MalformedError,
 	type Occurrence,
+	type StepProgress,
 	type TableRow,
 	type TaskProgress,
 	type WorkflowRecord,
 	type WorkflowStateRow,
 	EventLevel,
+	PROGRESS_PREFIX,
+	PROGRESS_ROWS_MAX,
+	ROW_BYTES_MAX,
 	ReasonCode,
 	TaskPhase,
 	WorkflowState,
-	decodeJson
+	decodeJson,
+	formatProgressKey,
+	recordFailedWorker
 } from "../internal.js"
 
 const countSchema = z.int().min(0)
@@ -111,12 +117,63 @@
 	)
 }
 
-/** Encodes the row from which a new holder continues. Only the worker knows whether a placed run was started. */
-export function encodeOccurrence({steps}: Occurrence): string {
+/**
+ * Encodes the values of the rows from which a new holder continues: the text of the first one goes on in the others.
+ * Only the worker knows whether a placed run was started.
+ */
+export function encodeOccurrence({steps}: Occurrence): string[] {
+	const whole = encodeSteps(steps, encodeTask)
+	// Without them, runs start from the beginning under a new holder, and on workers that they have failed on.
+	const text =
+		whole.length <= PROGRESS_ROWS_MAX * ROW_BYTES_MAX
+			? whole
+			: encodeSteps(steps, task => encodeTask({...task, checkpoint: "", failedOn: []}))
+	const values: string[] = []
+	for (let start = 0; start < text.length; start += ROW_BYTES_MAX)
+		values.push(text.slice(start, start + ROW_BYTES_MAX))
+	return values
+}
+
+/** One character is one byte, so the text may be cut anywhere. */
+function encodeSteps(
+	steps: readonly StepProgress[],
+	encode: (task: TaskProgress) => TaskRow
+): string {
 	const rows = steps.map(({tasks, gangFailures, gangFailedRun}): StepRow => {
-		return {tasks: tasks.map(encodeTask), gangFailures, gangFailedRun}
+		return {tasks: tasks.map(encode), gangFailures, gangFailedRun}
 	})
-	return JSON.stringify(rows)
+	return JSON.stringify(rows).replace(/[\u0080-\uffff]/g, escapeCharacter)
+}
+
+function escapeCharacter(character: string): string {
+	return `\\u${character.charCodeAt(0).toString(16).padStart(4, "0")}`
+}
+
+/** The rows of one occurrence in their order, or a row whose key names none. */
+export interface ProgressRows {
+	/** Key of the occurrence. */
+	readonly key: string
+	readonly rows: readonly TableRow[]
+}
+
+/** Groups the rows of progress by their occurrences. A row that continues no other one is a group of its own. */
+export function groupProgressRows(rows: readonly TableRow[]): ProgressRows[] {
+	const byKey = new Map(rows.map(row => [row.key, row]))
+	const groups: ProgressRows[] = []
+	for (const row of rows) {
+		const key = row.key.slice(PROGRESS_PREFIX.length)
+		const [id = "", index = "", part] = key.split(".")
+		const occurrenceKey = `${id}.${index}`
+		if (part !== undefined && byKey.has(formatProgressKey(occurrenceKey, 0))) continue
+		const parts = [row]
+		for (;;) {
+			const next = byKey.get(formatProgressKey(key, parts.length))
+			if (next === undefined) break
+			parts.push(next)
+		}
+		groups.push({key, rows: parts})
+	}
+	return groups
 }
 
 function encodeTask(task: TaskProgress): TaskRow {
@@ -127,15 +184,15 @@
 	return ["placed", run, failures, checkpoint, workerId, incarnation, [...failedOn]]
 }
 
-/** Restores an occurrence from its row; runs that were placed count as started until their workers answer. */
+/** Restores an occurrence from its rows; runs that were placed count as started until their workers answer. */
 export function restoreOccurrence(
 	occurrence: Occurrence,
-	text: string,
-	rowVersion: number,
+	tableRows: readonly TableRow[],
 	now: number
 ): Result<void, MalformedError> {
+	const text = tableRows.map(({value}) => value).join("")
 	return decodeJson("progress", progressSchema, text).map(rows => {
-		occurrence.rowVersion = rowVersion
+		occurrence.rowVersions.push(...tableRows.map(({version}) => version))
 		for (const [index, step] of occurrence.steps.entries()) {
 			const row = rows[index]
 			if (row === undefined) continue
@@ -168,7 +225,7 @@
 	task.progressAt = now
 	task.startedAt = now
 	task.startPercent = 0
-	task.failedOn.push(...failedOn)
+	for (const id of failedOn) recordFailedWorker(task, id)
 }
 
 /** Logs a row that can't be read. */
--- a/src/utils/workflows.ts
+++ b/src/utils/workflows.ts
@@ -37,8 +37,10 @@
 	return `${PENDING_PREFIX}${id}`
 }
 
-export function formatProgressKey(occurrenceKey: string): string {
-	return `${PROGRESS_PREFIX}${occurrenceKey}`
+/** The progress of an occurrence is in its first row, and continues in further ones if it is large. */
+export function formatProgressKey(occurrenceKey: string, part: number): string {
+	const suffix = part === 0 ? "" : `.${part}`
+	return `${PROGRESS_PREFIX}${occurrenceKey}${suffix}`
 }
 
 export const WorkflowRowKind = {record: "record", state: "state", cancel: "cancel"} as const
@@ -95,7 +97,7 @@
 		index,
 		dueWallMs: schedule === undefined ? 0 : schedule.firstDueWallMs + index * schedule.intervalMs,
 		steps: steps.map(createStepProgress),
-		rowVersion: 0,
+		rowVersions: [],
 		revision: 0,
 		savedRevision: 0
 	}
