Handle SIGHUP from the start of a daemon

The platform sends one when the settings change, and starts the process again.

The handler is set by a module that the daemons import before the large ones; a signal before the host runs reloads the settings once it does. What is left is the time in which Node.js itself starts.

--- a/src/daemon.ts
+++ b/src/daemon.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 /** `cardamomhookd`: the daemon of an entry host. */
 import "./heap.js"
+import "./reload-signal.js"
 import {Builtins, Cli, Command, Option} from "clipanion"
 import {SystemClock} from "./internal.js"
 import {Host} from "./host.js"
--- a/src/run-host.ts
+++ b/src/run-host.ts
@@ -1,19 +1,20 @@
 /** Shared by all daemons: runs a host until SIGTERM or SIGINT and reloads its settings on SIGHUP. */
 import {type Host} from "./host.js"
+import {reloadSignal} from "./reload-signal.js"
 import {loadSettings} from "./settings.js"
 
 const EXIT_NOT_LISTENING = 3
 
 /** Resolves with the exit code: 0 after a graceful shutdown, 3 if it can't listen on an address. */
 export async function runHost(host: Host, settingsPath: string): Promise<number> {
-	process.on("SIGHUP", () => {
-		reloadSettings(host, settingsPath)
-	})
 	try {
 		host.telemetry.log.info(await host.start(), "listening")
 	} catch (error) {
 		return reportListenError(error)
 	}
+	reloadSignal.bind(() => {
+		reloadSettings(host, settingsPath)
+	})
 	return stopOnSignal(host)
 }
 
