Count work for which room is held among the tasks of its step on a worker

With max_per_server, a task for which a worker's room was held until other work had stopped did not count there in later rounds, so another task of the step was held for the same worker, and both ran there (suspected by the review). Held tasks now count in each round. The test failed before: two tasks at once where one is allowed.

--- a/__tests__/domain.test.ts
+++ b/__tests__/domain.test.ts
@@ -40,6 +40,24 @@
 		expect(fleet.workers.get("w1")?.running).to.have.length(2)
 	})
 
+	// Regression test: a task for which room was held on a worker did not count there when the next one was placed.
+	it("respects max_per_server for work that waits until other work has stopped", async () => {
+		const {first, fleet, submit, advance} = await createServingDomain({workers: 1})
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 8, workMs: 20000}))
+		await advance(1000)
+		await submit(
+			first,
+			`${URGENT}${ID_B}`,
+			createJob({count: 2, gpu: 4, workMs: 2000, max_per_server: 1})
+		)
+		for (let round = 0; round < 40; round++) {
+			await advance(50)
+			const running = fleet.workers.get("w1")!.running.filter(task => task.startsWith(ID_B))
+			expect(running.length).to.be.at.most(1)
+		}
+		expect(fleet.monitor.starts.some(({task}) => task.startsWith(ID_B))).to.equal(true)
+	})
+
 	it("starts a step only after the steps before it", async () => {
 		const {first, fleet, submit, advance} = await createServingDomain()
 		const step = {count: 1, gpu: 1, cpu: 1000}
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -218,7 +218,10 @@
 				isFree &&= isFitting(node.free, unit.spec)
 				addDemand(node.free, unit.spec, -1)
 			}
-			if (!isFree) continue
+			if (!isFree) {
+				recordPlannedRuns(unit, held)
+				continue
+			}
 			this.#holds.delete(key)
 			this.#overdue.delete(key)
 			planUnit(board, unit, held, now)
@@ -302,13 +305,9 @@
 	/** Plans the runs, or stops the victims first and holds their capacity. */
 	#commitSlots(board: Board, unit: PlacementUnit, slots: readonly Slot[], now: number): void {
 		const {refs, spec, rank} = unit
-		for (const [index, {node}] of slots.entries()) {
-			const ref = refs[index]
-			if (ref === undefined) continue
-			addDemand(node.free, spec, -1)
-			node.listRuns().push(buildPlannedRun(ref, rank))
-		}
 		const nodes = slots.map(({node}) => node)
+		for (const node of nodes) addDemand(node.free, spec, -1)
+		recordPlannedRuns(unit, nodes)
 		if (slots.every(slot => slot.isFree)) {
 			planUnit(board, unit, nodes, now)
 			return
@@ -330,6 +329,12 @@
 	}
 }
 
+/** Counts the unit's tasks among the workers' runs in this round. */
+function recordPlannedRuns({refs, rank}: PlacementUnit, nodes: readonly NodeCapacity[]): void {
+	for (const [index, ref] of refs.entries())
+		nodes[index]?.listRuns().push(buildPlannedRun(ref, rank))
+}
+
 /**
  * Only guaranteed work, and work of priority 0 that is expected to complete in time, may preempt. Guaranteed work waits
  * for cheap victims at first: a gang of dozens of workers should not be lost for what other runs free within a second.
