Show no workflow of a queue that needs a key on a public queue

Anybody could read and cancel a job by its id on a public queue (suspected by the review). On a public queue a row is now anybody's only if its own queue is public too, or gone. The test failed before.

--- a/__tests__/domain-hosts.test.ts
+++ b/__tests__/domain-hosts.test.ts
@@ -369,6 +369,28 @@
 		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("unauthenticated")
 	})
 
+	// Regression test: on a public queue anybody could read and cancel a job of another queue by its id.
+	it("refuses a caller of a public queue the job of a queue that needs a key", async () => {
+		const {first, fleet, ask, submit, advance, readState} = await createServingDomain()
+		const record = createCatalogRecord(2)
+		const routes = [
+			...record.routes,
+			{...record.routes[1]!, name: "open", path_prefix: "/open/", public: true}
+		]
+		fleet.store.putRow("op", "config", {...record, routes})
+		await advance(500)
+		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 8000}))
+		for (const action of [WorkflowAction.get, WorkflowAction.cancel]) {
+			const reply = await ask(first, {action, path: `/open/${ID_A}`, key: ""})
+			expect(reply.kind === ReplyKind.refused && reply.refusal.reason).to.equal("unknown-workflow")
+		}
+		expect(await readState(first, `${BATCH}${ID_A}`)).to.equal("running")
+		const spec = decodeWorkflow(createJob())
+		await ask(first, {action: WorkflowAction.submit, path: `/open/${ID_C}`, key: "", spec})
+		const own = await ask(first, {path: `/open/${ID_C}`, key: ""})
+		expect(own.kind).to.equal(ReplyKind.workflow)
+	})
+
 	it("reads everything again if the history of changes is no longer available", async () => {
 		const {first, fleet, advance, readState, plan} = await createServingDomain()
 		plan.isLost = (_, call) => isCallTo(call, "/v1/rows-feed")
--- a/src/controllers/workflow-intake.ts
+++ b/src/controllers/workflow-intake.ts
@@ -263,7 +263,7 @@
 		}
 		const key = formatWorkflowKey(operation.workflowId)
 		const existing = result.value.conflicts.find(row => row.key === key && row.version > 0)
-		if (existing === undefined || isOwnRow(operation, existing))
+		if (existing === undefined || isOwnRow(board, operation, existing))
 			this.#replyState(board, operation, WorkflowState.queued, now)
 		else {
 			const detail = `workflow id ${operation.workflowId} is already used by another workspace`
@@ -280,7 +280,7 @@
 		if (result.isErr()) return
 		const rows = new Map(result.value.map(row => [parseWorkflowKey(row.key).kind, row]))
 		const record = rows.get(WorkflowRowKind.record)
-		if (record === undefined || !isOwnRow(operation, record)) {
+		if (record === undefined || !isOwnRow(board, operation, record)) {
 			const detail = `workflow ${operation.workflowId} does not exist`
 			this.#finish(board, operation, ReasonCode.unknownWorkflow, RanState.unknown, detail, now)
 			return
@@ -397,9 +397,12 @@
 	return action === WorkflowAction.get ? 0 : PLATFORM_RETRY_AFTER_MS
 }
 
-function isOwnRow({workspace, queue}: IntakeOperation, row: TableRow): boolean {
-	if (queue.isPublic) return true
-	return findRecordOwner(row.value) === workspace
+/** On a public queue anybody may use what was submitted without a key, so no workflow of a queue that needs one. */
+function isOwnRow(board: Board, {workspace, queue}: IntakeOperation, row: TableRow): boolean {
+	const owner = findRecordOwner(row.value)
+	if (!queue.isPublic) return owner?.workspace === workspace
+	const queues = board.catalog.get("current")?.catalog.queues ?? []
+	return queues.find(({name}) => name === owner?.queue)?.isPublic !== false
 }
 
 /** Undefined if the row is malformed. */
--- a/src/utils/workflow-rows.ts
+++ b/src/utils/workflow-rows.ts
@@ -77,7 +77,8 @@
 	state: z.enum(Object.values(WorkflowState))
 })
 
-const ownerSchema = z.object({workspace: z.string()})
+const ownerSchema = z.object({workspace: z.string(), queue: z.string()})
+type RecordOwner = z.infer<typeof ownerSchema>
 
 /** `[phase, run, failures, checkpoint, worker, incarnation, workers that it failed on]` */
 const taskSchema = z.tuple([
@@ -109,12 +110,9 @@
 	return decodeJson<WorkflowStateRow>("workflow state", stateSchema, text)
 }
 
-/** The workspace that a workflow belongs to; undefined if its record is malformed. */
-export function findRecordOwner(text: string): string | undefined {
-	return decodeJson("workflow", ownerSchema, text).match(
-		({workspace}) => workspace,
-		() => undefined
-	)
+/** The workspace and the queue that a workflow belongs to; undefined if its record is malformed. */
+export function findRecordOwner(text: string): RecordOwner | undefined {
+	return decodeJson("workflow", ownerSchema, text).unwrapOr(undefined)
 }
 
 /**
