Wait for what an earlier holder may renew on a worker that was never listed

The runs of a worker that was unlisted since before a term started elsewhere 9.99 s after the load, though an earlier holder that has lost the store renews leases for 1.8 s beyond its term (suspected by the review).

--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -12,6 +12,7 @@
 	type RunningReport,
 	type TaskRef,
 	EventLevel,
+	NODE_LEASE_GRACE_MS,
 	NODE_SLOW_MS,
 	NODE_FAILURES_MAX,
 	NODE_QUARANTINE_MS,
@@ -328,8 +329,9 @@
 		const steadyNow = computeSteadyTime(board, now)
 		for (const workerId of [...board.runs.listWorkers()]) {
 			const node = board.nodes.get(workerId)
-			// A worker that has not been listed in this term has leases of earlier holders only.
-			if (steadyNow <= (node?.leaseExpiresAt ?? computeLeaseExpiry(board, loadedAt))) continue
+			// A worker that has not been listed in this term has leases of earlier holders only, which renew them for a while.
+			const earlierExpiresAt = computeLeaseExpiry(board, loadedAt + NODE_LEASE_GRACE_MS)
+			if (steadyNow <= (node?.leaseExpiresAt ?? earlierExpiresAt)) continue
 			const refs = [...board.runs.listOn(workerId).values()].filter(
 				({task}) => task.phase !== TaskPhase.planned
 			)
