--- a/__tests__/commit-limits.test.ts
+++ b/__tests__/commit-limits.test.ts
@@ -3,6 +3,8 @@
 import {
 	type WorkflowRecord,
 	COMMIT_REFUSED_RETRY_MS,
+	CommitBatch,
+	ManualClock,
 	PROGRESS_ROWS_MAX,
 	ROW_BYTES_MAX,
 	ReplyKind,
@@ -12,6 +14,7 @@
 	restoreOccurrence
 } from "../src/internal.js"
 import {decodeWorkflow} from "../platform/records.js"
+import {FleetStandIn} from "../standins/fleet/fleet.js"
 import {BATCH, createJob, createServingDomain} from "./fixtures/domain.js"
 
 const ID_A = "00000000000000aa"
@@ -195,6 +198,25 @@
 })
 
 describe("a commit that the table refuses for what it contains", () => {
+	it("is not made of more bytes than the table takes, whatever the rows hold", () => {
+		for (const bytes of [10, 5000, 30000, ROW_BYTES_MAX]) {
+			const {store} = new FleetStandIn(new ManualClock())
+			const batch = new CommitBatch()
+			const value = "x".repeat(bytes)
+			let isAdded = true
+			while (isAdded)
+				isAdded = batch.add([{key: `progress/${batch.writes.length}`, ifVersion: 1, value}])
+			const rows = batch.writes.map(({key}) => ({table: "progress", part: "main", key}))
+			const excess = store.findExcess({
+				precondition: rows.map(row => ({...row, schema_version: 1})),
+				put: rows.map(row => ({...row, value: Buffer.from(value).toString("base64")})),
+				delete: []
+			})
+			expect(excess).to.equal(undefined)
+			expect(rows.length).to.be.above(9)
+		}
+	})
+
 	it("holds up only the workflow that it is refused for", async () => {
 		const domain = await createServingDomain()
 		const {first, submit, advance, readState, fleet} = domain
