--- a/src/adapters/telemetry.ts
+++ b/src/adapters/telemetry.ts
@@ -48,6 +48,7 @@
 	readonly #events: Counter<"event" | "reason">
 	readonly #problems: Counter<"reason">
 	readonly #jobs: Gauge<"state">
+	readonly #standstills: Gauge<"gate">
 	readonly #durations: Histogram<"event" | "of">
 	readonly #calls: Histogram<"kind" | "result">
 	readonly #droppedLines: Counter
@@ -76,6 +77,12 @@
 			labelNames: ["state"],
 			registers: [this.#registry]
 		})
+		this.#standstills = new Gauge({
+			name: "cardamomhook_still_workflows",
+			help: "Workflows of the domain of which nothing runs though a step's turn has come, by what holds them",
+			labelNames: ["gate"],
+			registers: [this.#registry]
+		})
 		this.#durations = new Histogram({
 			name: "cardamomhook_event_seconds",
 			help: "Durations reported by events, such as of a caller's request or the wait for placement",
@@ -146,6 +153,8 @@
 		for (const {record} of this.#board.jobs.values())
 			counts.set(record.state, (counts.get(record.state) ?? 0) + 1)
 		for (const [state, count] of counts) this.#jobs.set({state}, count)
+		this.#standstills.reset()
+		for (const {held} of this.#board.standstills.values()) this.#standstills.inc({gate: held.gate})
 		return this.#registry.metrics()
 	}
 }
--- a/src/controllers/registry.ts
+++ b/src/controllers/registry.ts
@@ -31,6 +31,7 @@
 	RehomeController,
 	RunOrderController,
 	RunPlacementController,
+	StandstillController,
 	RunReportController,
 	RunTimesController,
 	WorkerController,
@@ -82,6 +83,7 @@
 		new NodeDrainController(),
 		new RunOrderController(board),
 		new RunPlacementController(clock),
+		new StandstillController(),
 		new WorkflowIntakeController(readWallClock),
 		new PendingCountController()
 	]
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -17,7 +17,6 @@
 	type Slot,
 	type TaskRef,
 	type WorkflowEntry,
-	CATALOG_FRESH_MS,
 	EventLevel,
 	GUARANTEED_RANK,
 	Lifecycle,
@@ -34,9 +33,9 @@
 	countOccurrences,
 	createOccurrence,
 	findGuaranteed,
+	findRoundGate,
 	isFitting,
 	isSchedulable,
-	isTermConfirmed,
 	listReadySteps,
 	listNodeCapacities,
 	listTaskRefs,
@@ -136,8 +135,7 @@
 		}
 		if (board.lifecycle.get("state") !== Lifecycle.serving) return undefined
 		if (now < this.#roundAt) return this.#roundAt
-		if (!isTermConfirmed(board, now) || now - catalog.evidenceAt > CATALOG_FRESH_MS)
-			return now + WAITING_INTERVAL_MS
+		if (findRoundGate(board, now) !== undefined) return now + WAITING_INTERVAL_MS
 		const waiting = this.#placeAll(board, catalog, now)
 		const tookMs = this.#clock.now() - now
 		this.#roundAt = now + Math.max(ROUND_INTERVAL_MS, tookMs / ROUND_TIME_SHARE)
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -38,6 +38,7 @@
 	type RunTimeEntry,
 	RunSection,
 	Section,
+	type StandstillEntry,
 	type StopEntry,
 	type TermEntry,
 	type Transition,
@@ -81,6 +82,7 @@
 	terms: "terms",
 	runs: "runs",
 	health: "health",
+	standstills: "standstills",
 	countRequests: "countRequests",
 	requests: "requests",
 	replies: "replies",
@@ -168,6 +170,8 @@
 	readonly runs = new RunSection()
 	/** Failures on a worker and the resulting restrictions, by its id. */
 	readonly health = new Section<string, NodeHealth>()
+	/** Workflows of which nothing runs though a step's turn has come, by id. */
+	readonly standstills = new Section<string, StandstillEntry>()
 	/** Authorized requests for the number of a queue's workflows that have not started, by request id. */
 	readonly countRequests = new Section<string, CountRequest>()
 	readonly requests = new Section<string, HostRequest>()
--- a/src/utils/nodes.ts
+++ b/src/utils/nodes.ts
@@ -4,10 +4,12 @@
 	type CatalogEntry,
 	type HostSettings,
 	type NodeEntry,
+	type NodeHealth,
 	CATALOG_FRESH_MS,
 	Lifecycle,
 	NODE_LEASE_MARGIN_MS,
 	NODE_LEASE_MS,
+	NodeGate,
 	WORKER_CLOCK_ERROR,
 	computeSteadyTime,
 	isPlatformLost
@@ -32,17 +34,26 @@
 	return grantedAt + computeNodeLease(settings) / (1 - WORKER_CLOCK_ERROR) + NODE_LEASE_MARGIN_MS
 }
 
-/** True while the worker may be given new runs. */
-export function isNodeSchedulable(node: NodeEntry, {zonesOut}: CatalogEntry): boolean {
-	const {registration, listed, incarnation, failures} = node
-	return (
-		listed &&
-		!registration.isDraining &&
-		incarnation !== undefined &&
-		incarnation === registration.incarnation &&
-		failures === 0 &&
-		!zonesOut.has(registration.zone)
-	)
+/** Why the worker may not be given new runs; undefined if it may. Its health matters only to placement. */
+export function findNodeGate(
+	{registration, listed, incarnation, failures}: NodeEntry,
+	{zonesOut}: CatalogEntry,
+	health: NodeHealth | undefined,
+	now: number
+): NodeGate | undefined {
+	if (!listed) return NodeGate.unlisted
+	if (registration.isDraining) return NodeGate.draining
+	if (incarnation === undefined || failures > 0) return NodeGate.unanswered
+	if (incarnation !== registration.incarnation) return NodeGate.otherIncarnation
+	if (zonesOut.has(registration.zone)) return NodeGate.zoneOut
+	if (health === undefined) return undefined
+	if (health.quarantinedUntil > now) return NodeGate.quarantined
+	return health.foreignRuns.length > 0 ? NodeGate.foreignRuns : undefined
+}
+
+/** True while a run that was planned for the worker may be started there. */
+export function isNodeSchedulable(node: NodeEntry, catalog: CatalogEntry): boolean {
+	return findNodeGate(node, catalog, undefined, 0) === undefined
 }
 
 /** True while this host can serve new callers: it is not stopping, and the platform is reachable. */
--- a/src/utils/rooms.ts
+++ b/src/utils/rooms.ts
@@ -12,8 +12,8 @@
 	TaskPhase,
 	type WorkflowEntry,
 	computeRank,
-	isFinal,
-	isNodeSchedulable
+	findNodeGate,
+	isFinal
 } from "../internal.js"
 
 /** A run that ends this soon is waited for instead of stopped: stopping takes about as long. */
@@ -43,10 +43,8 @@
 ): CapacityByService {
 	const byService = new Map<string, NodeCapacity[]>()
 	for (const node of board.nodes.values()) {
-		if (!isNodeSchedulable(node, catalog)) continue
 		const health = board.health.get(node.registration.id)
-		if (health !== undefined && (health.quarantinedUntil > now || health.foreignRuns.length > 0))
-			continue
+		if (findNodeGate(node, catalog, health, now) !== undefined) continue
 		const suspect = health !== undefined && (health.suspectUntil > now || health.slowUntil > now)
 		const pace = health?.pace ?? 1
 		const capacity = buildNodeCapacity(board, node, guaranteed, {suspect, pace}, now)
--- /dev/null
+++ b/src/utils/start-gates.ts
@@ -0,0 +1,85 @@
+/** Finds what holds a start now: placement as a whole, or one workflow. */
+import {
+	type Board,
+	type HeldTask,
+	type Occurrence,
+	type StepProgress,
+	type StepSpec,
+	type TaskProgress,
+	type WorkflowEntry,
+	CATALOG_FRESH_MS,
+	Lifecycle,
+	StartGate,
+	TaskPhase,
+	formatOccurrenceKey,
+	formatRunTaskId,
+	isStepDone,
+	isTermConfirmed
+} from "../internal.js"
+
+/** What holds all of placement; undefined if rounds may be held. */
+export function findRoundGate(board: Board, now: number): StartGate | undefined {
+	const catalog = board.catalog.get("current")
+	if (!board.terms.has("loaded")) return StartGate.termNotLoaded
+	if (catalog === undefined) return StartGate.catalogMissing
+	if (board.lifecycle.get("state") !== Lifecycle.serving) return StartGate.hostStopping
+	if (!isTermConfirmed(board, now)) return StartGate.termUnconfirmed
+	return now - catalog.evidenceAt > CATALOG_FRESH_MS ? StartGate.catalogStale : undefined
+}
+
+/** What holds a workflow of which nothing runs; undefined if a task runs or no step's turn has come. */
+export function findHeldTask(
+	{record, occurrences}: WorkflowEntry,
+	now: number
+): HeldTask | undefined {
+	const {id, spec} = record
+	// Its occurrence is created by the first round of placement that sees it.
+	if (occurrences.size === 0 && spec.schedule === undefined) {
+		const taskId = formatRunTaskId(formatOccurrenceKey(id, 0), 0, 0)
+		return {gate: StartGate.noRoom, taskId, run: 0, workerId: undefined}
+	}
+	let held: HeldTask | undefined
+	for (const occurrence of occurrences.values())
+		for (const [stepIndex, step] of occurrence.steps.entries()) {
+			if (step.tasks.some(({phase}) => phase === TaskPhase.running)) return undefined
+			const stepSpec = spec.steps[stepIndex]
+			if (held !== undefined || stepSpec === undefined) continue
+			if (isStepDue(stepSpec, step, occurrence))
+				held = findStepGate(stepSpec, step, occurrence.key, stepIndex, now)
+		}
+	return held
+}
+
+function isStepDue({after}: StepSpec, step: StepProgress, {steps}: Occurrence): boolean {
+	return !isStepDone(step) && after.every(index => isStepDone(steps[index]))
+}
+
+const GATE_OF_PHASE: Partial<Record<TaskPhase, StartGate>> = {
+	[TaskPhase.stopping]: StartGate.runStopping,
+	[TaskPhase.starting]: StartGate.startUnanswered,
+	[TaskPhase.planned]: StartGate.planUnsaved
+}
+
+function findStepGate(
+	{gang}: StepSpec,
+	{tasks, notBefore}: StepProgress,
+	occurrenceKey: string,
+	stepIndex: number,
+	now: number
+): HeldTask | undefined {
+	const isWaiting = ({phase}: TaskProgress) => phase === TaskPhase.waiting
+	const isHeld = ({phase}: TaskProgress) => GATE_OF_PHASE[phase] !== undefined
+	// Tasks that wait may be placed beside others, except for those of a gang.
+	const order = gang ? [isHeld, isWaiting] : [isWaiting, isHeld]
+	const index = order.map(isNext => tasks.findIndex(isNext)).find(found => found >= 0)
+	const task = index === undefined ? undefined : tasks[index]
+	if (index === undefined || task === undefined) return undefined
+	const placeable = notBefore > now ? StartGate.retryDelayed : StartGate.noRoom
+	const gate = GATE_OF_PHASE[task.phase]
+	return {
+		gate: gate ?? placeable,
+		taskId: formatRunTaskId(occurrenceKey, stepIndex, index),
+		run: task.run,
+		workerId: gate === undefined ? undefined : task.workerId
+	}
+}
