Repeat only the reads that failed when a new holder loads its term

Callers saw accepted work stand still for as long as the store refused some of the reads of a new holder.

Cause: the load of a term is 32 reads side by side, and one failed answer started all of them again. With one of four reads refused, all 32 succeed together with a chance of one in ten thousand. The class of fault: a retry whose unit is the whole, so that its chance falls with its size.

Reads that fail together are repeated together after 150 ms while others are answered, else after the delays of an outage.

--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -137,10 +137,11 @@
 	}
 
 	#poll(board: Board, now: number): number {
-		if (this.#pollInFlight || this.#load !== undefined) return Infinity
+		if (this.#pollInFlight) return Infinity
 		if (now < this.#nextPollAt) return this.#nextPollAt
 		if (!board.terms.has("loaded")) {
-			this.#startLoad(board, now)
+			this.#load ??= this.#createLoad(board)
+			this.#load.issueDue(now)
 			return Infinity
 		}
 		const waitMs = this.#afterVersion === undefined ? 0 : LONG_POLL_WAIT_MS
@@ -175,36 +176,33 @@
 	}
 
 	/** Reads all rows. An earlier holder can no longer change them: its commits fail on the holder row. */
-	#startLoad(board: Board, now: number): void {
-		const load = new WorkflowLoad()
-		this.#load = load
-		for (const digit of ID_DIGITS) {
+	#createLoad(board: Board): WorkflowLoad {
+		const epoch = this.#epoch
+		const reads = Array.from(ID_DIGITS, digit => {
 			const request = {prefix: `${WORKFLOW_PREFIX}${digit}`, afterVersion: undefined, waitMs: 0}
-			const subject = `${LOAD} ${this.#epoch}`
-			load.add(
-				issueTableFollow(board, this.name, subject, request, now, PLATFORM_TIMEOUT_MS),
-				issueTableScan(
-					board,
-					this.name,
-					`${PROGRESS} ${this.#epoch}`,
-					`${PROGRESS_PREFIX}${digit}`,
-					now
-				)
-			)
-		}
+			const readWorkflows = (now: number) =>
+				issueTableFollow(board, this.name, `${LOAD} ${epoch}`, request, now, PLATFORM_TIMEOUT_MS)
+			const readProgress = (now: number) =>
+				issueTableScan(board, this.name, `${PROGRESS} ${epoch}`, `${PROGRESS_PREFIX}${digit}`, now)
+			return [readWorkflows, readProgress]
+		})
+		return new WorkflowLoad(reads.flat())
 	}
 
-	#settleLoad(board: Board, completion: Completion, now: number): void {
+	#settleLoad(board: Board, {command, result}: Completion, now: number): void {
 		const load = this.#load
-		if (load?.take(completion.command.id) !== true) return
-		if (completion.result.isErr()) {
-			this.#load = undefined
-			this.#nextPollAt = now + this.#pollOutage.recordFailure(board, completion.result.error)
+		if (load === undefined) return
+		if (result.isErr()) {
+			load.takeFailed(command.id)
+			// Reads that fail together are repeated together; a table that answers some of them is not away.
+			if (now < this.#nextPollAt) return
+			const delayMs = this.#pollOutage.recordFailure(board, result.error)
+			this.#nextPollAt = now + (load.takeProgress() ? OUTAGE_RETRY_MIN_MS : delayMs)
 			return
 		}
-		if (completion.command.kind === CommandKind.tableFollow)
-			load.addWorkflows(completion.result.value as TableChanges)
-		else load.addProgress(completion.result.value as readonly TableRow[])
+		if (!load.take(command.id)) return
+		if (command.kind === CommandKind.tableFollow) load.addWorkflows(result.value as TableChanges)
+		else load.addProgress(result.value as readonly TableRow[])
 		if (load.isComplete) this.#adoptLoad(board, load, now)
 	}
 
