Ask a worker for its runs at once where a run waits for its report

Callers saw a gang stand still for four seconds after a change of the holder, and for more than three after two starts that never arrived.

Cause: a run that may not exist is given up by a report that was requested after the load of the term, or after the stop was acknowledged. Reports came with long polls of 1.5 s that only the end of a run ends sooner: the one in flight had been sent too early, so it took the next one, up to 3 s. The class of fault: waiting for news over a channel that is silent if there is none.

A new section of the board names the workers whose report is needed.

Evidence: outage-return.test.ts.

--- a/__tests__/outage-return.test.ts
+++ b/__tests__/outage-return.test.ts
@@ -1,6 +1,6 @@
 /** How soon work goes on once the store is back, or a new term has begun. */
 import {expect} from "chai"
-import {DOMAIN_LEASE_MS, TAKE_OVER_SPREAD_MS} from "../src/internal.js"
+import {DOMAIN_LEASE_MS, RUN_COMMAND_TIMEOUT_MS, TAKE_OVER_SPREAD_MS} from "../src/internal.js"
 import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
 import {type DomainHost, BATCH, createJob, createServingDomain} from "./fixtures/domain.js"
 
@@ -22,6 +22,11 @@
 	return target === STORE_TARGET && path === "/v1/rows-get"
 }
 
+function isCommitOfRuns({target, path, body}: FleetCall): boolean {
+	const isCommit = target === STORE_TARGET && path === "/v1/rows-tx"
+	return isCommit && JSON.stringify(body).includes('"progress"')
+}
+
 describe("work after an outage of the store", () => {
 	// Regression test: one refused read made a new holder read everything again.
 	for (const refusedOf of [2, 3, 4])
@@ -37,4 +42,36 @@
 			const takenMs = await advanceUntil(() => fleet.monitor.starts.length === 17)
 			expect(takenMs).to.be.below(TAKEN_OVER_MAX_MS + STILL_MAX_MS)
 		})
+
+	// Regression test: a new holder saw only by the second long poll of a worker that a planned run had not been started.
+	for (const offsetMs of [0, 300, 600, 900, 1200, 1500])
+		it(`goes on in a new term if its start was planned and not sent (${offsetMs} ms)`, async () => {
+			const {first, fleet, plan, submit, advance, advanceUntil} = await createServingDomain({
+				hosts: 2
+			})
+			await advance(offsetMs)
+			let isPlanned = false
+			plan.isAnswerLost = (_, call) => {
+				isPlanned ||= isCommitOfRuns(call)
+				return isCommitOfRuns(call)
+			}
+			await submit(first, `${BATCH}${FIRST_ID}`, createJob({count: 2, gpu: 8, gang: true}))
+			await advanceUntil(() => isPlanned)
+			await advance(20)
+			stopHolder(first)
+			plan.isAnswerLost = () => false
+			const takenMs = await advanceUntil(() => fleet.monitor.starts.length === 2)
+			expect(takenMs).to.be.below(TAKEN_OVER_MAX_MS + 1000)
+		})
+
+	it("goes on soon if neither of its two starts has arrived", async () => {
+		const {first, fleet, plan, submit, advanceUntil, clock} = await createServingDomain()
+		let lost = 0
+		plan.isLost = (_, call) => call.path === "/v1/run-start" && lost++ < 2
+		await submit(first, `${BATCH}${FIRST_ID}`, createJob())
+		await advanceUntil(() => lost === 2)
+		const lostAt = clock.now()
+		await advanceUntil(() => fleet.monitor.starts.length === 1)
+		expect(clock.now() - lostAt).to.be.below(RUN_COMMAND_TIMEOUT_MS + 500)
+	})
 })
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -7,6 +7,7 @@
 	type Board,
 	type CallError,
 	type Command,
+	type CommandTypes,
 	type Completion,
 	type Controller,
 	type LeaseAnswer,
@@ -34,9 +35,16 @@
 
 const LIST = "list"
 
+type RenewalRequest = CommandTypes["node-renew"]["request"]
+
 export class NodeController implements Controller {
 	readonly name = "node"
-	readonly reads = [SectionName.completions, SectionName.authority, SectionName.acknowledgements]
+	readonly reads = [
+		SectionName.completions,
+		SectionName.authority,
+		SectionName.acknowledgements,
+		SectionName.reportRequests
+	]
 	#epoch = 0
 	/** Steady time of this term's start. */
 	#termStartedAt = 0
@@ -46,7 +54,10 @@
 	/** Problems of the entries in the last list. */
 	#malformed: ReadonlySet<string> = new Set()
 	readonly #renewAt = new Map<string, number>()
-	readonly #inFlight = new Set<string>()
+	/** Command id of the renewal in flight, by worker; requested reports come beside it. */
+	readonly #inFlight = new Map<string, string>()
+	/** Monotonic time at which the latest renewal was sent, by worker. */
+	readonly #sentAt = new Map<string, number>()
 	/** Position of the last acknowledged end in the latest renewal, by worker. */
 	readonly #acknowledgedPositions = new Map<string, number>()
 
@@ -62,17 +73,23 @@
 			this.#epoch = term.epoch
 			this.#termStartedAt = computeSteadyTime(board, now)
 		}
-		return Math.min(this.#listWorkers(board, now), this.#renewAll(board, now))
+		return Math.min(
+			this.#listWorkers(board, now),
+			this.#requestReports(board, now),
+			this.#renewAll(board, now)
+		)
 	}
 
 	#removeAll(board: Board): void {
 		this.#epoch = 0
 		this.#renewAt.clear()
 		this.#acknowledgedPositions.clear()
+		this.#sentAt.clear()
 		this.#listAt = 0
 		for (const id of [...board.nodes.keys()]) board.nodes.delete(id)
 		for (const id of [...board.nodeReports.keys()]) board.nodeReports.take(id)
 		for (const id of [...board.acknowledgements.keys()]) board.acknowledgements.take(id)
+		for (const id of [...board.reportRequests.keys()]) board.reportRequests.take(id)
 	}
 
 	#listWorkers(board: Board, now: number): number {
@@ -92,6 +109,22 @@
 		return this.#listAt
 	}
 
+	/** A long poll in flight would show its worker's runs only when one ends, or after its whole wait. */
+	#requestReports(board: Board, now: number): number {
+		let earliest = Infinity
+		for (const [id, after] of [...board.reportRequests.entries()]) {
+			const node = board.nodes.get(id)
+			if (node === undefined) continue
+			if (now <= after) {
+				earliest = Math.min(earliest, after + 1)
+				continue
+			}
+			if ((this.#sentAt.get(id) ?? -Infinity) <= after) this.#requestReport(board, node, now)
+			board.reportRequests.take(id)
+		}
+		return earliest
+	}
+
 	#renewAll(board: Board, now: number): number {
 		let earliest = Infinity
 		for (const [id, node] of board.nodes.entries()) {
@@ -116,35 +149,26 @@
 		return entry !== undefined && entry.incarnation === incarnation ? entry.position : 0
 	}
 
+	/** Neither renews nor acknowledges: the worker may have restarted since the renewal in flight was sent. */
+	#requestReport(board: Board, node: NodeEntry, now: number): void {
+		this.#issueRenewal(board, node, {leaseUntilMs: undefined, acknowledged: 0, waitMs: 0}, now)
+	}
+
 	#renew(board: Board, node: NodeEntry, now: number): void {
-		const {id, address} = node.registration
+		const {id} = node.registration
 		// The lease of a worker that does not answer is not renewed: it must expire before its runs can start elsewhere.
 		const isRenewed =
 			mayRenewLeases(board, now) && node.incarnation !== undefined && node.failures === 0
 		const acknowledged = this.#findAcknowledged(board, node)
 		// A worker that did not answer may have restarted since, and counts its ends from 1 again.
 		const isSameIncarnation = node.failures === 0
-		// Leases are computed from the worker's clock, which comes with its first answer, and after a failure the next
-		// answer shows whether the worker may get runs again.
-		const isAnswerUrgent = node.incarnation === undefined || node.failures > 0
-		const waitMs = isAnswerUrgent ? 0 : NODE_RENEW_WAIT_MS
 		this.#acknowledgedPositions.set(id, acknowledged)
-		this.#inFlight.add(id)
-		board.issue<"node-renew">({
-			kind: CommandKind.nodeRenew,
-			owner: this.name,
-			subject: id,
-			target: address,
-			request: {
-				workerId: id,
-				epoch: this.#epoch,
-				leaseUntilMs: isRenewed ? computeLeaseEnd(board, node, now) : undefined,
-				acknowledged: isSameIncarnation ? acknowledged : 0,
-				waitMs
-			},
-			timeoutMs: waitMs + NODE_ANSWER_TIMEOUT_MS,
-			issuedAt: now
-		})
+		const request = {
+			leaseUntilMs: isRenewed ? computeLeaseEnd(board, node, now) : undefined,
+			acknowledged: isSameIncarnation ? acknowledged : 0,
+			waitMs: computeWait(node)
+		}
+		this.#inFlight.set(id, this.#issueRenewal(board, node, request, now))
 		if (isRenewed)
 			board.nodes.setSilently(id, {
 				...node,
@@ -155,6 +179,25 @@
 			})
 	}
 
+	/** Returns the command's id. */
+	#issueRenewal(
+		board: Board,
+		{registration: {id, address}}: NodeEntry,
+		request: Pick<RenewalRequest, "leaseUntilMs" | "acknowledged" | "waitMs">,
+		now: number
+	): string {
+		this.#sentAt.set(id, now)
+		return board.issue<"node-renew">({
+			kind: CommandKind.nodeRenew,
+			owner: this.name,
+			subject: id,
+			target: address,
+			request: {workerId: id, epoch: this.#epoch, ...request},
+			timeoutMs: request.waitMs + NODE_ANSWER_TIMEOUT_MS,
+			issuedAt: now
+		})
+	}
+
 	#settle(board: Board, completion: Completion, now: number): void {
 		if (completion.command.kind === CommandKind.workerList)
 			this.#settleList(board, completion as Completion<"worker-list">, now)
@@ -181,6 +224,7 @@
 				board.nodes.delete(id)
 				board.nodeReports.take(id)
 				this.#renewAt.delete(id)
+				this.#sentAt.delete(id)
 				this.#acknowledgedPositions.delete(id)
 			} else if (node.listed) {
 				board.nodes.set(id, {...node, listed: false})
@@ -244,7 +288,8 @@
 
 	#settleRenewal(board: Board, {command, result}: Completion<"node-renew">, now: number): void {
 		const id = command.subject
-		this.#inFlight.delete(id)
+		const isRequested = this.#inFlight.get(id) !== command.id
+		if (!isRequested) this.#inFlight.delete(id)
 		const node = board.nodes.get(id)
 		if (node === undefined || command.request.epoch !== this.#epoch) return
 		if (result.isErr()) {
@@ -263,6 +308,7 @@
 			return
 		}
 		this.#adoptAnswer(board, node, result.value, command, now)
+		if (isRequested) return
 		const hasUnsaved = result.value.ends.length > 0
 		this.#renewAt.set(id, hasUnsaved ? now + NODE_UNSAVED_DELAY_MS : now)
 	}
@@ -293,6 +339,14 @@
 	}
 }
 
+/**
+ * How long the worker may hold a renewal open. Leases are computed from its clock, which comes with its first answer, and
+ * after a failure the next answer shows whether the worker may get runs again.
+ */
+function computeWait({incarnation, failures}: NodeEntry): number {
+	return incarnation === undefined || failures > 0 ? 0 : NODE_RENEW_WAIT_MS
+}
+
 /**
  * True if another worker answers at the address at which this one did: its process has ended, and its runs with it. At an
  * address that it never answered from, the list may be wrong.
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -263,8 +263,11 @@
 	/** After a stop the worker refuses a delayed start of the run; its next report shows whether the run still exists. */
 	#settleStop(board: Board, ref: TaskRef, {result}: Completion, now: number): void {
 		if (ref.task.phase !== TaskPhase.stopping) return
-		if (result.isOk()) ref.task.acknowledgedAt = now
-		else {
+		if (result.isOk()) {
+			ref.task.acknowledgedAt = now
+			// The end of a run that the worker doesn't list will not be reported.
+			if (!isListed(board, ref)) board.reportRequests.set(ref.task.workerId, now)
+		} else {
 			const reason = result.error instanceof RefusedError ? result.error.code : "no-answer"
 			const fields = {task: ref.taskId, run: ref.task.run, worker: ref.task.workerId}
 			board.record(EventLevel.info, "stop-failed", fields, reason)
@@ -272,6 +275,12 @@
 	}
 }
 
+/** True if the latest report of the worker shows the run. */
+function isListed(board: Board, {task, taskId}: TaskRef): boolean {
+	const running = board.nodeReports.get(task.workerId)?.running ?? []
+	return running.some(entry => entry.taskId === taskId && entry.run === task.run)
+}
+
 /** True if the command had no effect and will have none. */
 function isRefusedOrUnsent(error: CallError): boolean {
 	return error instanceof RefusedError || (error instanceof TransportError && !error.sent)
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -298,7 +298,9 @@
 			for (const [taskIndex, task] of step.tasks.entries()) {
 				if (task.phase !== TaskPhase.starting) continue
 				const ref = createTaskRef(workflow, occurrence, stepIndex, taskIndex)
-				if (ref !== undefined) board.runs.set(ref.taskId, ref)
+				if (ref === undefined) continue
+				board.runs.set(ref.taskId, ref)
+				board.reportRequests.set(task.workerId, now)
 			}
 	}
 
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -77,6 +77,7 @@
 	catalog: "catalog",
 	nodes: "nodes",
 	nodeReports: "nodeReports",
+	reportRequests: "reportRequests",
 	acknowledgements: "acknowledgements",
 	workflows: "workflows",
 	terms: "terms",
@@ -160,6 +161,8 @@
 	readonly nodes = new Section<string, NodeEntry>()
 	/** Latest report of each worker, by its id; separate from `nodes`, since most reports change only the progress. */
 	readonly nodeReports = new Section<string, NodeReport>()
+	/** Workers whose report is needed at once, by id: one requested after this monotonic time. */
+	readonly reportRequests = new Section<string, number>()
 	/** Which ends of runs are durable, by worker id. */
 	readonly acknowledgements = new Section<string, EndAcknowledgement>()
 	/** Workflows of the domain that this host holds. */
