Bound the starts in flight by what the host and its workers answer in time

Cause: what had become ready in the outage was started at once. On a host short of processor time the answers wait longer than the deadline of a start; each start is repeated and each run then stopped, which takes still more of its time. The class of fault: a retry that adds to the overload which causes it.

Starts now go through a window as in TCP: it begins at 16, grows with answers that come within a quarter of their deadline, and halves when they don't. Later plans keep their order; a gang is sent whole.

--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -10,6 +10,7 @@
 	type NodeEntry,
 	type TaskRef,
 	CATALOG_FRESH_MS,
+	CallWindow,
 	CommandKind,
 	EventLevel,
 	RUN_COMMAND_TIMEOUT_MS,
@@ -60,6 +61,9 @@
 	readonly #unconfirmed = new Set<string>()
 	/** Stop commands in flight, as "task run". */
 	readonly #stopping = new Set<string>()
+	readonly #window = new CallWindow(RUN_COMMAND_TIMEOUT_MS)
+	/** True if a run had to wait for starts in flight; those planned later wait as well. */
+	#isWindowFull = false
 	readonly #foreignStopsSentAt = new Map<string, number>()
 
 	constructor(board: Board) {
@@ -77,6 +81,7 @@
 		for (const id of this.#changedRuns) this.#unconfirmed.add(id)
 		this.#changedRuns.clear()
 		if (isTermConfirmed(board, now)) {
+			this.#isWindowFull = false
 			for (const id of [...this.#unconfirmed]) this.#advance(board, id, now)
 			this.#stopForeign(board, now)
 		}
@@ -113,6 +118,8 @@
 			releaseRun(board, blocked, ReasonCode.workerRefused, now)
 			return
 		}
+		this.#isWindowFull ||= !this.#window.isOpenFor(refs.length)
+		if (this.#isWindowFull) return
 		for (const member of refs) this.#sendStart(board, member, now)
 	}
 
@@ -129,6 +136,7 @@
 		const node = board.nodes.get(task.workerId)
 		const term = findTerm(board)
 		if (node === undefined || term === undefined) return
+		this.#window.recordSent()
 		task.phase = TaskPhase.starting
 		task.starts++
 		task.openStarts++
@@ -223,6 +231,8 @@
 
 	#settle(board: Board, completion: Completion, now: number): void {
 		const [purpose, taskId = "", run = ""] = completion.command.subject.split(" ")
+		if (purpose === START)
+			this.#window.recordEnd(isAnswered(completion), completion.command.issuedAt, now)
 		if (purpose === STOP) this.#stopping.delete(`${taskId} ${run}`)
 		const ref = board.runs.get(taskId)
 		if (purpose === FOREIGN || ref?.task.run !== Number(run)) return
@@ -281,6 +291,10 @@
 	return running.some(entry => entry.taskId === taskId && entry.run === task.run)
 }
 
+function isAnswered({result}: Completion): boolean {
+	return result.isOk() || result.error instanceof RefusedError
+}
+
 /** True if the command had no effect and will have none. */
 function isRefusedOrUnsent(error: CallError): boolean {
 	return error instanceof RefusedError || (error instanceof TransportError && !error.sent)
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -239,6 +239,9 @@
 export const RUN_COMMAND_TIMEOUT_MS = 700
 /** Number of starts sent for one run before the run is given up. */
 export const RUN_STARTS_MAX = 2
+/** Bounds of the number of starts, and of first calls to workers, that a holder has in flight. */
+export const CALL_WINDOW_MIN = 16
+export const CALL_WINDOW_MAX = 512
 /** Interval between stop requests for one run. */
 export const RUN_STOP_INTERVAL_MS = 400
 
--- /dev/null
+++ b/src/utils/call-window.ts
@@ -0,0 +1,46 @@
+/**
+ * Limits the calls of one kind that a host has in flight. Hundreds that are sent at once wait for the host's own processor
+ * time until their deadlines have passed, and what is repeated for that takes more of it. As in TCP, the window begins small,
+ * grows with each answer that comes soon, and halves when one comes late or not at all. Callees that don't answer can't fill
+ * it while others do.
+ */
+import {CALL_WINDOW_MAX, CALL_WINDOW_MIN} from "../internal.js"
+
+/** Share of its deadline from which an answer is late. */
+const LATE_SHARE = 0.25
+
+export class CallWindow {
+	readonly #lateMs: number
+	#size = CALL_WINDOW_MIN
+	/** Size from which the window grows by one for each window of answers. */
+	#threshold = CALL_WINDOW_MAX
+	#inFlight = 0
+	/** Time of the last halving; a late answer to a call sent before it does not halve the window again. */
+	#halvedAt = -Infinity
+
+	constructor(deadlineMs: number) {
+		this.#lateMs = deadlineMs * LATE_SHARE
+	}
+
+	/** Calls that belong together are sent together, alone if they are more than the window takes. */
+	isOpenFor(calls: number): boolean {
+		return this.#inFlight === 0 || this.#inFlight + calls <= this.#size
+	}
+
+	recordSent(): void {
+		this.#inFlight++
+	}
+
+	recordEnd(isAnswered: boolean, sentAt: number, now: number): void {
+		this.#inFlight--
+		if (isAnswered && now - sentAt < this.#lateMs) {
+			const growth = this.#size < this.#threshold ? 1 : 1 / this.#size
+			this.#size = Math.min(CALL_WINDOW_MAX, this.#size + growth)
+			return
+		}
+		if (sentAt < this.#halvedAt) return
+		this.#size = Math.max(CALL_WINDOW_MIN, this.#size / 2)
+		this.#threshold = this.#size
+		this.#halvedAt = now
+	}
+}
