--- a/__tests__/holds.test.ts
+++ b/__tests__/holds.test.ts
@@ -1,5 +1,6 @@
 /** How long work that could run is held after an outage of the store, and in a new term. */
 import {expect} from "chai"
+import {blockThread, createConnections} from "./fixtures/connections.js"
 import {createJob} from "./fixtures/domain.js"
 import {
 	HOLD_MAX_MS,
@@ -81,3 +82,43 @@
 				checkAll(offsetMs => playLostMember({offsetMs, awayMs: AWAY_MS, isKilled, isReplaced})))
 		}
 })
+
+/** Phases of the event loop in which its thread may be late. */
+const PHASES = {
+	timers: () => Promise.resolve(),
+	immediates: () => new Promise<void>(resolve => setImmediate(resolve))
+}
+
+describe("calls over connections that went silent", () => {
+	const CONNECTIONS = 16
+	const TIMEOUT_MS = 300
+	let connections: Awaited<ReturnType<typeof createConnections>>
+
+	beforeEach(async () => {
+		connections = await createConnections()
+	})
+	afterEach(() => connections.stop())
+
+	// Each call that gets no answer closes its own connection only, and the next one takes another silent one.
+	it("lose two calls at most before one is answered", async () => {
+		const {open, silence, send} = connections
+		await open(CONNECTIONS)
+		await silence()
+		let lost = 0
+		while (lost <= CONNECTIONS && !(await send(0, TIMEOUT_MS))) lost++
+		expect(lost).to.be.at.most(2)
+	})
+
+	for (const [phase, enterPhase] of Object.entries(PHASES))
+		// Timers fire before arrived answers are read, if the thread is late in another phase of the loop than theirs.
+		it(`keep the answers that arrive while the thread is late (${phase})`, async () => {
+			const {open, send} = connections
+			await open(CONNECTIONS)
+			const calls = Array.from({length: CONNECTIONS}, () => send(50, TIMEOUT_MS))
+			await new Promise<void>(resolve => setTimeout(resolve, 20))
+			await enterPhase()
+			blockThread(1000)
+			const answered = (await Promise.all(calls)).filter(Boolean)
+			expect(answered).to.have.length(CONNECTIONS)
+		})
+})
