--- a/__tests__/holds.test.ts
+++ b/__tests__/holds.test.ts
@@ -6,10 +6,13 @@
 	HOLD_MAX_MS,
 	type OutagePlay,
 	OutageKind,
+	countWorkerCalls,
+	playCrowd,
 	playLostMember,
 	playLostPlan,
 	playLostStarts,
-	playOutage
+	playOutage,
+	playPoisoned
 } from "./fixtures/holds.js"
 
 const OFFSETS = Array.from({length: 8}, (_, index) => index * 115)
@@ -83,6 +86,25 @@
 		}
 })
 
+describe("a start beside many others", () => {
+	for (const delayMs of [2, 100, 200])
+		for (const isKilled of [false, true])
+			// One commit is in flight at a time, and takes 49 plans at most.
+			it(`comes in time for 300 jobs after an outage (${delayMs} ms to the store, ${isKilled ? "new" : "same"} term)`, async () => {
+				const tookMs = await playCrowd({jobs: 300, awayMs: AWAY_MS, delayMs, isKilled})
+				expect(tookMs).to.be.below(HOLD_MAX_MS)
+			})
+
+	// Each worker that lists an end which is not durable is asked again each 0.2 s.
+	it("costs no more than twice the calls while the store is away", async () => {
+		const {calm, away} = await countWorkerCalls(250, AWAY_MS)
+		expect(away, `calm ${calm}`).to.be.at.most(2 * calm)
+	})
+
+	// Failures of two workflows close a worker for 8 s, whatever their cause.
+	it("comes in time after two jobs have failed on all workers", () => checkAll(playPoisoned))
+})
+
 /** Phases of the event loop in which its thread may be late. */
 const PHASES = {
 	timers: () => Promise.resolve(),
