--- a/__tests__/holds.test.ts
+++ b/__tests__/holds.test.ts
@@ -8,15 +8,21 @@
 	OutageKind,
 	countWorkerCalls,
 	playCrowd,
+	playLostCommits,
 	playLostMember,
 	playLostPlan,
 	playLostStarts,
 	playOutage,
-	playPoisoned
+	playPoisoned,
+	playSlowStore,
+	playStaleCatalog,
+	playWideGang
 } from "./fixtures/holds.js"
 
 const OFFSETS = Array.from({length: 8}, (_, index) => index * 115)
 const AWAY_MS = 6000
+/** Long enough for all leases of workers to end. */
+const LONG_AWAY_MS = 16000
 const LAPSED_MS = 2000
 const THIRD = 1 / 3
 
@@ -56,6 +62,25 @@
 	}
 })
 
+describe("a start after trouble with single calls", () => {
+	// A commit without an answer is given up after 2 s.
+	for (const count of [1, 2, 3])
+		it(`comes in time if the answers to ${count} commits of its plan are lost`, () =>
+			checkAll(offsetMs => playLostCommits(offsetMs, count)))
+
+	it("comes in time if the catalog was stale when its plan became durable", () =>
+		checkAll(playStaleCatalog))
+
+	for (const cores of [1, 0.4])
+		it(`comes in time in a new term after a slow store was away (${cores} cores)`, () =>
+			checkAll(offsetMs => playSlowStore(offsetMs, cores)))
+
+	for (const kind of Object.values(OutageKind))
+		for (const isKilled of [false, true])
+			it(`comes in time if leases and entries lapsed in the outage (${kind}, ${isKilled ? "new" : "same"} term)`, () =>
+				checkHolds({kind, awayMs: LONG_AWAY_MS, isKilled, lapsedMs: LAPSED_MS}))
+})
+
 const TASK = createJob({workMs: 500})
 const GANG = createJob({count: 4, gang: true, gpu: 8, workMs: 500})
 
@@ -105,6 +130,11 @@
 	it("comes in time after two jobs have failed on all workers", () => checkAll(playPoisoned))
 })
 
+describe("a start beside a gang that waits", () => {
+	// Idle capacity is withheld for the gang, however long it has to wait for the rest.
+	it("comes in time on idle workers", () => checkAll(playWideGang))
+})
+
 /** Phases of the event loop in which its thread may be late. */
 const PHASES = {
 	timers: () => Promise.resolve(),
