--- a/__tests__/holds.test.ts
+++ b/__tests__/holds.test.ts
@@ -8,12 +8,14 @@
 	OutageKind,
 	countWorkerCalls,
 	playCrowd,
+	playForeignRuns,
 	playLostCommits,
 	playLostMember,
 	playLostPlan,
 	playLostStarts,
 	playOutage,
 	playPoisoned,
+	playRefusedCommit,
 	playSlowStore,
 	playStaleCatalog,
 	playWideGang
@@ -53,6 +55,18 @@
 		it(`comes in time in a new term if the workers' entries expired (${kind})`, () =>
 			checkHolds({kind, awayMs: AWAY_MS, isKilled: true, lapsedMs: LAPSED_MS}))
 
+		for (const isKilled of [false, true]) {
+			const term = isKilled ? "new" : "same"
+			it(`comes in time if the holder reached nothing (${kind}, ${term} term)`, () =>
+				checkHolds({kind, awayMs: AWAY_MS, isKilled, isCutOff: true}))
+
+			it(`comes in time if the store is slow on its return (${kind}, ${term} term)`, () =>
+				checkHolds({kind, awayMs: AWAY_MS, isKilled, delayMs: 150}))
+
+			it(`comes in time if the store is slow and the entries expired (${kind}, ${term} term)`, () =>
+				checkHolds({kind, awayMs: AWAY_MS, isKilled, delayMs: 100, lapsedMs: LAPSED_MS}))
+		}
+
 		it(`comes in time in the same term while a third of the calls still fail (${kind})`, () =>
 			checkHolds({kind, awayMs: AWAY_MS, failingShare: THIRD}))
 
@@ -71,6 +85,13 @@
 	it("comes in time if the catalog was stale when its plan became durable", () =>
 		checkAll(playStaleCatalog))
 
+	// A platform's refusal for the content of a commit is believed for 10 s.
+	it("comes in time if one commit of its plan is refused as malformed", () =>
+		checkAll(playRefusedCommit))
+
+	it("comes in time if all workers run what the holder does not know", () =>
+		checkAll(playForeignRuns))
+
 	for (const cores of [1, 0.4])
 		it(`comes in time in a new term after a slow store was away (${cores} cores)`, () =>
 			checkAll(offsetMs => playSlowStore(offsetMs, cores)))
