--- a/__tests__/holds.test.ts
+++ b/__tests__/holds.test.ts
@@ -7,6 +7,8 @@
 	type OutagePlay,
 	OutageKind,
 	countWorkerCalls,
+	playAccepted,
+	playAvoided,
 	playCrowd,
 	playForeignRuns,
 	playLostCommits,
@@ -57,6 +59,14 @@
 
 		for (const isKilled of [false, true]) {
 			const term = isKilled ? "new" : "same"
+			it(`comes in time if another host accepts the job then (${kind}, ${term} term)`, () =>
+				checkAll(offsetMs => playAccepted({kind, awayMs: AWAY_MS, isKilled, offsetMs})))
+
+			it(`comes in time if another host accepts the job then, and the store is slow (${kind}, ${term} term)`, () =>
+				checkAll(offsetMs =>
+					playAccepted({kind, awayMs: AWAY_MS, isKilled, offsetMs, delayMs: 150})
+				))
+
 			it(`comes in time if the holder reached nothing (${kind}, ${term} term)`, () =>
 				checkHolds({kind, awayMs: AWAY_MS, isKilled, isCutOff: true}))
 
@@ -119,6 +129,11 @@
 		it(`comes in time after an outage that hid the commit of its plan (${name})`, () =>
 			checkAll(offsetMs => playLostPlan({offsetMs, job, awayMs: AWAY_MS, isKilled: false})))
 
+		it(`comes in time after an outage and the load of a term, if the entries expired (${name})`, () =>
+			checkAll(offsetMs =>
+				playLostPlan({offsetMs, job, awayMs: AWAY_MS, isKilled: true, lapsedMs: LAPSED_MS})
+			))
+
 		it(`comes in time after a stop of starts that were lost (${name})`, () =>
 			checkAll(offsetMs => playLostStarts(offsetMs, job)))
 	}
@@ -147,6 +162,8 @@
 		expect(away, `calm ${calm}`).to.be.at.most(2 * calm)
 	})
 
+	it("comes in time after a failure beside idle workers", () => checkAll(playAvoided))
+
 	// Failures of two workflows close a worker for 8 s, whatever their cause.
 	it("comes in time after two jobs have failed on all workers", () => checkAll(playPoisoned))
 })
