Count the delay after a failed call to the store from when the call was sent

Cause: a commit that nobody answers was given up after 2 s, and the next one waited for a delay that doubles with each failure, as if the store had refused at once. A plan that had become durable was thrown away besides if the configuration was stale at that moment.

--- a/src/controllers/catalog.ts
+++ b/src/controllers/catalog.ts
@@ -51,7 +51,7 @@
 	#settle(board: Board, {command, result}: Completion<"catalog-follow">, now: number): void {
 		this.#inFlight = false
 		if (result.isErr()) {
-			this.#nextAt = now + this.#outage.recordFailure(board, result.error)
+			this.#nextAt = this.#outage.recordFailure(board, result.error, command.issuedAt, now)
 			this.#afterVersion = undefined
 			const known = board.catalog.get("current")
 			if (known !== undefined)
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -204,11 +204,11 @@
 		else this.#settleRenewal(board, completion as Completion<"node-renew">, now)
 	}
 
-	#settleList(board: Board, {result}: Completion<"worker-list">, now: number): void {
+	#settleList(board: Board, {command, result}: Completion<"worker-list">, now: number): void {
 		this.#listInFlight = false
 		if (this.#epoch === 0) return
 		if (result.isErr()) {
-			this.#listAt = now + this.#listOutage.recordFailure(board, result.error)
+			this.#listAt = this.#listOutage.recordFailure(board, result.error, command.issuedAt, now)
 			return
 		}
 		this.#listOutage.recordSuccess(board)
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -20,11 +20,13 @@
 	RefusalCode,
 	RefusedError,
 	SectionName,
+	StartGate,
 	TaskPhase,
 	TransportError,
 	computeLeaseExpiry,
 	computeLeaseEnd,
 	computeSteadyTime,
+	findRoundGate,
 	findTerm,
 	isNodeSchedulable,
 	isSaved,
@@ -113,6 +115,8 @@
 		const refs = spec.gang ? listTaskRefs(workflow, occurrence, stepIndex) : [ref]
 		const plannedRevision = Math.max(...refs.map(member => member.task.plannedRevision))
 		if (!isSaved(workflow, occurrence, plannedRevision)) return
+		// The plan is kept meanwhile: another one would take another commit.
+		if (findRoundGate(board, now) === StartGate.catalogStale) return
 		const blocked = refs.find(member => !this.#canStart(board, member, now))
 		if (blocked !== undefined) {
 			releaseRun(board, blocked, ReasonCode.workerRefused, now)
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -16,6 +16,7 @@
 	type TableRow,
 	type WorkflowEntry,
 	COMMIT_REFUSED_RETRY_MS,
+	COMMIT_TIMEOUT_MS,
 	CommandKind,
 	CommitBatch,
 	EventLevel,
@@ -163,9 +164,10 @@
 		else this.#settleCommit(board, completion as Completion<"table-commit">, now)
 	}
 
-	#settlePoll(board: Board, {result}: Completion<"table-follow">, now: number): void {
+	#settlePoll(board: Board, {command, result}: Completion<"table-follow">, now: number): void {
 		if (result.isErr()) {
-			this.#nextPollAt = now + this.#pollOutage.recordFailure(board, result.error)
+			const {issuedAt} = command
+			this.#nextPollAt = this.#pollOutage.recordFailure(board, result.error, issuedAt, now)
 			// Changes may have been missed, so all rows are read again.
 			this.#afterVersion = undefined
 			return
@@ -196,8 +198,8 @@
 			load.takeFailed(command.id)
 			// Reads that fail together are repeated together; a table that answers some of them is not away.
 			if (now < this.#nextPollAt) return
-			const delayMs = this.#pollOutage.recordFailure(board, result.error)
-			this.#nextPollAt = now + (load.takeProgress() ? OUTAGE_RETRY_MIN_MS : delayMs)
+			const retryAt = this.#pollOutage.recordFailure(board, result.error, command.issuedAt, now)
+			this.#nextPollAt = load.takeProgress() ? now + OUTAGE_RETRY_MIN_MS : retryAt
 			return
 		}
 		if (!load.take(command.id)) return
@@ -330,7 +332,8 @@
 			this.name,
 			`${COMMIT} ${this.#epoch}`,
 			[holderCheck, ...batch.writes],
-			now
+			now,
+			COMMIT_TIMEOUT_MS
 		)
 		return Infinity
 	}
@@ -382,7 +385,8 @@
 		this.#singleCommits = Math.max(0, this.#singleCommits - 1)
 		if (result.isErr()) {
 			this.#restoreBatch(batch)
-			this.#nextCommitAt = now + this.#commitOutage.recordFailure(board, result.error)
+			const {issuedAt} = command
+			this.#nextCommitAt = this.#commitOutage.recordFailure(board, result.error, issuedAt, now)
 			if (isRefusedForContent(result.error))
 				this.#withholdRefused(board, batch, result.error.message, now)
 			return
--- a/src/utils/outage.ts
+++ b/src/utils/outage.ts
@@ -20,14 +20,17 @@
 		this.#name = name
 	}
 
-	/** Returns the delay before the next try, in ms. */
-	recordFailure(board: Board, error: CallError): number {
+	/**
+	 * Returns when to try again. The delay counts from when the failed call was sent: one that was not answered has waited
+	 * long enough.
+	 */
+	recordFailure(board: Board, error: CallError, sentAt: number, now: number): number {
 		if (this.#failures === 0) {
 			const fields = {detail: error.message}
 			board.record(EventLevel.warn, `${this.#name}-lost`, fields, ReasonCode.platformUnavailable)
 		}
 		const delayMs = OUTAGE_RETRY_MIN_MS * 2 ** this.#failures++
-		return Math.min(OUTAGE_RETRY_MAX_MS, delayMs)
+		return Math.max(now, sentAt + Math.min(OUTAGE_RETRY_MAX_MS, delayMs))
 	}
 
 	recordSuccess(board: Board): void {
