Count the leases of earlier holders from the end of their terms as observed

Cause: what an earlier holder may have renewed was counted from the start or load of the new term. That holder renews until 1.8 s after the end of its own confirmed term, and the new one has observed that end: it may not take over before. In an outage the two are as far apart as the outage is long. The class of fault: a wait counted from when we look, not from what we wait for.

--- a/__tests__/outage-return.test.ts
+++ b/__tests__/outage-return.test.ts
@@ -1,6 +1,12 @@
 /** How soon work goes on once the store is back, or a new term has begun. */
 import {expect} from "chai"
-import {DOMAIN_LEASE_MS, RUN_COMMAND_TIMEOUT_MS, TAKE_OVER_SPREAD_MS} from "../src/internal.js"
+import {
+	DOMAIN_LEASE_MS,
+	NODE_LEASE_GRACE_MS,
+	NODE_LEASE_MS,
+	RUN_COMMAND_TIMEOUT_MS,
+	TAKE_OVER_SPREAD_MS
+} from "../src/internal.js"
 import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
 import {type DomainHost, BATCH, createJob, createServingDomain} from "./fixtures/domain.js"
 
@@ -10,6 +16,9 @@
 /** The longest lease of a lost holder, and the spread of the take-overs. */
 const TAKEN_OVER_MAX_MS = DOMAIN_LEASE_MS + TAKE_OVER_SPREAD_MS
 
+/** How long an earlier holder renews leases beyond its own, and such a lease by a clock that is 2% slow, with a margin. */
+const EARLIER_LEASE_MAX_MS = NODE_LEASE_GRACE_MS + NODE_LEASE_MS / 0.98 + 300
+
 /** Bound on the time for which work that could run stands still once the store can be used. */
 const STILL_MAX_MS = 3000
 
@@ -74,4 +83,29 @@
 		await advanceUntil(() => fleet.monitor.starts.length === 1)
 		expect(clock.now() - lostAt).to.be.below(RUN_COMMAND_TIMEOUT_MS + 500)
 	})
+
+	// Regression test: leases of the earlier holder were waited for from the load of the new term, however long it had been cut off.
+	it("goes on once the leases of a holder lost in the outage have expired", async () => {
+		const {first, fleet, plan, clock, submit, advance, advanceUntil} = await createServingDomain({
+			hosts: 2
+		})
+		await submit(
+			first,
+			`${BATCH}${FIRST_ID}`,
+			createJob({count: 2, gpu: 8, gang: true, workMs: 30000})
+		)
+		await advanceUntil(() => fleet.monitor.starts.length === 2)
+		await advance(500)
+		const awayAt = clock.now()
+		plan.isRefused = (_, call) => call.target === STORE_TARGET
+		await advance(5000)
+		fleet.workers.get("w1")!.restart()
+		fleet.store.deleteRow("servers", "w1")
+		stopHolder(first)
+		plan.isLost = (_, call) => call.target === "w1"
+		plan.isRefused = () => false
+		fleet.addWorker("w3")
+		await advanceUntil(() => fleet.monitor.starts.length === 4)
+		expect(clock.now() - awayAt).to.be.below(DOMAIN_LEASE_MS + EARLIER_LEASE_MAX_MS + 1000)
+	})
 })
--- a/bench/zone-board.ts
+++ b/bench/zone-board.ts
@@ -60,7 +60,8 @@
 		observedAt: 0,
 		leaseMs: HOLDER_LEASE_MS,
 		isHeldHere: true,
-		confirmedUntil: Infinity
+		confirmedUntil: Infinity,
+		earlierEndedAt: 0
 	})
 	board.bundle.set("current", {
 		bundle: {
--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -338,7 +338,8 @@
 			observedAt: computeSteadyTime(board, sentAt),
 			leaseMs,
 			isHeldHere: true,
-			confirmedUntil: computeConfirmedUntil(sentAt, leaseMs)
+			confirmedUntil: computeConfirmedUntil(sentAt, leaseMs),
+			earlierEndedAt: entry.isHeldHere ? entry.earlierEndedAt : this.#findEarlierEnd(board, entry)
 		})
 		// A read may have shown the new holder before the answer to its commit.
 		if (subject === TAKE && !entry.isHeldHere) this.#recordTaken(board, {zone, epoch}, entry)
@@ -386,7 +387,9 @@
 			observedAt: this.#findObservedAt(board, known, {isHeldHere, isUnchanged}, now),
 			leaseMs,
 			isHeldHere,
-			confirmedUntil: this.#findConfirmedUntil(known, isHeldHere, leaseMs)
+			confirmedUntil: this.#findConfirmedUntil(known, isHeldHere, leaseMs),
+			earlierEndedAt:
+				known?.isHeldHere === true ? known.earlierEndedAt : this.#findEarlierEnd(board, known)
 		}
 		board.authority.set(zone, entry)
 		if (isHeldHere && !known.isHeldHere) this.#recordTaken(board, entry, known)
@@ -413,6 +416,12 @@
 		return computeSteadyTime(board, isHeldHere ? this.#takeOverSentAt : now)
 	}
 
+	/** Nobody takes over before the last lease has ended as observed here, or the holder has given the zone up. */
+	#findEarlierEnd(board: Board, earlier: AuthorityEntry | undefined): number {
+		const takenAt = computeSteadyTime(board, this.#takeOverSentAt)
+		return earlier === undefined ? takenAt : Math.min(takenAt, earlier.observedAt + earlier.leaseMs)
+	}
+
 	#findConfirmedUntil(
 		known: AuthorityEntry | undefined,
 		isHeldHere: boolean,
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -16,7 +16,6 @@
 	CommandKind,
 	EventLevel,
 	NODE_ANSWER_TIMEOUT_MS,
-	NODE_LEASE_GRACE_MS,
 	NODE_RENEW_WAIT_MS,
 	NODE_RETRY_DELAY_MS,
 	NODE_UNSAVED_DELAY_MS,
@@ -26,6 +25,7 @@
 	RefusedError,
 	SectionName,
 	WORKER_LIST_INTERVAL_MS,
+	computeEarlierExpiry,
 	computeLeaseExpiry,
 	computeLeaseEnd,
 	computeSteadyTime,
@@ -46,8 +46,6 @@
 		SectionName.reportRequests
 	]
 	#epoch = 0
-	/** Steady time of this term's start. */
-	#termStartedAt = 0
 	#listInFlight = false
 	#listAt = 0
 	readonly #listOutage = new Outage("worker-list")
@@ -71,7 +69,6 @@
 		if (term.epoch !== this.#epoch) {
 			this.#removeAll(board)
 			this.#epoch = term.epoch
-			this.#termStartedAt = computeSteadyTime(board, now)
 		}
 		return Math.min(
 			this.#listWorkers(board, now),
@@ -252,7 +249,7 @@
 				clockReadAt: 0,
 				answeredAt: 0,
 				answeredFrom: undefined,
-				leaseExpiresAt: computeLeaseExpiry(board, this.#termStartedAt + NODE_LEASE_GRACE_MS),
+				leaseExpiresAt: computeEarlierExpiry(board),
 				failures: 0,
 				leavesAt: computeLeavesAt(registration, undefined, now)
 			})
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -12,7 +12,6 @@
 	type RunningReport,
 	type TaskRef,
 	EventLevel,
-	NODE_LEASE_GRACE_MS,
 	NODE_SLOW_MS,
 	NODE_FAILURES_MAX,
 	NODE_QUARANTINE_MS,
@@ -26,7 +25,7 @@
 	WorkerPaces,
 	WorkflowState,
 	completeTask,
-	computeLeaseExpiry,
+	computeEarlierExpiry,
 	computeSteadyTime,
 	endWorkflow,
 	findTaskRef,
@@ -330,8 +329,7 @@
 		for (const workerId of [...board.runs.listWorkers()]) {
 			const node = board.nodes.get(workerId)
 			// A worker that has not been listed in this term has leases of earlier holders only, which renew them for a while.
-			const earlierExpiresAt = computeLeaseExpiry(board, loadedAt + NODE_LEASE_GRACE_MS)
-			if (steadyNow <= (node?.leaseExpiresAt ?? earlierExpiresAt)) continue
+			if (steadyNow <= (node?.leaseExpiresAt ?? computeEarlierExpiry(board))) continue
 			const refs = [...board.runs.listOn(workerId).values()].filter(
 				({task}) => task.phase !== TaskPhase.planned
 			)
--- a/src/types/cluster.ts
+++ b/src/types/cluster.ts
@@ -97,6 +97,8 @@
 	readonly isHeldHere: boolean
 	/** Monotonic time until which no other host can have taken over; meaningful while `isHeldHere`. */
 	readonly confirmedUntil: number
+	/** Steady time by which the confirmed terms of all earlier holders had ended; meaningful while `isHeldHere`. */
+	readonly earlierEndedAt: number
 }
 
 export interface Guarantee {
--- a/src/utils/nodes.ts
+++ b/src/utils/nodes.ts
@@ -7,11 +7,13 @@
 	type NodeHealth,
 	CATALOG_FRESH_MS,
 	Lifecycle,
+	NODE_LEASE_GRACE_MS,
 	NODE_LEASE_MARGIN_MS,
 	NODE_LEASE_MS,
 	NodeGate,
 	WORKER_CLOCK_ERROR,
 	computeSteadyTime,
+	findTerm,
 	isPlatformLost
 } from "../internal.js"
 
@@ -34,6 +36,12 @@
 	return grantedAt + computeNodeLease(settings) / (1 - WORKER_CLOCK_ERROR) + NODE_LEASE_MARGIN_MS
 }
 
+/** Steady time at which every lease that an earlier holder has granted has expired. */
+export function computeEarlierExpiry(board: Board): number {
+	const endedAt = findTerm(board)?.earlierEndedAt ?? Infinity
+	return computeLeaseExpiry(board, endedAt + NODE_LEASE_GRACE_MS)
+}
+
 /** Why the worker may not be given new runs; undefined if it may. Its health matters only to placement. */
 export function findNodeGate(
 	{registration, listed, incarnation, failures}: NodeEntry,
