Start the runs of a worker elsewhere once its process has ended

Cause: nothing but the end of the lease proved that a worker runs nothing, though its machine refused each connection. The class of fault: evidence that is there and that no decision reads. A worker that is silent may run on, so its lease is still waited for; one whose address, from which it has answered, refuses two connections in a row has ended, and its runs with it. Runs that were never seen to begin are kept until the lease has expired: a late start may reach the worker's next incarnation.

--- a/__tests__/outage-return.test.ts
+++ b/__tests__/outage-return.test.ts
@@ -4,6 +4,7 @@
 	DOMAIN_LEASE_MS,
 	NODE_LEASE_GRACE_MS,
 	NODE_LEASE_MS,
+	NODE_RENEW_WAIT_MS,
 	RUN_COMMAND_TIMEOUT_MS,
 	TAKE_OVER_SPREAD_MS
 } from "../src/internal.js"
@@ -108,4 +109,45 @@
 		await advanceUntil(() => fleet.monitor.starts.length === 4)
 		expect(clock.now() - awayAt).to.be.below(DOMAIN_LEASE_MS + EARLIER_LEASE_MAX_MS + 1000)
 	})
+
+	// Regression test: a gang stood still until the lease of a member's worker had expired whose process had ended in the outage.
+	for (const isUnlisted of [false, true])
+		it(`goes on if a worker of its gang has ended in the outage (${isUnlisted ? "unlisted" : "listed"})`, async () => {
+			const {first, fleet, plan, clock, submit, advance, advanceUntil} = await createServingDomain({
+				workers: 3
+			})
+			await submit(
+				first,
+				`${BATCH}${FIRST_ID}`,
+				createJob({count: 2, gpu: 8, gang: true, workMs: 30000})
+			)
+			await advanceUntil(() => fleet.monitor.starts.length === 2)
+			await advance(500)
+			plan.isRefused = (_, call) => call.target === STORE_TARGET
+			await advance(4000)
+			const ended = fleet.monitor.starts[0]!.worker
+			plan.isClosed = (_, call) => call.target === ended
+			fleet.workers.get(ended)!.restart()
+			if (isUnlisted) fleet.store.deleteRow("servers", ended)
+			await advance(500)
+			plan.isRefused = () => false
+			const backAt = clock.now()
+			await advanceUntil(() => fleet.monitor.starts.length === 4)
+			expect(clock.now() - backAt).to.be.below(STILL_MAX_MS)
+			await advance(2000)
+			expect(fleet.monitor.violations).to.deep.equal([])
+		})
+
+	it("waits for the lease of a worker that is silent", async () => {
+		const {first, fleet, plan, clock, submit, advance, advanceUntil} = await createServingDomain()
+		await submit(first, `${BATCH}${FIRST_ID}`, createJob({workMs: 30000}))
+		await advanceUntil(() => fleet.monitor.starts.length === 1)
+		const silent = fleet.monitor.starts[0]!.worker
+		await advance(500)
+		plan.isLost = (_, call) => call.target === silent
+		const silentAt = clock.now()
+		await advanceUntil(() => fleet.monitor.starts.length === 2)
+		expect(clock.now() - silentAt).to.be.above(NODE_LEASE_MS - NODE_RENEW_WAIT_MS)
+		expect(fleet.monitor.violations).to.deep.equal([])
+	})
 })
--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -19,9 +19,10 @@
 const HTTP_CLIENT_ERROR_MIN = 400
 const HTTP_SERVER_ERROR_MIN = 500
 
+const REFUSED_CODE = "ECONNREFUSED"
 /** Error codes of connections that failed before any byte of the request was sent. */
 const UNSENT_CODES = new Set([
-	"ECONNREFUSED",
+	REFUSED_CODE,
 	"UND_ERR_CONNECT_TIMEOUT",
 	"EHOSTUNREACH",
 	"ENETUNREACH"
@@ -149,5 +150,6 @@
 	const code = (error as {code?: unknown}).code
 	const detail = error instanceof Error ? error.message : String(error)
 	const sent = !(typeof code === "string" && UNSENT_CODES.has(code))
-	return new TransportError(url, typeof code === "string" ? `${code} ${detail}` : detail, sent)
+	const text = typeof code === "string" ? `${code} ${detail}` : detail
+	return new TransportError(url, text, sent, code === REFUSED_CODE)
 }
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -24,6 +24,7 @@
 	RefusalCode,
 	RefusedError,
 	SectionName,
+	TransportError,
 	WORKER_LIST_INTERVAL_MS,
 	computeEarlierExpiry,
 	computeLeaseExpiry,
@@ -251,6 +252,7 @@
 				answeredFrom: undefined,
 				leaseExpiresAt: computeEarlierExpiry(board),
 				failures: 0,
+				refusals: 0,
 				leavesAt: computeLeavesAt(registration, undefined, now)
 			})
 			board.record(EventLevel.info, "worker-listed", {
@@ -294,7 +296,8 @@
 			const isGone = isReplaced(node, command.target, result.error)
 			const steadyNow = computeSteadyTime(board, now)
 			const leaseExpiresAt = isGone ? Math.min(steadyNow, node.leaseExpiresAt) : node.leaseExpiresAt
-			board.nodes.set(id, {...node, failures: node.failures + 1, leaseExpiresAt})
+			const refusals = isRefused(node, command.target, result.error) ? node.refusals + 1 : 0
+			board.nodes.set(id, {...node, failures: node.failures + 1, refusals, leaseExpiresAt})
 			if (isGone && node.leaseExpiresAt > steadyNow)
 				board.record(EventLevel.info, "worker-replaced", {worker: id, address: command.target})
 			if (node.failures === 0) {
@@ -328,7 +331,8 @@
 			clockReadAt: computeSteadyTime(board, now),
 			answeredAt: now,
 			answeredFrom: target,
-			failures: 0
+			failures: 0,
+			refusals: 0
 		}
 		if (node.incarnation === incarnation && node.failures === 0) board.nodes.setSilently(id, entry)
 		else board.nodes.set(id, entry)
@@ -353,6 +357,12 @@
 	return isOther && target === answeredFrom
 }
 
+/** True if nothing listens where this worker answered. */
+function isRefused({answeredFrom}: NodeEntry, target: string, error: CallError): boolean {
+	const isRefused = error instanceof TransportError && error.isConnectionRefused
+	return isRefused && target === answeredFrom
+}
+
 /** The earliest estimate counts: reading the same row again would move the time of leaving to later. */
 function computeLeavesAt(
 	{isDraining, remainingMs, incarnation}: WorkerRegistration,
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -21,9 +21,12 @@
 /** A call without an answer. Whether it took effect is unknown, unless `sent` is false. */
 export class TransportError extends CardamomError {
 	readonly sent: boolean
-	constructor(target: string, detail: string, sent: boolean) {
+	/** True if the machine answered that nothing listens at the address. */
+	readonly isConnectionRefused: boolean
+	constructor(target: string, detail: string, sent: boolean, isConnectionRefused = false) {
 		super(`no answer from ${target}: ${detail}`)
 		this.sent = sent
+		this.isConnectionRefused = isConnectionRefused
 	}
 }
 
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -114,6 +114,8 @@
 	starts: number
 	/** Number of those without an answer, which a worker may still carry out. */
 	openStarts: number
+	/** True once this holder knows that the run has begun. */
+	hasBegun: boolean
 	percent: number
 	/** Monotonic time at which `percent` last changed. */
 	progressAt: number
@@ -235,6 +237,8 @@
 	/** Steady time by which, unless renewed, every lease granted by this or an earlier holder has expired. */
 	readonly leaseExpiresAt: number
 	readonly failures: number
+	/** Calls in a row that were refused a connection at the address that it answered from. */
+	readonly refusals: number
 	/** Earliest monotonic time at which a draining worker leaves; undefined if the worker does not announce it. */
 	readonly leavesAt: number | undefined
 }
--- a/standins/fault-plan.ts
+++ b/standins/fault-plan.ts
@@ -9,7 +9,9 @@
 	/** The command takes effect and its answer is lost. */
 	loseAnswer: "lose-answer",
 	/** The command is refused unexecuted, as by an overloaded platform; only the fleet's stand-in supports this. */
-	refuse: "refuse"
+	refuse: "refuse",
+	/** Nothing listens at the address; only the fleet's stand-in supports this. */
+	refuseConnection: "refuse-connection"
 } as const
 export type DeliveryAction = (typeof DeliveryAction)[keyof typeof DeliveryAction]
 
--- a/standins/fleet/direct.ts
+++ b/standins/fleet/direct.ts
@@ -48,6 +48,11 @@
 				resolve(err(new TransportError(request.url, "no answer in time", true)))
 			})
 			if (action === DeliveryAction.loseRequest) return
+			if (action === DeliveryAction.refuseConnection) {
+				cancel()
+				resolve(err(new TransportError(request.url, "nothing listens", false, true)))
+				return
+			}
 			if (action === DeliveryAction.refuse) {
 				cancel()
 				resolve(ok({status: HTTP_TOO_MANY, body: undefined}))
