Close no workers for failures if that would close half of their service

Callers saw all work stand still for 8 s after two jobs that can never be done had failed on all workers: failures of two workflows in a row close a worker, whatever their cause.

If more than half of a service's workers are closed at once, the work that failed is more likely at fault than they are. They stay suspect: a task doesn't go back to where it failed while another worker could take it.

--- a/src/controllers/standstill.ts
+++ b/src/controllers/standstill.ts
@@ -11,6 +11,7 @@
 	type WorkflowEntry,
 	EventLevel,
 	SectionName,
+	findClosedWorkers,
 	findHeldTask,
 	findNodeGate,
 	findRoundGate,
@@ -131,10 +132,11 @@
 /** Counts the workers that get no new runs, by the reason. */
 function countNodeGates(board: Board, now: number): ReadonlyMap<NodeGate, number> {
 	const catalog = board.catalog.get("current")
+	const closed = findClosedWorkers(board, now)
 	const counts = new Map<NodeGate, number>()
 	for (const node of board.nodes.values()) {
 		const health = board.health.get(node.registration.id)
-		const gate = catalog === undefined ? undefined : findNodeGate(node, catalog, health, now)
+		const gate = catalog === undefined ? undefined : findNodeGate(node, catalog, health, closed)
 		if (gate !== undefined) counts.set(gate, (counts.get(gate) ?? 0) + 1)
 	}
 	return counts
--- a/src/utils/nodes.ts
+++ b/src/utils/nodes.ts
@@ -14,9 +14,15 @@
 	WORKER_CLOCK_ERROR,
 	computeSteadyTime,
 	findTerm,
+	groupBy,
 	isPlatformLost
 } from "../internal.js"
 
+/** Share of a service's workers from which quarantine is not applied. */
+const QUARANTINED_SHARE_MAX = 0.5
+
+const NO_WORKERS: ReadonlySet<string> = new Set()
+
 function computeNodeLease({domain}: HostSettings): number {
 	return Math.min(NODE_LEASE_MS, domain?.workerLeaseMaxMs ?? Infinity)
 }
@@ -47,7 +53,7 @@
 	{registration, listed, incarnation, failures}: NodeEntry,
 	{zonesOut}: CatalogEntry,
 	health: NodeHealth | undefined,
-	now: number
+	closed: ReadonlySet<string>
 ): NodeGate | undefined {
 	if (!listed) return NodeGate.unlisted
 	if (registration.isDraining) return NodeGate.draining
@@ -55,13 +61,30 @@
 	if (incarnation !== registration.incarnation) return NodeGate.otherIncarnation
 	if (zonesOut.has(registration.zone)) return NodeGate.zoneOut
 	if (health === undefined) return undefined
-	if (health.quarantinedUntil > now) return NodeGate.quarantined
+	if (closed.has(registration.id)) return NodeGate.quarantined
 	return health.foreignRuns.length > 0 ? NodeGate.foreignRuns : undefined
 }
 
+/**
+ * The quarantined workers of each service. If they are many, the work that fails is at fault rather than the workers, which
+ * stay suspect.
+ */
+export function findClosedWorkers(board: Board, now: number): ReadonlySet<string> {
+	const closed = new Set<string>()
+	const byService = groupBy(board.nodes.values(), ({registration}) => registration.service)
+	for (const nodes of byService.values()) {
+		const quarantined = nodes.filter(
+			({registration: {id}}) => (board.health.get(id)?.quarantinedUntil ?? 0) > now
+		)
+		if (quarantined.length > nodes.length * QUARANTINED_SHARE_MAX) continue
+		for (const {registration} of quarantined) closed.add(registration.id)
+	}
+	return closed
+}
+
 /** True while a run that was planned for the worker may be started there. */
 export function isNodeSchedulable(node: NodeEntry, catalog: CatalogEntry): boolean {
-	return findNodeGate(node, catalog, undefined, 0) === undefined
+	return findNodeGate(node, catalog, undefined, NO_WORKERS) === undefined
 }
 
 /** True while this host can serve new callers: it is not stopping, and the platform is reachable. */
--- a/src/utils/rooms.ts
+++ b/src/utils/rooms.ts
@@ -12,6 +12,7 @@
 	TaskPhase,
 	type WorkflowEntry,
 	computeRank,
+	findClosedWorkers,
 	findNodeGate,
 	isFinal
 } from "../internal.js"
@@ -42,9 +43,10 @@
 	now: number
 ): CapacityByService {
 	const byService = new Map<string, NodeCapacity[]>()
+	const closed = findClosedWorkers(board, now)
 	for (const node of board.nodes.values()) {
 		const health = board.health.get(node.registration.id)
-		if (findNodeGate(node, catalog, health, now) !== undefined) continue
+		if (findNodeGate(node, catalog, health, closed) !== undefined) continue
 		const suspect = health !== undefined && (health.suspectUntil > now || health.slowUntil > now)
 		const pace = health?.pace ?? 1
 		const capacity = buildNodeCapacity(board, node, guaranteed, {suspect, pace}, now)
