Withhold capacity from work that stands still for 2 s at most while most is idle

Callers saw small jobs stand still beside idle workers for as long as a wide gang waited for its last worker: over 20 s in the test, with 8 of 32 accelerators in use, and no outage needed. After an outage wide gangs wait for the workers that come back last.

Cause: capacity is withheld for the first four groups that wait, so that wide gangs are not starved, without a bound on how long or on how much of it is idle. What has stood still for 2 s now uses withheld capacity while less than half of its service's is in use. In a busy service nothing changes.

Evidence: holds.test.ts, 'comes in time on idle workers': over 20,000 ms in each of eight phases before, below 3,000 now.

--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -13,8 +13,10 @@
 	type ReadyStep,
 	type CapacityByService,
 	type RunPlacementPolicy,
+	type ResourceDemand,
 	type RunQueuePolicy,
 	type Slot,
+	type StepSpec,
 	type TaskRef,
 	type WorkflowEntry,
 	EventLevel,
@@ -55,6 +57,9 @@
 /** Groups of tasks for which capacity is withheld in one round; more would leave too much capacity idle. */
 const WITHHELD_GROUPS_MAX = 4
 
+/** Time for which work waits beside capacity that is withheld from it, while most of its service is idle. */
+const WITHHELD_MAX_MS = 2000
+
 /** Interval of log entries for a task that still waits. */
 const WAITING_LOG_INTERVAL_MS = 2000
 
@@ -106,6 +111,8 @@
 	#roundAt = 0
 	/** Groups of tasks for which capacity was withheld in this round. */
 	#withheldGroups = 0
+	/** What was withheld in this round. */
+	#withheld: {readonly node: NodeCapacity; readonly spec: StepSpec}[] = []
 	/** Monotonic time at which each waiting step became ready, by occurrence and step. */
 	readonly #readyAt = new Map<string, number>()
 	#nextDueWallMs = Infinity
@@ -160,10 +167,31 @@
 		const capacityByService = listNodeCapacities(board, catalog, guaranteed, now)
 		this.#applyHolds(board, capacityByService, now)
 		this.#withheldGroups = 0
-		let waiting = 0
-		for (const step of ready)
-			if (!this.#placeStep(board, step, catalog, capacityByService, now)) waiting++
-		return waiting
+		this.#withheld = []
+		const waiting = ready.filter(
+			step => !this.#placeStep(board, step, catalog, capacityByService, now)
+		)
+		if (waiting.length > 0) this.#placeOnWithheld(board, waiting, catalog, capacityByService, now)
+		return waiting.length
+	}
+
+	/** Work that has stood still for a while uses what is withheld from it if most of its service is idle. */
+	#placeOnWithheld(
+		board: Board,
+		waiting: readonly ReadyStep[],
+		catalog: CatalogEntry,
+		capacityByService: CapacityByService,
+		now: number
+	): void {
+		for (const {node, spec} of this.#withheld) addDemand(node.free, spec, 1)
+		this.#withheld = []
+		this.#withheldGroups = WITHHELD_GROUPS_MAX
+		for (const step of waiting) {
+			const readyAt = this.#readyAt.get(`${step.occurrence.key}.${step.stepIndex}`) ?? now
+			const nodes = capacityByService.get(findService(catalog, step.workflow)) ?? []
+			if (now - readyAt >= WITHHELD_MAX_MS && isMostlyIdle(nodes))
+				this.#placeStep(board, step, catalog, capacityByService, now)
+		}
 	}
 
 	/** Creates occurrences that have become due. */
@@ -273,7 +301,10 @@
 		const slots = this.#policy.forecast(unit, nodes)
 		if (slots === undefined) return
 		this.#withheldGroups++
-		for (const {node} of slots) addDemand(node.free, unit.spec, -1)
+		for (const {node} of slots) {
+			addDemand(node.free, unit.spec, -1)
+			this.#withheld.push({node, spec: unit.spec})
+		}
 	}
 
 	#recordWaiting(
@@ -327,6 +358,19 @@
 	}
 }
 
+/** True if less than half of the workers' capacity is in use. */
+function isMostlyIdle(nodes: readonly NodeCapacity[]): boolean {
+	const sumUsed = (read: (demand: ResourceDemand) => number) =>
+		nodes.reduce((sum, {capacity, free}) => sum + read(capacity) - read(free), 0)
+	const sumTotal = (read: (demand: ResourceDemand) => number) =>
+		nodes.reduce((sum, {capacity}) => sum + read(capacity), 0)
+	const readings = [
+		({cpuMillis}: ResourceDemand) => cpuMillis,
+		({accelerators}: ResourceDemand) => accelerators
+	]
+	return readings.every(read => sumUsed(read) * 2 < sumTotal(read))
+}
+
 /** Counts the unit's tasks among the workers' runs in this round. */
 function recordPlannedRuns({refs, rank}: PlacementUnit, nodes: readonly NodeCapacity[]): void {
 	for (const [index, ref] of refs.entries())
