Ask workers for their ends each second while none can become durable

Callers saw work start late after an outage on hosts short of processor time: in runs of real processes the holder's calls to its workers rose from some 280 to 560 a second in the outage, at peak 818, and it was busy for two thirds of its share.

Cause: a worker that lists an end answers at once and is asked again after 0.2 s until the end is durable, which takes the store. The class of fault: polling faster the less can come of it. While the term isn't confirmed nothing becomes durable, so the interval is 1 s then.

--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -19,6 +19,7 @@
 	NODE_RENEW_WAIT_MS,
 	NODE_RETRY_DELAY_MS,
 	NODE_UNSAVED_DELAY_MS,
+	NODE_UNSAVED_OUTAGE_DELAY_MS,
 	Outage,
 	PLATFORM_TIMEOUT_MS,
 	RefusalCode,
@@ -31,6 +32,7 @@
 	computeLeaseEnd,
 	computeSteadyTime,
 	findTerm,
+	isTermConfirmed,
 	mayRenewLeases
 } from "../internal.js"
 
@@ -310,7 +312,7 @@
 		this.#adoptAnswer(board, node, result.value, command, now)
 		if (isRequested) return
 		const hasUnsaved = result.value.ends.length > 0
-		this.#renewAt.set(id, hasUnsaved ? now + NODE_UNSAVED_DELAY_MS : now)
+		this.#renewAt.set(id, hasUnsaved ? now + computeUnsavedDelay(board, now) : now)
 	}
 
 	#adoptAnswer(
@@ -340,6 +342,11 @@
 	}
 }
 
+/** A worker that lists ends answers at once. */
+function computeUnsavedDelay(board: Board, now: number): number {
+	return isTermConfirmed(board, now) ? NODE_UNSAVED_DELAY_MS : NODE_UNSAVED_OUTAGE_DELAY_MS
+}
+
 /**
  * How long the worker may hold a renewal open. Leases are computed from its clock, which comes with its first answer, and
  * after a failure the next answer shows whether the worker may get runs again.
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -214,6 +214,9 @@
 /** Delay of the next renewal while the worker lists ends of runs that are not durable yet. */
 export const NODE_UNSAVED_DELAY_MS = 200
 
+/** The same while the table can't be written, so that nothing becomes durable. */
+export const NODE_UNSAVED_OUTAGE_DELAY_MS = 1000
+
 /** How often the domain's list of workers is read. */
 export const WORKER_LIST_INTERVAL_MS = 800
 
