--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -3,6 +3,8 @@
 	readonly seed: number
 	/** Name of the policy to measure; empty selects the bench's default. */
 	readonly policy: string
+	/** Folder for the logs of a run; empty for a temporary one. */
+	readonly out: string
 }
 
 export interface BenchMetric {
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run bench -- NAME --seed N [--policy P] [--json]` runs one bench and prints its metrics;
+ * `npm run bench -- NAME --seed N [--policy P] [--out FOLDER] [--json]` runs one bench and prints its metrics;
  * `npm run bench -- lateness LOG [--plot FILE]` splits the ages of the workflows in a log.
  */
 import {parseArgs} from "node:util"
@@ -22,7 +22,8 @@
 		seed: {type: "string", default: "1"},
 		policy: {type: "string", default: ""},
 		json: {type: "boolean", default: false},
-		plot: {type: "string", default: ""}
+		plot: {type: "string", default: ""},
+		out: {type: "string", default: ""}
 	}
 })
 const [name = "list", path = ""] = positionals
@@ -34,7 +35,7 @@
 	process.exitCode = name === "list" ? 0 : EXIT_USAGE
 } else {
 	const seed = Number(values.seed)
-	const results = await bench.run({seed, policy: values.policy})
+	const results = await bench.run({seed, policy: values.policy, out: values.out})
 	for (const metric of results) console.log(formatMetric(metric))
 	if (values.json) {
 		const record = {bench: name, seed, policy: values.policy, results}
--- a/bench/registry.ts
+++ b/bench/registry.ts
@@ -7,6 +7,7 @@
 import {PlacementScaleBench} from "./placement-scale.js"
 import {ReclaimBench} from "./reclaim.js"
 import {RecoveryBench} from "./recovery.js"
+import {SiteOutageBench} from "./site-outage.js"
 import {ZoneChangeBench} from "./zone-change.js"
 
 export const BENCHES: readonly Bench[] = [
@@ -17,5 +18,6 @@
 	new ReclaimBench(),
 	new HostCostBench(),
 	new RecoveryBench(),
-	new BundleSpreadBench()
+	new BundleSpreadBench(),
+	new SiteOutageBench()
 ]
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -13,7 +13,9 @@
 		cardamomhook: "src/cli/main.ts",
 		"standin-platform": "standins/platform/main.ts",
 		"standin-worker": "standins/worker/main.ts",
-		"standin-endpoint": "standins/endpoint/main.ts"
+		"standin-endpoint": "standins/endpoint/main.ts",
+		"standin-store": "standins/fleet/store-main.ts",
+		"standin-fleet": "standins/fleet/workers-main.ts"
 	},
 	target: {"cardamomhook-platform": "platform/daemon.ts"}
 }
--- a/standins/fleet/fleet.ts
+++ b/standins/fleet/fleet.ts
@@ -64,7 +64,7 @@
 
 export class FleetStandIn {
 	readonly store: StoreCore
-	readonly monitor = new FleetMonitor()
+	readonly monitor: FleetMonitor
 	readonly workers = new Map<string, FleetWorker>()
 	/** Why the store refused transactions as too large. */
 	readonly excesses: string[] = []
@@ -72,8 +72,9 @@
 	readonly #options = new Map<string, FleetWorkerOptions>()
 	readonly #clock: Clock
 
-	constructor(clock: Clock) {
+	constructor(clock: Clock, monitor = new FleetMonitor()) {
 		this.#clock = clock
+		this.monitor = monitor
 		this.store = new StoreCore(clock)
 	}
 
@@ -88,9 +89,14 @@
 
 	/** Writes the worker's entry, as a worker does with every heartbeat. */
 	register(id: string, state = "ready", remainingMs?: number): void {
+		this.store.putRow("servers", id, this.describeWorker(id, state, remainingMs))
+	}
+
+	/** Builds the worker's entry. */
+	describeWorker(id: string, state = "ready", remainingMs?: number) {
 		const options = this.#options.get(id) ?? {}
 		const {cpuMillis, memoryMb, accelerators} = options.capacity ?? DEFAULT_CAPACITY
-		this.store.putRow("servers", id, {
+		return {
 			service: options.service ?? "trace",
 			address: options.address ?? `${id}:${DEFAULT_PORT}`,
 			zone: options.zone ?? "zone-a",
@@ -100,7 +106,7 @@
 			labels: [...(options.labels ?? ["kind-a"]), options.rack ?? "rack-1"],
 			clock_ms: this.#clock.now(),
 			born: this.workers.get(id)?.born ?? 0
-		})
+		}
 	}
 
 	async handle(call: FleetCall): Promise<HttpAnswer> {
--- a/standins/fleet/store.ts
+++ b/standins/fleet/store.ts
@@ -45,7 +45,8 @@
 export class StoreCore {
 	readonly #clock: Clock
 	readonly #rows = new Map<string, StoredRow>()
-	#history: StoredRow[] = []
+	/** Changes of each table, oldest first. */
+	readonly #history = new Map<string, StoredRow[]>()
 	/** Changes up to this version are no longer kept. */
 	#clearedVersion = 0
 	#version = 1
@@ -69,7 +70,7 @@
 		for (const row of put) this.#write({...row, schema_version: this.#version})
 		for (const {table, part, key} of deletions)
 			this.#write({table, part, key, schema_version: this.#version, deleted: true})
-		this.#wakeWaiters()
+		this.#wakeWaiters(new Set([...put, ...deletions].map(({table}) => table)))
 		return {status: 200, schema_version: this.#version}
 	}
 
@@ -123,22 +124,26 @@
 
 	clearHistory(): void {
 		this.#clearedVersion = this.#version
-		this.#history = []
+		this.#history.clear()
 	}
 
 	#listChanges(table: string, after: number): StoredChanges {
-		const rows = this.#history.filter(row => row.table === table && row.schema_version > after)
-		return {rows, schema_version: this.#version}
+		const history = this.#history.get(table) ?? []
+		const first = history.findLastIndex(row => row.schema_version <= after) + 1
+		return {rows: history.slice(first), schema_version: this.#version}
 	}
 
 	#write(row: StoredRow): void {
-		this.#history.push(row)
+		const history = this.#history.get(row.table) ?? []
+		this.#history.set(row.table, history)
+		history.push(row)
 		if (row.deleted === true) this.#rows.delete(formatName(row))
 		else this.#rows.set(formatName(row), row)
 	}
 
-	#wakeWaiters(): void {
+	#wakeWaiters(tables: ReadonlySet<string>): void {
 		for (const waiter of [...this.#waiters]) {
+			if (!tables.has(waiter.table)) continue
 			const changes = this.#listChanges(waiter.table, waiter.after)
 			if (changes.rows.length === 0) continue
 			this.#waiters.delete(waiter)
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -81,6 +81,10 @@
 		for (const task of tasks) this.done.delete(task)
 	}
 
+	recordDone(task: string): void {
+		this.done.add(task)
+	}
+
 	recordEnd(task: string, worker: string): void {
 		if (this.#running.get(task) === worker) this.#running.delete(task)
 	}
@@ -273,7 +277,7 @@
 	#endRun(run: Run, outcome: string): void {
 		if (this.#runs.get(run.task) !== run) return
 		this.#remove(run)
-		if (outcome === "done") this.#monitor.done.add(run.task)
+		if (outcome === "done") this.#monitor.recordDone(run.task)
 		this.#ends.push([++this.#position, run.task, run.run, outcome, ""])
 		for (const wake of [...this.#waiters]) wake()
 		if (outcome === "done" || run.payload.gang === 1) return
--- /dev/null
+++ b/standins/fleet/workers-main.ts
@@ -0,0 +1,102 @@
+/**
+ * Runs a fleet of workers' stand-ins as one process, since the members of a gang wait for each other: `--store`, and
+ * `--workers`, how many over all zones. Prints every start and end of a run, and the calls of each second.
+ */
+import {parseArgs} from "node:util"
+import {Hono} from "hono"
+import {request} from "undici"
+import {SystemClock} from "../../src/internal.js"
+import {type StandInApp, announce, listen, printLine} from "../serve.js"
+import {createFleetApp} from "./app.js"
+import {FleetStandIn} from "./fleet.js"
+import {FleetMonitor} from "./worker.js"
+
+const HEARTBEAT_MS = 1500
+const RACK_WORKERS = 12
+const COUNT_INTERVAL_MS = 1000
+const ZONES = ["nairobi-a", "mombasa-a", "kisumu-a", "nairobi-b", "mombasa-b", "kisumu-b"]
+
+/** Prints what it records, with the wall-clock time. */
+class PrintingMonitor extends FleetMonitor {
+	override recordStart(...start: Parameters<FleetMonitor["recordStart"]>): void {
+		super.recordStart(...start)
+		const [task, run, worker] = start
+		printLine({event: "start", at: Date.now(), task, run, worker})
+	}
+
+	override recordDone(task: string): void {
+		super.recordDone(task)
+		printLine({event: "done", at: Date.now(), task})
+	}
+
+	override recordLostEnds(tasks: readonly string[]): void {
+		super.recordLostEnds(tasks)
+		for (const task of tasks) printLine({event: "lost", at: Date.now(), task})
+	}
+
+	override recordEnd(task: string, worker: string): void {
+		super.recordEnd(task, worker)
+		printLine({event: "end", at: Date.now(), task, worker})
+	}
+}
+
+const {values} = parseArgs({
+	options: {store: {type: "string", default: ""}, workers: {type: "string", default: "0"}}
+})
+const clock = new SystemClock()
+const monitor = new PrintingMonitor()
+const fleet = new FleetStandIn(clock, monitor)
+let calls: Record<string, number> = {}
+
+async function sendHeartbeat(id: string): Promise<void> {
+	try {
+		const {body} = await request(`${values.store}/entries`, {
+			method: "POST",
+			headers: {"content-type": "application/json"},
+			body: JSON.stringify({id, entry: fleet.describeWorker(id)}),
+			signal: AbortSignal.timeout(HEARTBEAT_MS)
+		})
+		await body.dump()
+	} catch {
+		// The store is away; the next heartbeat retries.
+	}
+}
+
+function createCountedApp(id: string): StandInApp {
+	const app: StandInApp = new Hono()
+	app.use(async (context, next) => {
+		calls[context.req.path] = (calls[context.req.path] ?? 0) + 1
+		await next()
+	})
+	app.route("/", createFleetApp(fleet, id))
+	return app
+}
+
+async function addWorker(index: number): Promise<number> {
+	const zone = ZONES[index % ZONES.length] ?? ""
+	const place = Math.floor(index / ZONES.length)
+	const id = `${zone}-${place}`
+	const port = await listen(createCountedApp(id), 0)
+	const rack = `${zone}-r${Math.floor(place / RACK_WORKERS)}`
+	fleet.addWorker(id, {zone, rack, service: "barua-trace", address: `127.0.0.1:${port}`})
+	setTimeout(
+		() => {
+			void sendHeartbeat(id)
+			setInterval(() => void sendHeartbeat(id), HEARTBEAT_MS)
+		},
+		(index * HEARTBEAT_MS) / Number(values.workers)
+	)
+	return port
+}
+
+let countDueAt = clock.now() + COUNT_INTERVAL_MS
+setInterval(() => {
+	const lateMs = Math.round(clock.now() - countDueAt)
+	countDueAt = clock.now() + COUNT_INTERVAL_MS
+	printLine({event: "calls", at: Date.now(), calls, lateMs, violations: monitor.violations.length})
+	calls = {}
+}, COUNT_INTERVAL_MS)
+
+let port = 0
+for (let index = 0; index < Number(values.workers); index++) port = await addWorker(index)
+announce({role: "fleet", port})
