--- a/standins/fleet/store-faults.ts
+++ b/standins/fleet/store-faults.ts
@@ -10,7 +10,7 @@
 	readonly isListening: boolean
 	/** Handles a call that arrives; undefined if the route has answered it. */
 	handleCall(context: StoreContext, next: Next): Promise<Response | undefined>
-	/** Handles an answer to a call that arrived before the fault; undefined to send it. */
+	/** Handles the end of a call that arrived before the fault; undefined to send its answer. */
 	handleAnswer(context: StoreContext): Promise<Response> | undefined
 }
 
@@ -18,83 +18,106 @@
 const LATE_MIN_MS = 1000
 const LATE_SPREAD_MS = 5000
 const HTTP_UNAVAILABLE = 503
+const NEVER = new Promise<Response>(() => undefined)
 
-export class NoFault implements StoreFault {
-	readonly name: string = "none"
-	readonly isListening: boolean = true
+class NoFault implements StoreFault {
+	readonly name = "none"
+	readonly isListening = true
 
-	async handleCall(_context: StoreContext, next: Next): Promise<Response | undefined> {
+	async handleCall(_: StoreContext, next: Next): Promise<Response | undefined> {
 		await next()
 		return undefined
 	}
 
-	handleAnswer(context: StoreContext): Promise<Response> | undefined {
+	handleAnswer(): undefined {
 		return undefined
 	}
 }
 
-class RefusingFault extends NoFault {
-	override readonly name = "refuse"
+class RefusingFault implements StoreFault {
+	readonly name = "refuse"
+	readonly isListening = true
 
-	override handleCall(context: StoreContext): Promise<Response> {
+	handleCall(context: StoreContext): Promise<Response> {
 		return Promise.resolve(context.json({error: "unavailable"}, HTTP_UNAVAILABLE))
 	}
+
+	handleAnswer(): undefined {
+		return undefined
+	}
 }
 
-class SilentFault extends NoFault {
-	override readonly name: string = "silent"
+class SilentFault implements StoreFault {
+	readonly name = "silent"
+	readonly isListening = true
 
-	override handleCall(context: StoreContext, next: Next): Promise<Response> {
-		return this.handleAnswer(context)
+	handleCall(): Promise<Response> {
+		return NEVER
 	}
 
-	override handleAnswer(context: StoreContext): Promise<Response> {
-		return new Promise(() => undefined)
+	handleAnswer(): Promise<Response> {
+		return NEVER
 	}
 }
 
-class ResettingFault extends SilentFault {
-	override readonly name: string = "reset"
+/** Resets connections, and refuses new ones unless it listens. */
+class ResettingFault implements StoreFault {
+	readonly name: string
+	readonly isListening: boolean
 
-	override handleAnswer(context: StoreContext): Promise<Response> {
-		context.env.incoming.socket.resetAndDestroy()
-		return super.handleAnswer(context)
+	constructor(name: string, isListening: boolean) {
+		this.name = name
+		this.isListening = isListening
 	}
-}
 
-class DownFault extends ResettingFault {
-	override readonly name = "down"
-	override readonly isListening = false
+	handleCall(context: StoreContext): Promise<Response> {
+		return this.handleAnswer(context)
+	}
+
+	handleAnswer(context: StoreContext): Promise<Response> {
+		context.env.incoming.socket.resetAndDestroy()
+		return NEVER
+	}
 }
 
-class SlowFault extends NoFault {
-	override readonly name = "slow"
+class SlowFault implements StoreFault {
+	readonly name = "slow"
+	readonly isListening = true
 
-	override async handleCall(context: StoreContext, next: Next): Promise<undefined> {
+	async handleCall(_: StoreContext, next: Next): Promise<Response | undefined> {
 		await pause(SLOW_MS)
 		await next()
 		return undefined
 	}
+
+	handleAnswer(): undefined {
+		return undefined
+	}
 }
 
 /** Writes are done seconds later, and nothing is answered. */
-class LateFault extends SilentFault {
-	override readonly name = "late"
+class LateFault implements StoreFault {
+	readonly name = "late"
+	readonly isListening = true
 
-	override async handleCall(context: StoreContext, next: Next): Promise<Response> {
+	async handleCall(context: StoreContext, next: Next): Promise<Response> {
 		await context.req.text()
 		await pause(LATE_MIN_MS + Math.random() * LATE_SPREAD_MS)
 		if (context.req.method === "POST") await next()
-		return this.handleAnswer(context)
+		return NEVER
+	}
+
+	handleAnswer(): Promise<Response> {
+		return NEVER
 	}
 }
 
 export const STORE_FAULTS: readonly StoreFault[] = [
 	new NoFault(),
 	new RefusingFault(),
-	new ResettingFault(),
+	new ResettingFault("reset", true),
 	new SilentFault(),
-	new DownFault(),
+	new ResettingFault("down", false),
 	new SlowFault(),
 	new LateFault()
 ]
