--- a/bench/site-hosts.ts
+++ b/bench/site-hosts.ts
@@ -2,6 +2,7 @@
 import {type ChildProcess, spawn} from "node:child_process"
 import {openSync, readFileSync, writeFileSync} from "node:fs"
 import {join} from "node:path"
+import {readProcessUsage} from "./daemon-rig.js"
 
 const PROGRAM = "target/cardamomhook-platform.mjs"
 const TEMPLATE = "deploy/settings.yaml"
@@ -81,6 +82,11 @@
 		this.kill()
 	}
 
+	readCpuMs(): number {
+		const pid = this.#child?.pid
+		return pid === undefined ? 0 : readProcessUsage(pid).cpuMs
+	}
+
 	async checkReady(): Promise<boolean> {
 		const url = this.url.replace(`${CALLER_PORT}`, `${READINESS_PORT}`)
 		const answer = await fetch(`${url}/v1/ready`, {
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -164,6 +164,14 @@
 		this.born = this.#clock.readWallClock()
 	}
 
+	/** Loses its runs, which breaks the gangs that they belong to. */
+	crash(): void {
+		for (const run of [...this.#runs.values()])
+			for (const {worker, member} of this.#listMembers(run))
+				if (worker !== this) worker.#endRun(member, "broken")
+		this.restart()
+	}
+
 	start(command: {
 		task: string
 		run_id: number
--- a/standins/fleet/workers-main.ts
+++ b/standins/fleet/workers-main.ts
@@ -1,6 +1,7 @@
 /**
  * Runs a fleet of workers' stand-ins as one process, since the members of a gang wait for each other: `--store`, and
- * `--workers`, how many over all zones. Prints every start and end of a run, and the calls of each second.
+ * `--workers`, how many over all zones. Prints every start and end of a run, and the calls of each second. SIGUSR2
+ * crashes a tenth of the workers for good.
  */
 import {parseArgs} from "node:util"
 import {Hono} from "hono"
@@ -14,6 +15,7 @@
 const HEARTBEAT_MS = 1500
 const RACK_WORKERS = 12
 const COUNT_INTERVAL_MS = 1000
+const CRASH_EACH = 10
 const ZONES = ["nairobi-a", "mombasa-a", "kisumu-a", "nairobi-b", "mombasa-b", "kisumu-b"]
 
 /** Prints what it records, with the wall-clock time. */
@@ -46,9 +48,11 @@
 const clock = new SystemClock()
 const monitor = new PrintingMonitor()
 const fleet = new FleetStandIn(clock, monitor)
+const crashed = new Set<string>()
 let calls: Record<string, number> = {}
 
 async function sendHeartbeat(id: string): Promise<void> {
+	if (crashed.has(id)) return
 	try {
 		const {body} = await request(`${values.store}/entries`, {
 			method: "POST",
@@ -66,7 +70,9 @@
 	const app: StandInApp = new Hono()
 	app.use(async (context, next) => {
 		calls[context.req.path] = (calls[context.req.path] ?? 0) + 1
+		if (crashed.has(id)) return new Promise<Response>(() => undefined)
 		await next()
+		return undefined
 	})
 	app.route("/", createFleetApp(fleet, id))
 	return app
@@ -89,11 +95,26 @@
 	return port
 }
 
+process.on("SIGUSR2", () => {
+	const ids = [...fleet.workers.keys()].filter((_, index) => index % CRASH_EACH === 0)
+	for (const id of ids) {
+		crashed.add(id)
+		fleet.workers.get(id)?.crash()
+		printLine({event: "crash", at: Date.now(), task: "", worker: id})
+	}
+})
+
 let countDueAt = clock.now() + COUNT_INTERVAL_MS
 setInterval(() => {
 	const lateMs = Math.round(clock.now() - countDueAt)
 	countDueAt = clock.now() + COUNT_INTERVAL_MS
-	printLine({event: "calls", at: Date.now(), calls, lateMs, violations: monitor.violations.length})
+	printLine({
+		event: "calls",
+		at: Date.now(),
+		calls,
+		lateMs,
+		violations: monitor.violations.splice(0)
+	})
 	calls = {}
 }, COUNT_INTERVAL_MS)
 
