--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -81,6 +81,10 @@
 		for (const task of tasks) this.done.delete(task)
 	}
 
+	recordDone(task: string): void {
+		this.done.add(task)
+	}
+
 	recordEnd(task: string, worker: string): void {
 		if (this.#running.get(task) === worker) this.#running.delete(task)
 	}
@@ -160,6 +164,14 @@
 		this.born = this.#clock.readWallClock()
 	}
 
+	/** Loses its runs, which breaks the gangs that they belong to. */
+	crash(): void {
+		for (const run of [...this.#runs.values()])
+			for (const {worker, member} of this.#listMembers(run))
+				if (worker !== this) worker.#endRun(member, "broken")
+		this.restart()
+	}
+
 	start(command: {
 		task: string
 		run_id: number
@@ -273,7 +285,7 @@
 	#endRun(run: Run, outcome: string): void {
 		if (this.#runs.get(run.task) !== run) return
 		this.#remove(run)
-		if (outcome === "done") this.#monitor.done.add(run.task)
+		if (outcome === "done") this.#monitor.recordDone(run.task)
 		this.#ends.push([++this.#position, run.task, run.run, outcome, ""])
 		for (const wake of [...this.#waiters]) wake()
 		if (outcome === "done" || run.payload.gang === 1) return
