--- a/bench/day-log.ts
+++ b/bench/day-log.ts
@@ -44,6 +44,14 @@
 	/** Times at which one of its tasks was logged as waiting for room, and as waiting for others to stop. */
 	readonly noRoomAt: number[]
 	readonly roomHeldAt: number[]
+	/** The gates that held it while nothing of it ran, as far as the log names them. */
+	readonly gates: GateLog[]
+}
+
+export interface GateLog {
+	readonly time: number
+	readonly gate: string
+	readonly worker: string | undefined
 }
 
 /** A time without a holder that has loaded the workflows. */
@@ -54,6 +62,7 @@
 
 export interface DayLog {
 	readonly startedAt: number
+	readonly endedAt: number
 	readonly workflows: readonly WorkflowLog[]
 	readonly gaps: readonly HolderGap[]
 }
@@ -81,9 +90,11 @@
 	readonly #gaps: HolderGap[] = []
 	#freeSince: number | undefined
 	#startedAt = Infinity
+	#endedAt = 0
 
 	read(event: LogEvent): void {
 		this.#startedAt = Math.min(this.#startedAt, event.time)
+		this.#endedAt = Math.max(this.#endedAt, event.time)
 		const task = typeof event.task === "string" ? event.task : undefined
 		if (task !== undefined) this.#readTaskEvent(event, task)
 		else if (event.msg.startsWith("request-")) this.#readAnswer(event)
@@ -93,7 +104,7 @@
 
 	finish(): DayLog {
 		const workflows = [...this.#workflows.values()].filter(({takenUpAt}) => takenUpAt !== undefined)
-		return {startedAt: this.#startedAt, workflows, gaps: this.#gaps}
+		return {startedAt: this.#startedAt, endedAt: this.#endedAt, workflows, gaps: this.#gaps}
 	}
 
 	#findWorkflow(id: string, time: number): WorkflowLog {
@@ -112,7 +123,8 @@
 			state: undefined,
 			runs: [],
 			noRoomAt: [],
-			roomHeldAt: []
+			roomHeldAt: [],
+			gates: []
 		}
 		this.#workflows.set(id, workflow)
 		return workflow
@@ -158,6 +170,7 @@
 			this.#steps.set(findStep(task), {cores, checkpoints: event.checkpoints === true})
 		} else if (msg === "run-waiting") workflow.noRoomAt.push(time)
 		else if (msg === "run-room-held") workflow.roomHeldAt.push(time)
+		else if (msg === "workflow-still") workflow.gates.push(readGate(event))
 		if (typeof run !== "number") return
 		const key = `${task} ${run}`
 		const log = this.#runs.get(key)
@@ -178,6 +191,10 @@
 	}
 }
 
+function readGate({time, reason = "unknown", worker}: LogEvent): GateLog {
+	return {time, gate: reason, worker: typeof worker === "string" ? worker : undefined}
+}
+
 /** Occurrence and step of a task's id. */
 function findStep(task: string): string {
 	return task.slice(0, task.lastIndexOf("."))
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,12 +1,14 @@
 /**
  * `npm run bench -- NAME --seed N [--policy P] [--json]` runs one bench and prints its metrics;
- * `npm run bench -- lateness LOG [--plot FILE]` splits the ages of the workflows in a log.
+ * `npm run bench -- lateness LOG [--plot FILE]` splits the ages of the workflows in a log;
+ * `npm run bench -- standstill LOG` lists the workflows of which nothing ran for a while.
  */
 import {parseArgs} from "node:util"
 import {type BenchMetric} from "./bench.js"
 import {reportLateness} from "./lateness-report.js"
 import {BENCHES} from "./registry.js"
 import {storeRecord, writeReport} from "./report.js"
+import {reportStandstills} from "./standstill-report.js"
 
 const EXIT_USAGE = 2
 
@@ -29,6 +31,7 @@
 const bench = BENCHES.find(candidate => candidate.name === name)
 if (name === "report") console.log(writeReport())
 else if (name === "lateness") await reportLateness(path, values.plot)
+else if (name === "standstill") await reportStandstills(path)
 else if (bench === undefined) {
 	for (const known of BENCHES) console.log(`${known.name.padEnd(20)} ${known.summary}`)
 	process.exitCode = name === "list" ? 0 : EXIT_USAGE
