Count runs whose end is not known yet in the standstills of a log

A run that was asked to stop on a worker that is gone is released only once the worker's lease has expired; nothing of its workflow runs meanwhile. The reader missed such spans: it counts a run until it is asked to stop now, and the holder's own lines about a standstill count too.

--- a/__tests__/standstill-report.test.ts
+++ b/__tests__/standstill-report.test.ts
@@ -33,8 +33,8 @@
 	return [atMs, "run-ended", {task, run, end: "done"}]
 }
 
-function createGate(atMs: number, reason: string, worker?: string): Line {
-	return [atMs, "workflow-still", {workflow: ID, task: TASK, reason, worker}]
+function createGate(atMs: number, reason: string, worker?: string, stillMs?: number): Line {
+	return [atMs, "workflow-still", {workflow: ID, task: TASK, reason, worker, stillMs}]
 }
 
 describe("standstills in a log", () => {
@@ -85,6 +85,23 @@
 		expect(findStandstills(day)).to.deep.equal([])
 	})
 
+	it("counts a run that was asked to stop, or that the holder says does not run, as not running", () => {
+		const day = createDay([
+			createTakeUp(0),
+			createStart(0, TASK, 1),
+			createStart(0, OTHER_TASK, 1),
+			[1000, "stop-asked", {task: TASK, run: 1, reason: "gang-stopped"}],
+			createGate(9000, "run-stopping", "worker-7", 7500),
+			createGate(11000, "run-stopping", "worker-7", 9500),
+			[11500, "run-released", {task: OTHER_TASK, run: 1, reason: "lapsed"}],
+			createStart(11600, OTHER_TASK, 2),
+			createEnd(12000, OTHER_TASK, 2),
+			[12000, "workflow-ended", {workflow: ID, state: "completed"}]
+		])
+		const spans = findStandstills(day).map(({from, to}) => [from - STARTED_AT, to - STARTED_AT])
+		expect(spans).to.deep.equal([[1500, 11000]])
+	})
+
 	it("bounds its output", () => {
 		const takeUps = Array.from({length: 100}, (_, index) => createTakeUp(0, `id-${index}`))
 		const lines = formatStandstills(createDay([...takeUps, [5000, "listening", {}]])).split("\n")
--- a/bench/day-log.ts
+++ b/bench/day-log.ts
@@ -50,6 +50,8 @@
 
 export interface GateLog {
 	readonly time: number
+	/** Since when the holder had seen nothing of the workflow run. */
+	readonly since: number
 	readonly gate: string
 	readonly worker: string | undefined
 }
@@ -191,8 +193,9 @@
 	}
 }
 
-function readGate({time, reason = "unknown", worker}: LogEvent): GateLog {
-	return {time, gate: reason, worker: typeof worker === "string" ? worker : undefined}
+function readGate({time, reason = "unknown", worker, stillMs}: LogEvent): GateLog {
+	const since = typeof stillMs === "number" ? time - stillMs : time
+	return {time, since, gate: reason, worker: typeof worker === "string" ? worker : undefined}
 }
 
 /** Occurrence and step of a task's id. */
