--- a/__tests__/standstill.test.ts
+++ b/__tests__/standstill.test.ts
@@ -82,6 +82,19 @@
 		expect(line?.fields).to.include({worker: "w1", run: 1})
 	})
 
+	it("names a worker that doesn't answer while its run counts as running", async () => {
+		const {first, fleet, plan, submit, advance, advanceUntil} = await createServingDomain()
+		await submit(first, `${BATCH}${ID_A}`, createJob({workMs: 20000}))
+		await advanceUntil(() => fleet.monitor.starts.length === 1)
+		await advance(200)
+		const silent = fleet.monitor.starts[0]!.worker
+		plan.isLost = (_, call) => call.target === silent
+		await advance(6000)
+		const line = findLast(first, "workflow-still")
+		expect(line?.reason).to.equal(StartGate.workerUnanswered)
+		expect(line?.fields.worker).to.equal(silent)
+	})
+
 	it("writes a bounded number of lines, the longest wait first", async () => {
 		const {first, fleet, submit, advance} = await createServingDomain({workers: 1})
 		fleet.store.deleteRow("servers", "w1")
--- a/src/controllers/standstill.ts
+++ b/src/controllers/standstill.ts
@@ -74,7 +74,7 @@
 
 	#checkWorkflow(board: Board, workflow: WorkflowEntry, now: number): void {
 		const {id} = workflow.record
-		const found = isSchedulable(workflow) ? findHeldTask(workflow, now) : undefined
+		const found = isSchedulable(workflow) ? findHeldTask(board, workflow, now) : undefined
 		if (found === undefined) {
 			board.standstills.delete(id)
 			return
--- a/src/types/standstills.ts
+++ b/src/types/standstills.ts
@@ -12,6 +12,8 @@
 	catalogStale: "catalog-stale",
 	/** An earlier run of the step may still be active. */
 	runStopping: "run-stopping",
+	/** Its run counts as running on a worker that doesn't answer, until the lease has expired. */
+	workerUnanswered: "worker-unanswered",
 	/** A start has been sent and not answered. */
 	startUnanswered: "start-unanswered",
 	/** The planned run is not durable yet. */
--- a/src/utils/start-gates.ts
+++ b/src/utils/start-gates.ts
@@ -29,6 +29,7 @@
 
 /** What holds a workflow of which nothing runs; undefined if a task runs or no step's turn has come. */
 export function findHeldTask(
+	board: Board,
 	{record, occurrences}: WorkflowEntry,
 	now: number
 ): HeldTask | undefined {
@@ -41,7 +42,7 @@
 	let held: HeldTask | undefined
 	for (const occurrence of occurrences.values())
 		for (const [stepIndex, step] of occurrence.steps.entries()) {
-			if (step.tasks.some(({phase}) => phase === TaskPhase.running)) return undefined
+			if (step.tasks.some(task => isRunning(board, task))) return undefined
 			const stepSpec = spec.steps[stepIndex]
 			if (held !== undefined || stepSpec === undefined) continue
 			if (isStepDue(stepSpec, step, occurrence))
@@ -50,12 +51,17 @@
 	return held
 }
 
+function isRunning({nodes}: Board, {phase, workerId}: TaskProgress): boolean {
+	return phase === TaskPhase.running && nodes.get(workerId)?.failures === 0
+}
+
 function isStepDue({after}: StepSpec, step: StepProgress, {steps}: Occurrence): boolean {
 	return !isStepDone(step) && after.every(index => isStepDone(steps[index]))
 }
 
 const GATE_OF_PHASE: Partial<Record<TaskPhase, StartGate>> = {
 	[TaskPhase.stopping]: StartGate.runStopping,
+	[TaskPhase.running]: StartGate.workerUnanswered,
 	[TaskPhase.starting]: StartGate.startUnanswered,
 	[TaskPhase.planned]: StartGate.planUnsaved
 }
