Make a term's first calls to its workers through a window

Cause: all workers were called at once. Each first call needs a connection, and their answers waited for the host's processor time beyond the deadline of 1 s; then all were called once more. It is the fault of the starts, on a related path, with the same remedy.

--- a/__tests__/start-bursts.test.ts
+++ b/__tests__/start-bursts.test.ts
@@ -4,6 +4,8 @@
 import {BATCH, type DomainHost, createDomain, createJob} from "./fixtures/domain.js"
 
 const WORKERS = 90
+/** As many as their renewals leave a host time for that takes 3 ms for each. */
+const MANY_WORKERS = 200
 /** Fewer than the workers have room for. */
 const TASKS = 600
 const ID = "00000000000000aa"
@@ -45,4 +47,19 @@
 		expect(countEvents(host, "start-failed")).to.equal(0)
 		expect(sent).to.equal(TASKS)
 	})
+
+	// Regression test: all workers of a new term were asked at once, and most of the answers came too late.
+	it("reaches all workers of a new term at the first call", async () => {
+		const domain = createDomain()
+		const {fleet, addHost, advance, advanceUntil} = domain
+		for (let index = 1; index <= MANY_WORKERS; index++) fleet.addWorker(`w${index}`)
+		occupyHosts(domain, 3)
+		const host = addHost()
+		const countReached = () =>
+			[...host.board.nodes.values()].filter(({incarnation}) => incarnation !== undefined).length
+		const takenMs = await advanceUntil(() => countReached() === MANY_WORKERS)
+		expect(takenMs).to.be.below(5000)
+		await advance(1000)
+		expect(countEvents(host, "worker-unreachable")).to.equal(0)
+	})
 })
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -13,6 +13,7 @@
 	type LeaseAnswer,
 	type NodeEntry,
 	type WorkerRegistration,
+	CallWindow,
 	CommandKind,
 	ENTRIES_BACK_MS,
 	EventLevel,
@@ -33,6 +34,7 @@
 	computeLeaseEnd,
 	computeSteadyTime,
 	findTerm,
+	isAnswered,
 	isTermConfirmed,
 	mayRenewLeases
 } from "../internal.js"
@@ -60,6 +62,9 @@
 	readonly #renewAt = new Map<string, number>()
 	/** Command id of the renewal in flight, by worker; requested reports come beside it. */
 	readonly #inFlight = new Map<string, string>()
+	/** Commands in flight that are the first ones to their workers in a term, which need new connections. */
+	readonly #firstCallIds = new Set<string>()
+	readonly #firstCalls = new CallWindow(NODE_ANSWER_TIMEOUT_MS)
 	/** Monotonic time at which the latest renewal was sent, by worker. */
 	readonly #sentAt = new Map<string, number>()
 	/** Position of the last acknowledged end in the latest renewal, by worker. */
@@ -133,6 +138,8 @@
 		for (const [id, node] of board.nodes.entries()) {
 			if (this.#inFlight.has(id)) continue
 			const dueAt = this.#computeRenewAt(board, node)
+			// Each answer to a first call wakes this controller for the next one.
+			if (isFirstCall(node) && !this.#firstCalls.isOpenFor(1)) continue
 			if (dueAt <= now) this.#renew(board, node, now)
 			else earliest = Math.min(earliest, dueAt)
 		}
@@ -171,7 +178,12 @@
 			acknowledged: isSameIncarnation ? acknowledged : 0,
 			waitMs: computeWait(node)
 		}
-		this.#inFlight.set(id, this.#issueRenewal(board, node, request, now))
+		const commandId = this.#issueRenewal(board, node, request, now)
+		this.#inFlight.set(id, commandId)
+		if (isFirstCall(node)) {
+			this.#firstCallIds.add(commandId)
+			this.#firstCalls.recordSent()
+		}
 		if (isRenewed)
 			board.nodes.setSilently(id, {
 				...node,
@@ -298,6 +310,8 @@
 
 	#settleRenewal(board: Board, {command, result}: Completion<"node-renew">, now: number): void {
 		const id = command.subject
+		if (this.#firstCallIds.delete(command.id))
+			this.#firstCalls.recordEnd(isAnswered(result), command.issuedAt, now)
 		const isRequested = this.#inFlight.get(id) !== command.id
 		if (!isRequested) this.#inFlight.delete(id)
 		const node = board.nodes.get(id)
@@ -356,6 +370,10 @@
 	return isTermConfirmed(board, now) ? NODE_UNSAVED_DELAY_MS : NODE_UNSAVED_OUTAGE_DELAY_MS
 }
 
+function isFirstCall({incarnation, failures}: NodeEntry): boolean {
+	return incarnation === undefined && failures === 0
+}
+
 /**
  * How long the worker may hold a renewal open. Leases are computed from its clock, which comes with its first answer, and
  * after a failure the next answer shows whether the worker may get runs again.
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -28,6 +28,7 @@
 	computeSteadyTime,
 	findRoundGate,
 	findTerm,
+	isAnswered,
 	isNodeSchedulable,
 	isSaved,
 	isSchedulable,
@@ -236,7 +237,7 @@
 	#settle(board: Board, completion: Completion, now: number): void {
 		const [purpose, taskId = "", run = ""] = completion.command.subject.split(" ")
 		if (purpose === START)
-			this.#window.recordEnd(isAnswered(completion), completion.command.issuedAt, now)
+			this.#window.recordEnd(isAnswered(completion.result), completion.command.issuedAt, now)
 		if (purpose === STOP) this.#stopping.delete(`${taskId} ${run}`)
 		const ref = board.runs.get(taskId)
 		if (purpose === FOREIGN || ref?.task.run !== Number(run)) return
@@ -295,10 +296,6 @@
 	return running.some(entry => entry.taskId === taskId && entry.run === task.run)
 }
 
-function isAnswered({result}: Completion): boolean {
-	return result.isOk() || result.error instanceof RefusedError
-}
-
 /** True if the command had no effect and will have none. */
 function isRefusedOrUnsent(error: CallError): boolean {
 	return error instanceof RefusedError || (error instanceof TransportError && !error.sent)
--- a/src/utils/call-window.ts
+++ b/src/utils/call-window.ts
@@ -4,7 +4,8 @@
  * grows with each answer that comes soon, and halves when one comes late or not at all. Callees that don't answer can't fill
  * it while others do.
  */
-import {CALL_WINDOW_MAX, CALL_WINDOW_MIN} from "../internal.js"
+import {type Result} from "neverthrow"
+import {type CallError, CALL_WINDOW_MAX, CALL_WINDOW_MIN, RefusedError} from "../internal.js"
 
 /** Share of its deadline from which an answer is late. */
 const LATE_SHARE = 0.25
@@ -44,3 +45,8 @@
 		this.#halvedAt = now
 	}
 }
+
+/** True if the callee answered, if only with a refusal. */
+export function isAnswered(result: Result<unknown, CallError>): boolean {
+	return result.isOk() || result.error instanceof RefusedError
+}
