Follow the table from where it was, after a call that was refused or not answered

One refused long poll made the holder read all rows of its workflows again, just when the table had no capacity to spare.

--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -58,7 +58,8 @@
 	issueTableScan,
 	parseWorkflowKey,
 	restoreOccurrence,
-	TaskPhase
+	TaskPhase,
+	TransportError
 } from "../internal.js"
 
 const FOLLOW = "follow"
@@ -168,8 +169,8 @@
 		if (result.isErr()) {
 			const {issuedAt} = command
 			this.#nextPollAt = this.#pollOutage.recordFailure(board, result.error, issuedAt, now)
-			// Changes may have been missed, so all rows are read again.
-			this.#afterVersion = undefined
+			// The table keeps the changes that were not read, or says that it does not.
+			if (!isUnavailable(result.error)) this.#afterVersion = undefined
 			return
 		}
 		this.#pollOutage.recordSuccess(board)
@@ -443,6 +444,11 @@
 	}
 }
 
+function isUnavailable(error: CallError): boolean {
+	const isRefused = error instanceof RefusedError && error.code === RefusalCode.unavailable
+	return isRefused || error instanceof TransportError
+}
+
 /** True if the same commit would be refused again. */
 function isRefusedForContent(error: CallError): boolean {
 	return error instanceof RefusedError && error.code === RefusalCode.malformed
