Send starts that wait in the order of their queues, and tell distance from overload

Found by the review of the window of starts. 600 batch starts that were planned first held an urgent one for 3,285 ms (4,215 ms without the window); and a round trip of 200 ms counted as overload, so that 400 starts took 4,905 ms. Lateness is now counted beyond the shortest round trip seen. hold-limits.test.ts, 'starts urgent work soon' and '100 ms each way', failed before.

--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -85,7 +85,7 @@
 		this.#changedRuns.clear()
 		if (isTermConfirmed(board, now)) {
 			this.#isWindowFull = false
-			for (const id of [...this.#unconfirmed]) this.#advance(board, id, now)
+			for (const id of this.#listByPriority(board)) this.#advance(board, id, now)
 			this.#stopForeign(board, now)
 		}
 		return this.#unconfirmed.size > 0 ? now + CHECK_INTERVAL_MS : undefined
@@ -101,6 +101,12 @@
 		this.#changedWorkflows.clear()
 	}
 
+	/** Starts that wait for others go in the order of the queues. */
+	#listByPriority({runs}: Board): string[] {
+		const findPriority = (id: string) => runs.get(id)?.workflow.record.priority ?? 0
+		return [...this.#unconfirmed].sort((a, b) => findPriority(a) - findPriority(b))
+	}
+
 	#advance(board: Board, taskId: string, now: number): void {
 		const ref = board.runs.get(taskId)
 		if (ref === undefined || ref.task.phase === TaskPhase.running) {
--- a/src/utils/call-window.ts
+++ b/src/utils/call-window.ts
@@ -1,8 +1,7 @@
 /**
  * Limits the calls of one kind that a host has in flight. Hundreds that are sent at once wait for the host's own processor
  * time until their deadlines have passed, and what is repeated for that takes more of it. As in TCP, the window begins small,
- * grows with each answer that comes soon, and halves when one comes late or not at all. Callees that don't answer can't fill
- * it while others do.
+ * grows with each answer that comes soon, and halves when one comes late or not at all.
  */
 import {type Result} from "neverthrow"
 import {type CallError, CALL_WINDOW_MAX, CALL_WINDOW_MIN, RefusedError} from "../internal.js"
@@ -12,6 +11,8 @@
 
 export class CallWindow {
 	readonly #lateMs: number
+	/** Shortest time to an answer so far: what is beyond it was spent waiting. */
+	#roundTripMs = Infinity
 	#size = CALL_WINDOW_MIN
 	/** Size from which the window grows by one for each window of answers. */
 	#threshold = CALL_WINDOW_MAX
@@ -34,7 +35,8 @@
 
 	recordEnd(isAnswered: boolean, sentAt: number, now: number): void {
 		this.#inFlight--
-		if (isAnswered && now - sentAt < this.#lateMs) {
+		if (isAnswered) this.#roundTripMs = Math.min(this.#roundTripMs, now - sentAt)
+		if (isAnswered && now - sentAt < this.#roundTripMs + this.#lateMs) {
 			const growth = this.#size < this.#threshold ? 1 : 1 / this.#size
 			this.#size = Math.min(CALL_WINDOW_MAX, this.#size + growth)
 			return
