Take a process for ended only by renewals of its own holder's runs

A requested report that fails now changes nothing, and runs that an earlier holder started wait for the lease.

--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -316,6 +316,8 @@
 		if (!isRequested) this.#inFlight.delete(id)
 		const node = board.nodes.get(id)
 		if (node === undefined || command.request.epoch !== this.#epoch) return
+		// A requested report that fails says less than the long poll beside it.
+		if (result.isErr() && isRequested) return
 		if (result.isErr()) {
 			this.#renewAt.set(id, now + NODE_RETRY_DELAY_MS)
 			const isGone = isReplaced(node, command.target, result.error)
@@ -393,8 +395,7 @@
 
 /** True if nothing listens where this worker answered. */
 function isRefused({answeredFrom}: NodeEntry, target: string, error: CallError): boolean {
-	const isRefused = error instanceof TransportError && error.isConnectionRefused
-	return isRefused && target === answeredFrom
+	return error instanceof TransportError && error.isConnectionRefused && target === answeredFrom
 }
 
 /** The earliest estimate counts: reading the same row again would move the time of leaving to later. */
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -325,12 +325,12 @@
 	}
 
 	/**
-	 * The runs of a process have ended with it. Those that were never seen to begin are kept until the lease has expired: a
-	 * start that is still on its way may reach the worker's next incarnation.
+	 * The runs of a process have ended with it. Those that were never seen to begin, or that an earlier holder started, are
+	 * kept until the lease has expired: a start that is still on its way may reach the worker's next incarnation.
 	 */
 	#releaseEnded(board: Board, {registration: {id}, answeredAt}: NodeEntry, now: number): void {
 		const refs = [...board.runs.listOn(id).values()].filter(
-			({task}) => task.hasBegun && task.openStarts === 0
+			({task}) => task.hasBegun && task.starts > 0 && task.openStarts === 0
 		)
 		if (refs.length === 0) return
 		const fields = {worker: id, runs: refs.length, silentMs: Math.round(now - answeredAt)}
--- a/src/utils/nodes.ts
+++ b/src/utils/nodes.ts
@@ -18,7 +18,7 @@
 	isPlatformLost
 } from "../internal.js"
 
-/** Share of a service's workers from which quarantine is not applied. */
+/** Share of a service's workers above which quarantine is not applied. */
 const QUARANTINED_SHARE_MAX = 0.5
 
 const NO_WORKERS: ReadonlySet<string> = new Set()
