Keep a worker whose entry is missing for 3 s once, not anew after each failed read

Found by the review: each failed read of the list opened the 3 s anew for all workers, so one that was gone stayed listed as long as reads failed now and then (9 s in hold-limits.test.ts, 'takes a worker for gone that stays missing').

--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -55,6 +55,8 @@
 	#listInFlight = false
 	#listAt = 0
 	readonly #listOutage = new Outage("worker-list")
+	/** Monotonic time of the first list without its entry, by worker. */
+	readonly #missingSince = new Map<string, number>()
 	/** Monotonic time of the first list after an outage. */
 	#listRegainedAt = -Infinity
 	/** Problems of the entries in the last list. */
@@ -93,6 +95,7 @@
 		this.#renewAt.clear()
 		this.#acknowledgedPositions.clear()
 		this.#sentAt.clear()
+		this.#missingSince.clear()
 		this.#listAt = 0
 		for (const id of [...board.nodes.keys()]) board.nodes.delete(id)
 		for (const id of [...board.nodeReports.keys()]) board.nodeReports.take(id)
@@ -232,12 +235,15 @@
 		const listed = new Set<string>()
 		for (const registration of result.value.workers) {
 			listed.add(registration.id)
+			this.#missingSince.delete(registration.id)
 			this.#adoptRegistration(board, registration, now)
 		}
 		for (const [id, node] of [...board.nodes.entries()]) {
 			if (listed.has(id)) continue
+			if (!this.#missingSince.has(id)) this.#missingSince.set(id, now)
 			if (computeSteadyTime(board, now) > node.leaseExpiresAt) {
 				board.nodes.delete(id)
+				this.#missingSince.delete(id)
 				board.nodeReports.take(id)
 				this.#renewAt.delete(id)
 				this.#sentAt.delete(id)
@@ -250,8 +256,10 @@
 	}
 
 	/** The entry of a worker that answers may have expired while the platform was away, and comes back soon after it. */
-	#mayReturn({failures}: NodeEntry, now: number): boolean {
-		return failures === 0 && now - this.#listRegainedAt < ENTRIES_BACK_MS
+	#mayReturn({registration, failures}: NodeEntry, now: number): boolean {
+		const missingSince = this.#missingSince.get(registration.id) ?? now
+		const hasExpired = missingSince - this.#listRegainedAt < ENTRIES_BACK_MS
+		return failures === 0 && hasExpired && now - missingSince < ENTRIES_BACK_MS
 	}
 
 	/** Records each problem once, not at every read of the list that shows it. */
