Say that a durable plan waits for other starts, and name the gate of all placement for it

The line said plan-unsaved for plans that were durable and waited for the window, or for a fresh configuration.

--- a/src/controllers/standstill.ts
+++ b/src/controllers/standstill.ts
@@ -79,8 +79,9 @@
 			board.standstills.delete(id)
 			return
 		}
-		const isPlaceable = found.workerId === undefined
-		const held = {...found, gate: (isPlaceable ? this.#roundGate : undefined) ?? found.gate}
+		// Nothing is placed or started then, so the gate of all placement goes before the step's own.
+		const isUnsent = found.workerId === undefined
+		const held = {...found, gate: (isUnsent ? this.#roundGate : undefined) ?? found.gate}
 		const known = board.standstills.get(id)
 		board.standstills.set(id, {
 			held,
--- a/src/types/standstills.ts
+++ b/src/types/standstills.ts
@@ -18,6 +18,8 @@
 	startUnanswered: "start-unanswered",
 	/** The planned run is not durable yet. */
 	planUnsaved: "plan-unsaved",
+	/** The planned run is durable and waits for other starts to be answered. */
+	startsInFlight: "starts-in-flight",
 	/** The step was released moments ago. */
 	retryDelayed: "retry-delayed",
 	/** No worker that may be used has room, or room is being freed. */
@@ -46,7 +48,7 @@
 	readonly taskId: string
 	/** Number of its latest run; 0 before the first one. */
 	readonly run: number
-	/** Worker of a run that has to end or start first; undefined if the task could be placed. */
+	/** Worker of a run that has to end or start first; undefined if nothing has been sent for the task. */
 	readonly workerId: string | undefined
 }
 
--- a/src/utils/start-gates.ts
+++ b/src/utils/start-gates.ts
@@ -13,6 +13,7 @@
 	TaskPhase,
 	formatOccurrenceKey,
 	formatRunTaskId,
+	isSaved,
 	isStepDone,
 	isTermConfirmed
 } from "../internal.js"
@@ -30,10 +31,11 @@
 /** What holds a workflow of which nothing runs; undefined if a task runs or no step's turn has come. */
 export function findHeldTask(
 	board: Board,
-	{record, occurrences}: WorkflowEntry,
+	workflow: WorkflowEntry,
 	now: number
 ): HeldTask | undefined {
-	const {id, spec} = record
+	const {occurrences} = workflow
+	const {id, spec} = workflow.record
 	// Its occurrence is created by the first round of placement that sees it.
 	if (occurrences.size === 0 && spec.schedule === undefined) {
 		const taskId = formatRunTaskId(formatOccurrenceKey(id, 0), 0, 0)
@@ -46,7 +48,7 @@
 			const stepSpec = spec.steps[stepIndex]
 			if (held !== undefined || stepSpec === undefined) continue
 			if (isStepDue(stepSpec, step, occurrence))
-				held = findStepGate(stepSpec, step, occurrence.key, stepIndex, now)
+				held = findStepGate(workflow, occurrence, stepIndex, now)
 		}
 	return held
 }
@@ -67,25 +69,29 @@
 }
 
 function findStepGate(
-	{gang}: StepSpec,
-	{tasks, notBefore}: StepProgress,
-	occurrenceKey: string,
+	workflow: WorkflowEntry,
+	occurrence: Occurrence,
 	stepIndex: number,
 	now: number
 ): HeldTask | undefined {
+	const {tasks = [], notBefore = 0} = occurrence.steps[stepIndex] ?? {}
 	const isWaiting = ({phase}: TaskProgress) => phase === TaskPhase.waiting
 	const isHeld = ({phase}: TaskProgress) => GATE_OF_PHASE[phase] !== undefined
 	// Tasks that wait may be placed beside others, except for those of a gang.
-	const order = gang ? [isHeld, isWaiting] : [isWaiting, isHeld]
+	const isGang = workflow.record.spec.steps[stepIndex]?.gang === true
+	const order = isGang ? [isHeld, isWaiting] : [isWaiting, isHeld]
 	const index = order.map(isNext => tasks.findIndex(isNext)).find(found => found >= 0)
 	const task = index === undefined ? undefined : tasks[index]
 	if (index === undefined || task === undefined) return undefined
 	const placeable = notBefore > now ? StartGate.retryDelayed : StartGate.noRoom
-	const gate = GATE_OF_PHASE[task.phase]
+	const gate = GATE_OF_PHASE[task.phase] ?? placeable
+	const isDurable =
+		gate === StartGate.planUnsaved && isSaved(workflow, occurrence, task.plannedRevision)
+	const isStarted = task.phase !== TaskPhase.waiting && task.phase !== TaskPhase.planned
 	return {
-		gate: gate ?? placeable,
-		taskId: formatRunTaskId(occurrenceKey, stepIndex, index),
+		gate: isDurable ? StartGate.startsInFlight : gate,
+		taskId: formatRunTaskId(occurrence.key, stepIndex, index),
 		run: task.run,
-		workerId: gate === undefined ? undefined : task.workerId
+		workerId: isStarted ? task.workerId : undefined
 	}
 }
