--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -16,6 +16,7 @@
 	type TableRow,
 	type WorkflowEntry,
 	COMMIT_REFUSED_RETRY_MS,
+	COMMIT_SOON_MS,
 	COMMIT_TIMEOUT_MS,
 	CommandKind,
 	CommitBatch,
@@ -88,6 +89,8 @@
 	readonly #commitOutage = new Outage("workflow-commit")
 	#batch: CommitBatch | undefined
 	#nextCommitAt = 0
+	/** Deadline of the next commit: a slow table, where commits queue, gets longer than one that has fallen silent. */
+	#commitTimeoutMs = PLATFORM_TIMEOUT_MS
 	/** Workflows with unsaved changes, in the order in which they changed. */
 	readonly #dirty = new Set<string>()
 	/** Ended workflows, oldest first, until their rows are deleted. */
@@ -334,7 +337,7 @@
 			`${COMMIT} ${this.#epoch}`,
 			[holderCheck, ...batch.writes],
 			now,
-			COMMIT_TIMEOUT_MS
+			this.#commitTimeoutMs
 		)
 		return Infinity
 	}
@@ -382,6 +385,8 @@
 	#settleCommit(board: Board, {command, result}: Completion<"table-commit">, now: number): void {
 		const batch = this.#batch
 		this.#batch = undefined
+		const isSoon = result.isOk() && now - command.issuedAt < COMMIT_SOON_MS
+		this.#commitTimeoutMs = isSoon ? COMMIT_TIMEOUT_MS : PLATFORM_TIMEOUT_MS
 		if (batch === undefined) return
 		this.#singleCommits = Math.max(0, this.#singleCommits - 1)
 		if (result.isErr()) {
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -284,8 +284,9 @@
 /** Size of one row's value, and how many rows the progress of one occurrence takes at most; they fit into one commit. */
 export const ROW_BYTES_MAX = 65536
 export const PROGRESS_ROWS_MAX = 10
-/** Deadline of a commit of the holder, above the 0.8 s that it takes on the slowest table encountered. */
+/** Deadline of a commit of the holder while its table answers soon, and the time up to which that is so. */
 export const COMMIT_TIMEOUT_MS = 1200
+export const COMMIT_SOON_MS = 300
 /** How long a workflow whose commit alone the platform refuses is left out of commits. */
 export const COMMIT_REFUSED_RETRY_MS = 10000
 
