Name the evidence of each release, and warn of released runs that go on

After a task had run twice, nobody could tell from the holder's log what had been taken for the end of its first run: run-released has a reason and no evidence, and start-sent did not name the run before it.

run-released now has the controller, the evidence, its largest age and the term; the next start of the task repeats them; and release-contradicted warns that a worker shows a run that had been released. No decision is changed.

--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -284,6 +284,7 @@
 				leaseExpiresAt: computeEarlierExpiry(board),
 				failures: 0,
 				refusals: 0,
+				replacedAt: undefined,
 				leavesAt: computeLeavesAt(registration, undefined, now)
 			})
 			board.record(EventLevel.info, "worker-listed", {
@@ -332,7 +333,9 @@
 			const steadyNow = computeSteadyTime(board, now)
 			const leaseExpiresAt = isGone ? Math.min(steadyNow, node.leaseExpiresAt) : node.leaseExpiresAt
 			const refusals = isRefused(node, command.target, result.error) ? node.refusals + 1 : 0
-			board.nodes.set(id, {...node, failures: node.failures + 1, refusals, leaseExpiresAt})
+			const replacedAt = isGone ? (node.replacedAt ?? steadyNow) : node.replacedAt
+			const failures = node.failures + 1
+			board.nodes.set(id, {...node, failures, refusals, replacedAt, leaseExpiresAt})
 			if (isGone && node.leaseExpiresAt > steadyNow)
 				board.record(EventLevel.info, "worker-replaced", {worker: id, address: command.target})
 			if (node.failures === 0) {
@@ -367,7 +370,8 @@
 			answeredAt: now,
 			answeredFrom: target,
 			failures: 0,
-			refusals: 0
+			refusals: 0,
+			replacedAt: undefined
 		}
 		if (node.incarnation === incarnation && node.failures === 0) board.nodes.setSilently(id, entry)
 		else board.nodes.set(id, entry)
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -12,6 +12,7 @@
 	CATALOG_FRESH_MS,
 	CallWindow,
 	CommandKind,
+	EndEvidence,
 	EventLevel,
 	RUN_COMMAND_TIMEOUT_MS,
 	RUN_STARTS_MAX,
@@ -26,6 +27,7 @@
 	computeLeaseExpiry,
 	computeLeaseEnd,
 	computeSteadyTime,
+	describeReleasedRun,
 	findRoundGate,
 	findTerm,
 	isAnswered,
@@ -126,7 +128,8 @@
 		if (findRoundGate(board, now) === StartGate.catalogStale) return
 		const blocked = refs.find(member => !this.#canStart(board, member, now))
 		if (blocked !== undefined) {
-			releaseRun(board, blocked, ReasonCode.workerRefused, now)
+			const proof = {place: this.name, evidence: EndEvidence.neverSent, ageMs: 0}
+			releaseRun(board, blocked, ReasonCode.workerRefused, proof, now)
 			return
 		}
 		this.#isWindowFull ||= !this.#window.isOpenFor(refs.length)
@@ -177,7 +180,8 @@
 			start: task.starts,
 			checkpoint: task.checkpoint,
 			workerAgeMs: Math.round(now - node.answeredAt),
-			epoch: term.epoch
+			epoch: term.epoch,
+			...describeReleasedRun(task, now)
 		}
 		board.record(EventLevel.info, "start-sent", fields)
 	}
@@ -270,7 +274,9 @@
 		const mayHaveRun = task.starts > 1 || reason === RefusalCode.alreadyRan
 		if (isRefusedOrUnsent(error) && !mayHaveRun) {
 			recordFailedWorker(task, task.workerId)
-			releaseRun(board, ref, reason, now)
+			const ageMs = now - task.orderedAt
+			const proof = {place: this.name, evidence: EndEvidence.startRefused, ageMs}
+			releaseRun(board, ref, reason, proof, now)
 		} else if (!(error instanceof RefusedError) && this.#mayRepeat(board, ref, now))
 			this.#sendStart(board, ref, now)
 		else stopRun(board, ref, ReasonCode.workerRefused, now)
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -5,12 +5,14 @@
 import {
 	type Board,
 	type Controller,
+	type EndProof,
 	type EndReport,
 	type NodeEntry,
 	type NodeHealth,
 	type NodeReport,
 	type RunningReport,
 	type TaskRef,
+	EndEvidence,
 	EventLevel,
 	NODE_SLOW_MS,
 	NODE_FAILURES_MAX,
@@ -33,6 +35,7 @@
 	isCurrentRun,
 	isSaved,
 	listTaskRefs,
+	recordContradiction,
 	recordFailedWorker,
 	recordIncarnation,
 	recordRunning,
@@ -122,6 +125,7 @@
 			const ref = board.runs.get(running.taskId)
 			if (ref === undefined || !isCurrentRun(ref, node, running.run)) {
 				foreignRuns.push({taskId: running.taskId, run: running.run})
+				this.#recordContradiction(board, node, running, "running", report)
 				continue
 			}
 			present.add(running.taskId)
@@ -139,7 +143,7 @@
 		for (const end of report.ends) {
 			if (end.position <= ends.lastPosition) continue
 			ends.lastPosition = end.position
-			this.#handleEnd(board, node, end, ends, now)
+			this.#handleEnd(board, node, end, ends, report, now)
 		}
 		if (!report.mayHaveMoreEnds) this.#releaseAbsent(board, node, report, present, now)
 		this.#stopStalled(board, node, report, now)
@@ -151,7 +155,25 @@
 		board.health.set(id, {...health, foreignRuns})
 	}
 
-	#handleEnd(board: Board, node: NodeEntry, end: EndReport, ends: WorkerEnds, now: number): void {
+	#recordContradiction(
+		board: Board,
+		{registration: {id}}: NodeEntry,
+		{taskId, run}: Pick<EndReport, "taskId" | "run">,
+		shown: "running" | RunEnd,
+		report: NodeReport
+	): void {
+		const ref = findTaskRef(board, taskId)
+		if (ref !== undefined) recordContradiction(board, ref, id, run, shown, report)
+	}
+
+	#handleEnd(
+		board: Board,
+		node: NodeEntry,
+		end: EndReport,
+		ends: WorkerEnds,
+		report: NodeReport,
+		now: number
+	): void {
 		const ref = findTaskRef(board, end.taskId)
 		const isCurrent =
 			ref !== undefined && board.runs.has(end.taskId) && isCurrentRun(ref, node, end.run)
@@ -164,19 +186,30 @@
 			position: end.position,
 			isCurrent
 		})
-		if (isCurrent) this.#settleRun(board, node, ref, end, now)
+		if (isCurrent) this.#settleRun(board, node, ref, end, report, now)
+		else if (end.end !== RunEnd.lapsed) this.#recordContradiction(board, node, end, end.end, report)
 		// The end of a gang's member changes nothing if another member's came first, but has to outlast that change.
 		if (ref !== undefined)
 			ends.unsaved.push({position: end.position, ref, revision: ref.occurrence.revision})
 	}
 
-	#settleRun(board: Board, node: NodeEntry, ref: TaskRef, end: EndReport, now: number): void {
+	#settleRun(
+		board: Board,
+		node: NodeEntry,
+		ref: TaskRef,
+		end: EndReport,
+		{sentAt}: NodeReport,
+		now: number
+	): void {
 		updateCheckpoint(ref, end.checkpoint)
 		if (end.end === RunEnd.done && !ref.spec.longRunning) {
 			completeTask(board, ref, now)
 			this.#clearFailures(board, node.registration.id, ref, now)
-		} else if (end.end === RunEnd.failed) this.#handleFailure(board, node, ref, now)
-		else releaseRun(board, ref, end.end, now)
+			return
+		}
+		const proof = {place: this.name, evidence: EndEvidence.listedEnd, ageMs: now - sentAt}
+		if (end.end === RunEnd.failed) this.#handleFailure(board, node, ref, proof, now)
+		else releaseRun(board, ref, end.end, proof, now)
 	}
 
 	/** Runs that use only idle CPU are slow while others need it. */
@@ -220,7 +253,7 @@
 		})
 	}
 
-	#handleFailure(board: Board, node: NodeEntry, ref: TaskRef, now: number): void {
+	#handleFailure(board: Board, node: NodeEntry, ref: TaskRef, proof: EndProof, now: number): void {
 		const {task, step, spec, workflow} = ref
 		const {id} = node.registration
 		if (spec.gang) {
@@ -230,7 +263,7 @@
 		recordFailedWorker(task, id)
 		this.#markSuspect(board, id, workflow.record.id, now)
 		const failures = spec.gang ? step.gangFailures : task.failures
-		releaseRun(board, ref, RunEnd.failed, now)
+		releaseRun(board, ref, RunEnd.failed, proof, now)
 		if (failures >= workflow.record.maxAttempts && !spec.longRunning)
 			endWorkflow(board, workflow, WorkflowState.failed, now)
 	}
@@ -272,7 +305,8 @@
 			}
 			if (task.phase === TaskPhase.planned || task.phase === TaskPhase.waiting) continue
 			if (task.acknowledgedAt === undefined || report.sentAt <= task.acknowledgedAt) continue
-			releaseRun(board, ref, "absent", now)
+			const ageMs = now - report.sentAt
+			releaseRun(board, ref, "absent", {place: this.name, evidence: EndEvidence.absent, ageMs}, now)
 		}
 	}
 
@@ -288,7 +322,8 @@
 		// This incarnation may have answered the start after it had made the report.
 		if (starts > 0 && sentAt <= acknowledgedAt) return
 		if (openStarts === 0) {
-			releaseRun(board, ref, "worker-restarted", now)
+			const proof = {place: this.name, evidence: EndEvidence.restarted, ageMs: now - sentAt}
+			releaseRun(board, ref, "worker-restarted", proof, now)
 			return
 		}
 		recordIncarnation(ref, incarnation)
@@ -335,7 +370,9 @@
 		if (refs.length === 0) return
 		const fields = {worker: id, runs: refs.length, silentMs: Math.round(now - answeredAt)}
 		board.record(EventLevel.info, "worker-ended", fields)
-		for (const ref of refs) releaseRun(board, ref, ReasonCode.workerLost, now)
+		const evidence = EndEvidence.connectionsRefused
+		const proof = {place: this.name, evidence, ageMs: now - answeredAt}
+		for (const ref of refs) releaseRun(board, ref, ReasonCode.workerLost, proof, now)
 	}
 
 	/** A worker whose lease has expired runs nothing, even if it can't be reached. */
@@ -360,7 +397,11 @@
 				// Since its last answer, or since the load of a term in which it has not been listed.
 				silentMs: Math.round(node === undefined ? steadyNow - loadedAt : now - node.answeredAt)
 			})
-			for (const ref of refs) releaseRun(board, ref, RunEnd.lapsed, now)
+			const expiredAt = node?.leaseExpiresAt ?? computeEarlierExpiry(board)
+			const isReplaced = node?.replacedAt !== undefined
+			const evidence = isReplaced ? EndEvidence.replaced : EndEvidence.leaseExpired
+			const proof = {place: this.name, evidence, ageMs: steadyNow - expiredAt}
+			for (const ref of refs) releaseRun(board, ref, RunEnd.lapsed, proof, now)
 		}
 	}
 }
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -2,7 +2,7 @@
  * Work of several steps. A workflow is accepted as a whole. Each of its occurrences runs every step once, a step
  * consists of tasks, and each attempt of a task is a run. A job of the caller API is the special case of one step.
  */
-import {type WorkerRegistration} from "../internal.js"
+import {type ReleasedRun, type WorkerRegistration} from "../internal.js"
 
 /** Resources of a worker that one task uses while it runs. */
 export interface ResourceDemand {
@@ -124,6 +124,8 @@
 	startPercent: number
 	/** The latest workers that this task failed on, oldest first. */
 	readonly failedOn: string[]
+	/** The run before the current one; undefined if there is none, or an earlier holder released it. */
+	released: ReleasedRun | undefined
 }
 
 export interface StepProgress {
@@ -239,6 +241,8 @@
 	readonly failures: number
 	/** Calls in a row that were refused a connection at the address that it answered from. */
 	readonly refusals: number
+	/** Steady time at which another worker answered at that address; undefined unless it has since the last answer. */
+	readonly replacedAt: number | undefined
 	/** Earliest monotonic time at which a draining worker leaves; undefined if the worker does not announce it. */
 	readonly leavesAt: number | undefined
 }
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -1,11 +1,15 @@
 /** State changes of one task. Each updates its progress and the board's runs, and marks what has to be durable. */
 import {
 	type Board,
+	type EndProof,
 	type NodeEntry,
+	type NodeReport,
+	type RunEnd,
 	type Occurrence,
 	type TaskProgress,
 	type TaskRef,
 	type WorkflowEntry,
+	EndEvidence,
 	EventLevel,
 	FAILED_WORKERS_MAX,
 	ReasonCode,
@@ -14,11 +18,18 @@
 	WorkflowState,
 	countOccurrences,
 	createTaskRef,
+	findTerm,
 	isFinal,
 	isOccurrenceDone,
 	listTaskRefs
 } from "../internal.js"
 
+const RUNNING = "running"
+/** How a worker shows a run. */
+type RunShown = typeof RUNNING | RunEnd
+
+const NEVER_SENT: EndProof = {place: "stop", evidence: EndEvidence.neverSent, ageMs: 0}
+
 /** Marks a change of the occurrence that has to be durable before it takes effect. */
 export function recordProgress(
 	board: Board,
@@ -110,10 +121,19 @@
 }
 
 /** Releases a run that can't be active any more; the task may be placed again. */
-export function releaseRun(board: Board, ref: TaskRef, reason: string, now: number): void {
+export function releaseRun(
+	board: Board,
+	ref: TaskRef,
+	reason: string,
+	proof: EndProof,
+	now: number
+): void {
 	const {task, step, taskId, workflow, occurrence} = ref
-	const fields = {task: taskId, run: task.run, worker: task.workerId, phase: task.phase}
+	const {run, workerId, phase} = task
+	const epoch = findTerm(board)?.epoch ?? 0
+	const fields = {task: taskId, run, worker: workerId, phase, ...describeProof(proof), epoch}
 	board.record(EventLevel.info, "run-released", fields, reason)
+	task.released = {run, workerId, epoch, proof, releasedAt: now, isContradicted: false}
 	task.phase = TaskPhase.waiting
 	step.notBefore = Math.max(step.notBefore, now + STEP_RETRY_DELAY_MS)
 	board.runs.delete(taskId)
@@ -121,11 +141,51 @@
 	stopGangMembers(board, ref, now)
 }
 
+function describeProof({place, evidence, ageMs}: EndProof) {
+	return {place, evidence, evidenceAgeMs: Math.round(ageMs)}
+}
+
+/** Log fields that name the task's earlier run and what proved its end; none for a first run. */
+export function describeReleasedRun({run, released}: TaskProgress, now: number) {
+	if (run <= 1) return {}
+	// The log of the earlier holder has its release.
+	if (released === undefined) return {earlierRun: run - 1, earlierTerm: true}
+	const {workerId, epoch, proof, releasedAt} = released
+	return {
+		earlierRun: released.run,
+		earlierWorker: workerId,
+		earlierPlace: proof.place,
+		earlierEvidence: proof.evidence,
+		earlierEvidenceAgeMs: Math.round(proof.ageMs + now - releasedAt),
+		earlierEpoch: epoch
+	}
+}
+
+/** Records that a worker shows a released run: as running, in a report made after the release, or as ended. */
+export function recordContradiction(
+	board: Board,
+	{task: {released, run: currentRun}, taskId}: TaskRef,
+	workerId: string,
+	run: number,
+	shown: RunShown,
+	{sentAt}: Pick<NodeReport, "sentAt">
+): void {
+	if (released === undefined || released.isContradicted) return
+	const isReleased = released.run === run && released.workerId === workerId
+	const isEarlier = shown === RUNNING && sentAt <= released.releasedAt
+	if (!isReleased || isEarlier) return
+	released.isContradicted = true
+	const {epoch, proof, releasedAt} = released
+	const sinceReleaseMs = Math.round(sentAt - releasedAt)
+	const fields = {task: taskId, run, worker: workerId, shown, ...describeProof(proof), epoch}
+	board.record(EventLevel.warn, "release-contradicted", {...fields, sinceReleaseMs, currentRun})
+}
+
 /** Requests that the run stop; a run that was never sent is released at once. */
 export function stopRun(board: Board, ref: TaskRef, reason: ReasonCode, now: number): void {
 	const {task, taskId} = ref
 	if (task.phase === TaskPhase.planned) {
-		releaseRun(board, ref, reason, now)
+		releaseRun(board, ref, reason, NEVER_SENT, now)
 		return
 	}
 	if (task.phase !== TaskPhase.starting && task.phase !== TaskPhase.running) return
--- a/src/utils/workflows.ts
+++ b/src/utils/workflows.ts
@@ -82,7 +82,8 @@
 		progressAt: 0,
 		startedAt: 0,
 		startPercent: 0,
-		failedOn: []
+		failedOn: [],
+		released: undefined
 	}
 }
 
