Take no refused connection for the end of a worker's process

Cause: since two renewals refused in a row (ECONNREFUSED) at an address that the worker had answered from released all runs on it. A port that refuses says that nothing accepts connections there now, and not that the process has ended: a listener is reopened, a cut rejects. While the store was away the released run could end as done; that end was no longer of a current run, was acknowledged and dropped, and the task was started again.

--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -19,10 +19,9 @@
 const HTTP_CLIENT_ERROR_MIN = 400
 const HTTP_SERVER_ERROR_MIN = 500
 
-const REFUSED_CODE = "ECONNREFUSED"
 /** Error codes of connections that failed before any byte of the request was sent. */
 const UNSENT_CODES = new Set([
-	REFUSED_CODE,
+	"ECONNREFUSED",
 	"UND_ERR_CONNECT_TIMEOUT",
 	"EHOSTUNREACH",
 	"ENETUNREACH"
@@ -151,5 +150,5 @@
 	const detail = error instanceof Error ? error.message : String(error)
 	const sent = !(typeof code === "string" && UNSENT_CODES.has(code))
 	const text = typeof code === "string" ? `${code} ${detail}` : detail
-	return new TransportError(url, text, sent, code === REFUSED_CODE)
+	return new TransportError(url, text, sent)
 }
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -27,7 +27,6 @@
 	RefusalCode,
 	RefusedError,
 	SectionName,
-	TransportError,
 	WORKER_LIST_INTERVAL_MS,
 	computeEarlierExpiry,
 	computeLeaseExpiry,
@@ -283,7 +282,6 @@
 				answeredFrom: undefined,
 				leaseExpiresAt: computeEarlierExpiry(board),
 				failures: 0,
-				refusals: 0,
 				replacedAt: undefined,
 				leavesAt: computeLeavesAt(registration, undefined, now)
 			})
@@ -332,10 +330,9 @@
 			const isGone = isReplaced(node, command.target, result.error)
 			const steadyNow = computeSteadyTime(board, now)
 			const leaseExpiresAt = isGone ? Math.min(steadyNow, node.leaseExpiresAt) : node.leaseExpiresAt
-			const refusals = isRefused(node, command.target, result.error) ? node.refusals + 1 : 0
 			const replacedAt = isGone ? (node.replacedAt ?? steadyNow) : node.replacedAt
 			const failures = node.failures + 1
-			board.nodes.set(id, {...node, failures, refusals, replacedAt, leaseExpiresAt})
+			board.nodes.set(id, {...node, failures, replacedAt, leaseExpiresAt})
 			if (isGone && node.leaseExpiresAt > steadyNow)
 				board.record(EventLevel.info, "worker-replaced", {worker: id, address: command.target})
 			if (node.failures === 0) {
@@ -370,7 +367,6 @@
 			answeredAt: now,
 			answeredFrom: target,
 			failures: 0,
-			refusals: 0,
 			replacedAt: undefined
 		}
 		if (node.incarnation === incarnation && node.failures === 0) board.nodes.setSilently(id, entry)
@@ -405,11 +401,6 @@
 	return isOther && target === answeredFrom
 }
 
-/** True if nothing listens where this worker answered. */
-function isRefused({answeredFrom}: NodeEntry, target: string, error: CallError): boolean {
-	return error instanceof TransportError && error.isConnectionRefused && target === answeredFrom
-}
-
 /** The earliest estimate counts: reading the same row again would move the time of leaving to later. */
 function computeLeavesAt(
 	{isDraining, remainingMs, incarnation}: WorkerRegistration,
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -17,7 +17,6 @@
 	NODE_SLOW_MS,
 	NODE_FAILURES_MAX,
 	NODE_QUARANTINE_MS,
-	NODE_REFUSALS_MAX,
 	ProgressRates,
 	RUN_STALL_MS,
 	RUN_STALL_SHARE,
@@ -359,33 +358,13 @@
 		}
 	}
 
-	/**
-	 * The runs of a process have ended with it. Those that were never seen to begin, or that an earlier holder started, are
-	 * kept until the lease has expired: a start that is still on its way may reach the worker's next incarnation.
-	 */
-	#releaseEnded(board: Board, {registration: {id}, answeredAt}: NodeEntry, now: number): void {
-		const refs = [...board.runs.listOn(id).values()].filter(
-			({task}) => task.hasBegun && task.starts > 0 && task.openStarts === 0
-		)
-		if (refs.length === 0) return
-		const fields = {worker: id, runs: refs.length, silentMs: Math.round(now - answeredAt)}
-		board.record(EventLevel.info, "worker-ended", fields)
-		const evidence = EndEvidence.connectionsRefused
-		const proof = {place: this.name, evidence, ageMs: now - answeredAt}
-		for (const ref of refs) releaseRun(board, ref, ReasonCode.workerLost, proof, now)
-	}
-
 	/** A worker whose lease has expired runs nothing, even if it can't be reached. */
 	#releaseExpired(board: Board, loadedAt: number, now: number): void {
 		const steadyNow = computeSteadyTime(board, now)
 		for (const workerId of [...board.runs.listWorkers()]) {
 			const node = board.nodes.get(workerId)
 			// A worker that has not been listed in this term has leases of earlier holders only, which renew them for a while.
-			if (steadyNow <= (node?.leaseExpiresAt ?? computeEarlierExpiry(board))) {
-				if (node !== undefined && node.refusals >= NODE_REFUSALS_MAX)
-					this.#releaseEnded(board, node, now)
-				continue
-			}
+			if (steadyNow <= (node?.leaseExpiresAt ?? computeEarlierExpiry(board))) continue
 			const refs = [...board.runs.listOn(workerId).values()].filter(
 				({task}) => task.phase !== TaskPhase.planned
 			)
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -255,9 +255,6 @@
 export const NODE_FAILURES_MAX = 2
 export const NODE_QUARANTINE_MS = 8000
 
-/** Connections refused in a row from which a worker's process has ended. */
-export const NODE_REFUSALS_MAX = 2
-
 /** How long a worker counts as slow after a report that shows it; workers report each 1.5 s. */
 export const NODE_SLOW_MS = 3500
 
--- a/src/core/errors.ts
+++ b/src/core/errors.ts
@@ -21,12 +21,9 @@
 /** A call without an answer. Whether it took effect is unknown, unless `sent` is false. */
 export class TransportError extends CardamomError {
 	readonly sent: boolean
-	/** True if the machine answered that nothing listens at the address. */
-	readonly isConnectionRefused: boolean
-	constructor(target: string, detail: string, sent: boolean, isConnectionRefused = false) {
+	constructor(target: string, detail: string, sent: boolean) {
 		super(`no answer from ${target}: ${detail}`)
 		this.sent = sent
-		this.isConnectionRefused = isConnectionRefused
 	}
 }
 
--- a/src/types/run-ends.ts
+++ b/src/types/run-ends.ts
@@ -13,8 +13,6 @@
 	restarted: "restarted",
 	/** Another worker answers at the address that this one answered from. */
 	replaced: "replaced",
-	/** The worker's address refused connections. */
-	connectionsRefused: "connections-refused",
 	/** Every lease that the worker was granted has expired. */
 	leaseExpired: "lease-expired"
 } as const
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -114,8 +114,6 @@
 	starts: number
 	/** Number of those without an answer, which a worker may still carry out. */
 	openStarts: number
-	/** True once this holder knows that the run has begun. */
-	hasBegun: boolean
 	percent: number
 	/** Monotonic time at which `percent` last changed. */
 	progressAt: number
@@ -239,8 +237,6 @@
 	/** Steady time by which, unless renewed, every lease granted by this or an earlier holder has expired. */
 	readonly leaseExpiresAt: number
 	readonly failures: number
-	/** Calls in a row that were refused a connection at the address that it answered from. */
-	readonly refusals: number
 	/** Steady time at which another worker answered at that address; undefined unless it has since the last answer. */
 	readonly replacedAt: number | undefined
 	/** Earliest monotonic time at which a draining worker leaves; undefined if the worker does not announce it. */
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -70,7 +70,6 @@
 	task.incarnation = incarnation
 	task.starts = 0
 	task.openStarts = 0
-	task.hasBegun = false
 	task.percent = 0
 	task.progressAt = now
 	task.acknowledgedAt = undefined
@@ -112,7 +111,6 @@
 	const {task} = ref
 	if (task.phase !== TaskPhase.starting) return
 	task.phase = TaskPhase.running
-	task.hasBegun = true
 	task.startedAt = now
 	task.startPercent = percent
 	task.percent = percent
--- a/src/utils/workflow-rows.ts
+++ b/src/utils/workflow-rows.ts
@@ -217,7 +217,6 @@
 	task.checkpoint = checkpoint
 	task.workerId = workerId
 	task.incarnation = incarnation
-	task.hasBegun = false
 	task.orderedAt = now
 	// An earlier holder's start command may have been executed at any time up to now.
 	task.acknowledgedAt = phase === "placed" ? now : undefined
--- a/src/utils/workflows.ts
+++ b/src/utils/workflows.ts
@@ -77,7 +77,6 @@
 		acknowledgedAt: undefined,
 		starts: 0,
 		openStarts: 0,
-		hasBegun: false,
 		percent: 0,
 		progressAt: 0,
 		startedAt: 0,
--- a/standins/fleet/direct.ts
+++ b/standins/fleet/direct.ts
@@ -50,7 +50,7 @@
 			if (action === DeliveryAction.loseRequest) return
 			if (action === DeliveryAction.refuseConnection) {
 				cancel()
-				resolve(err(new TransportError(request.url, "nothing listens", false, true)))
+				resolve(err(new TransportError(request.url, "nothing listens", false)))
 				return
 			}
 			if (action === DeliveryAction.refuse) {
