Keep in one place what proves that a run has ended

Each controller decided by itself what let a run be started again: the report's, the start's answer, the lease's check, and the client of workers, which expressed another worker at the address as an expired lease.

utils/end-proofs now holds the rule, and runs are released only with what its functions return. Only two things behave differently: a worker that answers again after another one had answered at its address has its real lease again, and a worker that is gone from the list stays known while runs on it have not been released, as a later check would else wait for the leases of an earlier holder.

--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -5,7 +5,6 @@
  */
 import {
 	type Board,
-	type CallError,
 	type Command,
 	type CommandTypes,
 	type Completion,
@@ -24,7 +23,6 @@
 	NODE_UNSAVED_OUTAGE_DELAY_MS,
 	Outage,
 	PLATFORM_TIMEOUT_MS,
-	RefusalCode,
 	RefusedError,
 	SectionName,
 	WORKER_LIST_INTERVAL_MS,
@@ -33,7 +31,9 @@
 	computeLeaseEnd,
 	computeSteadyTime,
 	findTerm,
+	findWorkerProof,
 	isAnswered,
+	isReplaced,
 	isTermConfirmed,
 	mayRenewLeases
 } from "../internal.js"
@@ -240,7 +240,8 @@
 		for (const [id, node] of [...board.nodes.entries()]) {
 			if (listed.has(id)) continue
 			if (!this.#missingSince.has(id)) this.#missingSince.set(id, now)
-			if (computeSteadyTime(board, now) > node.leaseExpiresAt) {
+			const isOver = findWorkerProof(this.name, board, id, now) !== undefined
+			if (isOver && board.runs.listOn(id).size === 0) {
 				board.nodes.delete(id)
 				this.#missingSince.delete(id)
 				board.nodeReports.take(id)
@@ -329,11 +330,10 @@
 			this.#renewAt.set(id, now + NODE_RETRY_DELAY_MS)
 			const isGone = isReplaced(node, command.target, result.error)
 			const steadyNow = computeSteadyTime(board, now)
-			const leaseExpiresAt = isGone ? Math.min(steadyNow, node.leaseExpiresAt) : node.leaseExpiresAt
 			const replacedAt = isGone ? (node.replacedAt ?? steadyNow) : node.replacedAt
 			const failures = node.failures + 1
-			board.nodes.set(id, {...node, failures, replacedAt, leaseExpiresAt})
-			if (isGone && node.leaseExpiresAt > steadyNow)
+			board.nodes.set(id, {...node, failures, replacedAt})
+			if (isGone && node.replacedAt === undefined)
 				board.record(EventLevel.info, "worker-replaced", {worker: id, address: command.target})
 			if (node.failures === 0) {
 				const reason = result.error instanceof RefusedError ? result.error.code : "no-answer"
@@ -392,15 +392,6 @@
 	return incarnation === undefined || failures > 0 ? 0 : NODE_RENEW_WAIT_MS
 }
 
-/**
- * True if another worker answers at the address at which this one did: its process has ended, and its runs with it. At an
- * address that it never answered from, the list may be wrong.
- */
-function isReplaced({answeredFrom}: NodeEntry, target: string, error: CallError): boolean {
-	const isOther = error instanceof RefusedError && error.code === RefusalCode.otherIncarnation
-	return isOther && target === answeredFrom
-}
-
 /** The earliest estimate counts: reading the same row again would move the time of leaving to later. */
 function computeLeavesAt(
 	{isDraining, remainingMs, incarnation}: WorkerRegistration,
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -12,26 +12,26 @@
 	CATALOG_FRESH_MS,
 	CallWindow,
 	CommandKind,
-	EndEvidence,
 	EventLevel,
 	RUN_COMMAND_TIMEOUT_MS,
 	RUN_STARTS_MAX,
 	RUN_STOP_INTERVAL_MS,
 	ReasonCode,
-	RefusalCode,
 	RefusedError,
 	SectionName,
 	StartGate,
 	TaskPhase,
-	TransportError,
 	computeLeaseExpiry,
 	computeLeaseEnd,
 	computeSteadyTime,
 	describeReleasedRun,
+	findRefusalProof,
 	findRoundGate,
 	findTerm,
+	findUnsentProof,
 	isAnswered,
 	isNodeSchedulable,
+	isRefusedOrUnsent,
 	isSaved,
 	isSchedulable,
 	isTermConfirmed,
@@ -128,8 +128,8 @@
 		if (findRoundGate(board, now) === StartGate.catalogStale) return
 		const blocked = refs.find(member => !this.#canStart(board, member, now))
 		if (blocked !== undefined) {
-			const proof = {place: this.name, evidence: EndEvidence.neverSent, ageMs: 0}
-			releaseRun(board, blocked, ReasonCode.workerRefused, proof, now)
+			const proof = findUnsentProof(this.name, blocked)
+			if (proof !== undefined) releaseRun(board, blocked, ReasonCode.workerRefused, proof, now)
 			return
 		}
 		this.#isWindowFull ||= !this.#window.isOpenFor(refs.length)
@@ -271,11 +271,9 @@
 		const reason = error instanceof RefusedError ? error.code : "no-answer"
 		const fields = {task: taskId, run: task.run, worker: task.workerId, detail: error.message}
 		board.record(EventLevel.info, "start-failed", fields, reason)
-		const mayHaveRun = task.starts > 1 || reason === RefusalCode.alreadyRan
-		if (isRefusedOrUnsent(error) && !mayHaveRun) {
+		const proof = findRefusalProof(this.name, ref, error, now)
+		if (proof !== undefined) {
 			recordFailedWorker(task, task.workerId)
-			const ageMs = now - task.orderedAt
-			const proof = {place: this.name, evidence: EndEvidence.startRefused, ageMs}
 			releaseRun(board, ref, reason, proof, now)
 		} else if (!(error instanceof RefusedError) && this.#mayRepeat(board, ref, now))
 			this.#sendStart(board, ref, now)
@@ -307,8 +305,3 @@
 	const running = board.nodeReports.get(task.workerId)?.running ?? []
 	return running.some(entry => entry.taskId === taskId && entry.run === task.run)
 }
-
-/** True if the command had no effect and will have none. */
-function isRefusedOrUnsent(error: CallError): boolean {
-	return error instanceof RefusedError || (error instanceof TransportError && !error.sent)
-}
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -12,7 +12,6 @@
 	type NodeReport,
 	type RunningReport,
 	type TaskRef,
-	EndEvidence,
 	EventLevel,
 	NODE_SLOW_MS,
 	NODE_FAILURES_MAX,
@@ -27,11 +26,15 @@
 	WorkerPaces,
 	WorkflowState,
 	completeTask,
-	computeEarlierExpiry,
 	computeSteadyTime,
 	endWorkflow,
+	findAbsenceProof,
+	findListedEndProof,
+	findRestartProof,
 	findTaskRef,
+	findWorkerProof,
 	isCurrentRun,
+	isOlderThanStart,
 	isSaved,
 	listTaskRefs,
 	recordContradiction,
@@ -100,7 +103,7 @@
 		this.#acknowledge(board)
 		if (now >= this.#expiryCheckAt) {
 			this.#expiryCheckAt = now + EXPIRY_CHECK_INTERVAL_MS
-			this.#releaseExpired(board, term.loadedAt, now)
+			this.#releaseLost(board, term.loadedAt, now)
 		}
 		if (now >= this.#paceAt) {
 			this.#paceAt = now + PACE_INTERVAL_MS
@@ -174,8 +177,10 @@
 		now: number
 	): void {
 		const ref = findTaskRef(board, end.taskId)
-		const isCurrent =
-			ref !== undefined && board.runs.has(end.taskId) && isCurrentRun(ref, node, end.run)
+		const proof =
+			ref !== undefined && board.runs.has(end.taskId)
+				? findListedEndProof(this.name, ref, node, {end, report}, now)
+				: undefined
 		this.#rates.delete(end.taskId)
 		board.record(EventLevel.info, "run-ended", {
 			task: end.taskId,
@@ -183,9 +188,9 @@
 			worker: node.registration.id,
 			end: end.end,
 			position: end.position,
-			isCurrent
+			isCurrent: proof !== undefined
 		})
-		if (isCurrent) this.#settleRun(board, node, ref, end, report, now)
+		if (ref !== undefined && proof !== undefined) this.#settleRun(board, node, ref, end, proof, now)
 		else if (end.end !== RunEnd.lapsed) this.#recordContradiction(board, node, end, end.end, report)
 		// The end of a gang's member changes nothing if another member's came first, but has to outlast that change.
 		if (ref !== undefined)
@@ -197,7 +202,7 @@
 		node: NodeEntry,
 		ref: TaskRef,
 		end: EndReport,
-		{sentAt}: NodeReport,
+		proof: EndProof,
 		now: number
 	): void {
 		updateCheckpoint(ref, end.checkpoint)
@@ -206,7 +211,6 @@
 			this.#clearFailures(board, node.registration.id, ref, now)
 			return
 		}
-		const proof = {place: this.name, evidence: EndEvidence.listedEnd, ageMs: now - sentAt}
 		if (end.end === RunEnd.failed) this.#handleFailure(board, node, ref, proof, now)
 		else releaseRun(board, ref, end.end, proof, now)
 	}
@@ -284,10 +288,7 @@
 			board.record(EventLevel.info, "worker-closed", {worker: id, failed: failedWorkflows.length})
 	}
 
-	/**
-	 * A run that was acknowledged before the report was requested and is not in the report, which lists all ends, no
-	 * longer exists. Neither does one of an earlier incarnation, unless a start of it can still arrive.
-	 */
+	/** Releases the runs on the worker that its report proves to have ended without listing their ends. */
 	#releaseAbsent(
 		board: Board,
 		node: NodeEntry,
@@ -296,35 +297,24 @@
 		now: number
 	): void {
 		for (const ref of [...board.runs.listOn(node.registration.id).values()]) {
-			const {task, taskId} = ref
-			if (present.has(taskId)) continue
-			if (task.incarnation !== node.incarnation) {
-				this.#settleRestarted(board, ref, node.incarnation ?? "", report, now)
-				continue
-			}
-			if (task.phase === TaskPhase.planned || task.phase === TaskPhase.waiting) continue
-			if (task.acknowledgedAt === undefined || report.sentAt <= task.acknowledgedAt) continue
-			const ageMs = now - report.sentAt
-			releaseRun(board, ref, "absent", {place: this.name, evidence: EndEvidence.absent, ageMs}, now)
+			if (present.has(ref.taskId)) continue
+			const absence = findAbsenceProof(this.name, ref, node, report, now)
+			const restart = findRestartProof(this.name, ref, node, report, now)
+			if (absence !== undefined) releaseRun(board, ref, "absent", absence, now)
+			else if (restart !== undefined) releaseRun(board, ref, "worker-restarted", restart, now)
+			else this.#stopLateStart(board, ref, node, report, now)
 		}
 	}
 
 	/** A worker refuses a late start only once it has been told to stop that run. */
-	#settleRestarted(
+	#stopLateStart(
 		board: Board,
 		ref: TaskRef,
-		incarnation: string,
-		{sentAt}: NodeReport,
+		{incarnation = ""}: NodeEntry,
+		report: NodeReport,
 		now: number
 	): void {
-		const {starts, openStarts, acknowledgedAt = -Infinity} = ref.task
-		// This incarnation may have answered the start after it had made the report.
-		if (starts > 0 && sentAt <= acknowledgedAt) return
-		if (openStarts === 0) {
-			const proof = {place: this.name, evidence: EndEvidence.restarted, ageMs: now - sentAt}
-			releaseRun(board, ref, "worker-restarted", proof, now)
-			return
-		}
+		if (ref.task.incarnation === incarnation || isOlderThanStart(ref.task, report)) return
 		recordIncarnation(ref, incarnation)
 		stopRun(board, ref, ReasonCode.workerLost, now)
 	}
@@ -358,28 +348,25 @@
 		}
 	}
 
-	/** A worker whose lease has expired runs nothing, even if it can't be reached. */
-	#releaseExpired(board: Board, loadedAt: number, now: number): void {
-		const steadyNow = computeSteadyTime(board, now)
+	/** Releases the runs on workers that run nothing any more, even if they can't be reached. */
+	#releaseLost(board: Board, loadedAt: number, now: number): void {
 		for (const workerId of [...board.runs.listWorkers()]) {
-			const node = board.nodes.get(workerId)
-			// A worker that has not been listed in this term has leases of earlier holders only, which renew them for a while.
-			if (steadyNow <= (node?.leaseExpiresAt ?? computeEarlierExpiry(board))) continue
+			const proof = findWorkerProof(this.name, board, workerId, now)
+			if (proof === undefined) continue
 			const refs = [...board.runs.listOn(workerId).values()].filter(
 				({task}) => task.phase !== TaskPhase.planned
 			)
 			if (refs.length === 0) continue
+			const node = board.nodes.get(workerId)
 			board.record(EventLevel.info, "worker-expired", {
 				worker: workerId,
 				runs: refs.length,
 				isListed: node?.listed ?? false,
 				// Since its last answer, or since the load of a term in which it has not been listed.
-				silentMs: Math.round(node === undefined ? steadyNow - loadedAt : now - node.answeredAt)
+				silentMs: Math.round(
+					node === undefined ? computeSteadyTime(board, now) - loadedAt : now - node.answeredAt
+				)
 			})
-			const expiredAt = node?.leaseExpiresAt ?? computeEarlierExpiry(board)
-			const isReplaced = node?.replacedAt !== undefined
-			const evidence = isReplaced ? EndEvidence.replaced : EndEvidence.leaseExpired
-			const proof = {place: this.name, evidence, ageMs: steadyNow - expiredAt}
 			for (const ref of refs) releaseRun(board, ref, RunEnd.lapsed, proof, now)
 		}
 	}
--- /dev/null
+++ b/src/utils/end-proofs.ts
@@ -0,0 +1,126 @@
+/**
+ * The one rule for what proves that a run has ended, or has never begun, so that its task may start again. It is one of these:
+ *
+ * - No start of it was sent, or the only one was refused or never left this host.
+ * - Its worker says so: it lists the end, or a report that was requested after the start or the stop had been acknowledged
+ *   doesn't show the run.
+ * - The process that ran it is over: another incarnation of the worker reports, and no start is under way to it, or another
+ *   worker answers at its address.
+ * - Every lease that its worker was granted has expired.
+ *
+ * A missing answer proves nothing, in whatever form: silence, a refused or reset connection, an entry that is gone from the
+ * list of workers. A run that none of these holds for counts as active.
+ */
+import {
+	type Board,
+	type CallError,
+	type EndProof,
+	type EndReport,
+	type NodeEntry,
+	type NodeReport,
+	type TaskRef,
+	EndEvidence,
+	RefusalCode,
+	RefusedError,
+	TaskPhase,
+	TransportError,
+	computeEarlierExpiry,
+	computeSteadyTime,
+	isCurrentRun
+} from "../internal.js"
+
+/** A run that is only planned. */
+export function findUnsentProof(place: string, {task}: TaskRef): EndProof | undefined {
+	if (task.phase !== TaskPhase.planned) return undefined
+	return {place, evidence: EndEvidence.neverSent, ageMs: 0}
+}
+
+/** A later start may be refused because an earlier one arrived. */
+export function findRefusalProof(
+	place: string,
+	{task}: TaskRef,
+	error: CallError,
+	now: number
+): EndProof | undefined {
+	const mayHaveRun = error instanceof RefusedError && error.code === RefusalCode.alreadyRan
+	if (!isRefusedOrUnsent(error) || task.starts > 1 || mayHaveRun) return undefined
+	return {place, evidence: EndEvidence.startRefused, ageMs: now - task.orderedAt}
+}
+
+/** True if the command had no effect and will have none. */
+export function isRefusedOrUnsent(error: CallError): boolean {
+	return error instanceof RefusedError || (error instanceof TransportError && !error.sent)
+}
+
+export function findListedEndProof(
+	place: string,
+	ref: TaskRef,
+	node: NodeEntry,
+	{end, report}: {readonly end: EndReport; readonly report: NodeReport},
+	now: number
+): EndProof | undefined {
+	if (!isCurrentRun(ref, node, end.run)) return undefined
+	return {place, evidence: EndEvidence.listedEnd, ageMs: now - report.sentAt}
+}
+
+/** `report` is one that doesn't show the run. */
+export function findAbsenceProof(
+	place: string,
+	{task}: TaskRef,
+	{incarnation}: NodeEntry,
+	report: NodeReport,
+	now: number
+): EndProof | undefined {
+	const {phase, acknowledgedAt = Infinity} = task
+	if (phase === TaskPhase.planned || phase === TaskPhase.waiting) return undefined
+	if (task.incarnation !== incarnation || report.mayHaveMoreEnds) return undefined
+	if (report.sentAt <= acknowledgedAt) return undefined
+	return {place, evidence: EndEvidence.absent, ageMs: now - report.sentAt}
+}
+
+/** `report` is one that doesn't show the run. */
+export function findRestartProof(
+	place: string,
+	{task}: TaskRef,
+	{incarnation}: NodeEntry,
+	report: NodeReport,
+	now: number
+): EndProof | undefined {
+	if (task.incarnation === incarnation || report.mayHaveMoreEnds) return undefined
+	if (task.openStarts > 0 || isOlderThanStart(task, report)) return undefined
+	return {place, evidence: EndEvidence.restarted, ageMs: now - report.sentAt}
+}
+
+/** True if the incarnation that made the report may have answered the start after it. */
+export function isOlderThanStart(
+	{starts, acknowledgedAt = -Infinity}: TaskRef["task"],
+	{sentAt}: NodeReport
+): boolean {
+	return starts > 0 && sentAt <= acknowledgedAt
+}
+
+/**
+ * True if another worker answers at the address at which this one did: its process has ended, and its runs with it. At an
+ * address that it never answered from, the list may be wrong.
+ */
+export function isReplaced({answeredFrom}: NodeEntry, target: string, error: CallError): boolean {
+	const isOther = error instanceof RefusedError && error.code === RefusalCode.otherIncarnation
+	return isOther && target === answeredFrom
+}
+
+/** Proof for all runs on the worker whose starts may have been sent. */
+export function findWorkerProof(
+	place: string,
+	board: Board,
+	workerId: string,
+	now: number
+): EndProof | undefined {
+	const node = board.nodes.get(workerId)
+	const steadyNow = computeSteadyTime(board, now)
+	if (node?.replacedAt !== undefined)
+		return {place, evidence: EndEvidence.replaced, ageMs: steadyNow - node.replacedAt}
+	// A worker that has not been listed in this term has leases of earlier holders only, which renew them for a while.
+	const expiresAt = node?.leaseExpiresAt ?? computeEarlierExpiry(board)
+	if (steadyNow <= expiresAt) return undefined
+	return {place, evidence: EndEvidence.leaseExpired, ageMs: steadyNow - expiresAt}
+}
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -9,7 +9,6 @@
 	type TaskProgress,
 	type TaskRef,
 	type WorkflowEntry,
-	EndEvidence,
 	EventLevel,
 	FAILED_WORKERS_MAX,
 	ReasonCode,
@@ -19,6 +18,7 @@
 	countOccurrences,
 	createTaskRef,
 	findTerm,
+	findUnsentProof,
 	isFinal,
 	isOccurrenceDone,
 	listTaskRefs
@@ -28,8 +28,6 @@
 /** How a worker shows a run. */
 type RunShown = typeof RUNNING | RunEnd
 
-const NEVER_SENT: EndProof = {place: "stop", evidence: EndEvidence.neverSent, ageMs: 0}
-
 /** Marks a change of the occurrence that has to be durable before it takes effect. */
 export function recordProgress(
 	board: Board,
@@ -182,8 +180,9 @@
 /** Requests that the run stop; a run that was never sent is released at once. */
 export function stopRun(board: Board, ref: TaskRef, reason: ReasonCode, now: number): void {
 	const {task, taskId} = ref
-	if (task.phase === TaskPhase.planned) {
-		releaseRun(board, ref, reason, NEVER_SENT, now)
+	const proof = findUnsentProof("stop", ref)
+	if (proof !== undefined) {
+		releaseRun(board, ref, reason, proof, now)
 		return
 	}
 	if (task.phase !== TaskPhase.starting && task.phase !== TaskPhase.running) return
