Record where workers answer, so that a new holder reaches those that are not listed

What callers saw (LOST): after an outage in which the holder was killed, work stood still until the leases of the earlier term had run out, 7 s after the load. Cause: workers that had crashed while the store was away were back within a second under other ids; a new holder never saw the old ids in the list, so it could not ask at their addresses and had no proof but the lease.

The proof stays the worker's own word, or another worker's answer in its place; a row proves nothing, and another worker's answer only what ran on the incarnation that had answered there.

--- a/__tests__/outage-return.test.ts
+++ b/__tests__/outage-return.test.ts
@@ -138,6 +138,37 @@
 			expect(fleet.monitor.violations).to.deep.equal([])
 		})
 
+	// Regression test: a new holder did not know where a worker was that it had never seen in the list, and waited for its lease.
+	for (const settledMs of [0, 1500])
+		it(`goes on in a new term if another worker has taken the place of one in the outage (${settledMs} ms after the starts)`, async () => {
+			const {first, fleet, plan, submit, advance, advanceUntil} = await createServingDomain({
+				hosts: 2,
+				workers: 3
+			})
+			await advance(2000)
+			await submit(
+				first,
+				`${BATCH}${FIRST_ID}`,
+				createJob({count: 2, gpu: 8, gang: true, workMs: 30000})
+			)
+			await advanceUntil(() => fleet.monitor.starts.length === 2)
+			await advance(settledMs)
+			plan.isRefused = (_, call) => call.target === STORE_TARGET
+			await advance(3000)
+			const ended = fleet.monitor.starts[0]!.worker
+			fleet.workers.get(ended)!.crash()
+			fleet.store.deleteRow("servers", ended)
+			const next = fleet.addWorker("w9", {address: `${ended}:7000`})
+			fleet.workers.set(ended, next)
+			stopHolder(first)
+			await advance(1000)
+			plan.isRefused = () => false
+			const takenMs = await advanceUntil(() => fleet.monitor.starts.length === 4)
+			expect(takenMs).to.be.below(TAKEN_OVER_MAX_MS + STILL_MAX_MS)
+			await advance(2000)
+			expect(fleet.monitor.violations).to.deep.equal([])
+		})
+
 	it("waits for the lease of a worker that is silent", async () => {
 		const {first, fleet, plan, clock, submit, advance, advanceUntil} = await createServingDomain()
 		await submit(first, `${BATCH}${FIRST_ID}`, createJob({workMs: 30000}))
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -31,10 +31,10 @@
 	computeLeaseEnd,
 	computeSteadyTime,
 	findTerm,
-	findWorkerProof,
 	isAnswered,
 	isReplaced,
 	isTermConfirmed,
+	isWorkerOver,
 	mayRenewLeases
 } from "../internal.js"
 
@@ -48,8 +48,11 @@
 		SectionName.completions,
 		SectionName.authority,
 		SectionName.acknowledgements,
-		SectionName.reportRequests
+		SectionName.reportRequests,
+		SectionName.recordedNodes,
+		SectionName.terms
 	]
+	readonly #recorded: Set<string>
 	#epoch = 0
 	#listInFlight = false
 	#listAt = 0
@@ -71,6 +74,10 @@
 	/** Position of the last acknowledged end in the latest renewal, by worker. */
 	readonly #acknowledgedPositions = new Map<string, number>()
 
+	constructor(board: Board) {
+		this.#recorded = board.recordedNodes.watch()
+	}
+
 	step(board: Board, now: number): number | undefined {
 		for (const completion of board.takeCompletions(this.name)) this.#settle(board, completion, now)
 		const term = findTerm(board)
@@ -82,6 +89,7 @@
 			this.#removeAll(board)
 			this.#epoch = term.epoch
 		}
+		if (board.terms.has("loaded")) this.#adoptRecorded(board)
 		return Math.min(
 			this.#listWorkers(board, now),
 			this.#requestReports(board, now),
@@ -240,8 +248,7 @@
 		for (const [id, node] of [...board.nodes.entries()]) {
 			if (listed.has(id)) continue
 			if (!this.#missingSince.has(id)) this.#missingSince.set(id, now)
-			const isOver = findWorkerProof(this.name, board, id, now) !== undefined
-			if (isOver && board.runs.listOn(id).size === 0) {
+			if (isWorkerOver(board, id, now) && board.runs.listOn(id).size === 0) {
 				board.nodes.delete(id)
 				this.#missingSince.delete(id)
 				board.nodeReports.take(id)
@@ -270,22 +277,25 @@
 		this.#malformed = new Set(problems)
 	}
 
+	/** Workers with runs are called even if they are not listed: they may answer, or another one in their place. */
+	#adoptRecorded(board: Board): void {
+		for (const id of this.#recorded) {
+			const registration = board.recordedNodes.get(id)
+			if (registration === undefined || board.nodes.has(id)) continue
+			if (board.runs.listOn(id).size === 0) continue
+			const {address, incarnation} = registration
+			const answered = {answeredFrom: address, answeredAs: incarnation}
+			board.nodes.set(id, {...createNodeEntry(board, registration), ...answered, listed: false})
+			board.record(EventLevel.info, "worker-recalled", {worker: id, address, incarnation})
+		}
+		this.#recorded.clear()
+	}
+
 	#adoptRegistration(board: Board, registration: WorkerRegistration, now: number): void {
 		const known = board.nodes.get(registration.id)
 		if (known === undefined) {
-			board.nodes.set(registration.id, {
-				registration,
-				listed: true,
-				incarnation: undefined,
-				clockMs: 0,
-				clockReadAt: 0,
-				answeredAt: 0,
-				answeredFrom: undefined,
-				leaseExpiresAt: computeEarlierExpiry(board),
-				failures: 0,
-				replacedAt: undefined,
-				leavesAt: computeLeavesAt(registration, undefined, now)
-			})
+			const leavesAt = computeLeavesAt(registration, undefined, now)
+			board.nodes.set(registration.id, {...createNodeEntry(board, registration), leavesAt})
 			board.record(EventLevel.info, "worker-listed", {
 				worker: registration.id,
 				incarnation: registration.incarnation,
@@ -366,6 +376,7 @@
 			clockReadAt: computeSteadyTime(board, now),
 			answeredAt: now,
 			answeredFrom: target,
+			answeredAs: incarnation,
 			failures: 0,
 			replacedAt: undefined
 		}
@@ -375,6 +386,23 @@
 	}
 }
 
+function createNodeEntry(board: Board, registration: WorkerRegistration): NodeEntry {
+	return {
+		registration,
+		listed: true,
+		incarnation: undefined,
+		clockMs: 0,
+		clockReadAt: 0,
+		answeredAt: 0,
+		answeredFrom: undefined,
+		answeredAs: undefined,
+		leaseExpiresAt: computeEarlierExpiry(board),
+		failures: 0,
+		replacedAt: undefined,
+		leavesAt: undefined
+	}
+}
+
 /** A worker that lists ends answers at once. */
 function computeUnsavedDelay(board: Board, now: number): number {
 	return isTermConfirmed(board, now) ? NODE_UNSAVED_DELAY_MS : NODE_UNSAVED_OUTAGE_DELAY_MS
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -30,12 +30,13 @@
 	endWorkflow,
 	findAbsenceProof,
 	findListedEndProof,
+	findLossProof,
 	findRestartProof,
 	findTaskRef,
-	findWorkerProof,
 	isCurrentRun,
 	isOlderThanStart,
 	isSaved,
+	isWorkerOver,
 	listTaskRefs,
 	recordContradiction,
 	recordFailedWorker,
@@ -351,23 +352,23 @@
 	/** Releases the runs on workers that run nothing any more, even if they can't be reached. */
 	#releaseLost(board: Board, loadedAt: number, now: number): void {
 		for (const workerId of [...board.runs.listWorkers()]) {
-			const proof = findWorkerProof(this.name, board, workerId, now)
-			if (proof === undefined) continue
-			const refs = [...board.runs.listOn(workerId).values()].filter(
-				({task}) => task.phase !== TaskPhase.planned
-			)
-			if (refs.length === 0) continue
+			if (!isWorkerOver(board, workerId, now)) continue
+			const lost = [...board.runs.listOn(workerId).values()].flatMap(ref => {
+				const proof = findLossProof(this.name, board, ref, now)
+				return proof === undefined ? [] : [{ref, proof}]
+			})
+			if (lost.length === 0) continue
 			const node = board.nodes.get(workerId)
 			board.record(EventLevel.info, "worker-expired", {
 				worker: workerId,
-				runs: refs.length,
+				runs: lost.length,
 				isListed: node?.listed ?? false,
 				// Since its last answer, or since the load of a term in which it has not been listed.
 				silentMs: Math.round(
 					node === undefined ? computeSteadyTime(board, now) - loadedAt : now - node.answeredAt
 				)
 			})
-			for (const ref of refs) releaseRun(board, ref, RunEnd.lapsed, proof, now)
+			for (const {ref, proof} of lost) releaseRun(board, ref, RunEnd.lapsed, proof, now)
 		}
 	}
 }
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -46,6 +46,7 @@
 	type WaitingEntry,
 	type WatchEntry,
 	type WorkerEntry,
+	type WorkerRegistration,
 	type WorkflowEntry
 } from "../internal.js"
 
@@ -77,6 +78,7 @@
 	catalog: "catalog",
 	nodes: "nodes",
 	nodeReports: "nodeReports",
+	recordedNodes: "recordedNodes",
 	reportRequests: "reportRequests",
 	acknowledgements: "acknowledgements",
 	workflows: "workflows",
@@ -161,6 +163,8 @@
 	readonly nodes = new Section<string, NodeEntry>()
 	/** Latest report of each worker, by its id; separate from `nodes`, since most reports change only the progress. */
 	readonly nodeReports = new Section<string, NodeReport>()
+	/** Workers that earlier holders have recorded with the address that they answered from, by id. */
+	readonly recordedNodes = new Section<string, WorkerRegistration>()
 	/** Workers whose report is needed at once, by id: one requested after this monotonic time. */
 	readonly reportRequests = new Section<string, number>()
 	/** Which ends of runs are durable, by worker id. */
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -234,6 +234,8 @@
 	/** Monotonic time of the last answer, and the address that it came from; undefined before the first one. */
 	readonly answeredAt: number
 	readonly answeredFrom: string | undefined
+	/** The incarnation that answered from there, to this holder or to an earlier one. */
+	readonly answeredAs: string | undefined
 	/** Steady time by which, unless renewed, every lease granted by this or an earlier holder has expired. */
 	readonly leaseExpiresAt: number
 	readonly failures: number
--- a/src/utils/end-proofs.ts
+++ b/src/utils/end-proofs.ts
@@ -100,27 +100,38 @@
 }
 
 /**
- * True if another worker answers at the address at which this one did: its process has ended, and its runs with it. At an
- * address that it never answered from, the list may be wrong.
+ * True if another worker answers at the address at which this one did: the process that answered there has ended, and its runs
+ * with it. At an address that it never answered from, the list may be wrong.
  */
 export function isReplaced({answeredFrom}: NodeEntry, target: string, error: CallError): boolean {
 	const isOther = error instanceof RefusedError && error.code === RefusalCode.otherIncarnation
 	return isOther && target === answeredFrom
 }
 
-/** Proof for all runs on the worker whose starts may have been sent. */
-export function findWorkerProof(
+/** True if some runs on the worker may be proved to have ended, even if it can't be reached. */
+export function isWorkerOver(board: Board, workerId: string, now: number): boolean {
+	const isReplacedNow = board.nodes.get(workerId)?.replacedAt !== undefined
+	return isReplacedNow || computeSteadyTime(board, now) > findLeaseExpiry(board, workerId)
+}
+
+/** Proof by the process or the leases of the run's worker. */
+export function findLossProof(
 	place: string,
 	board: Board,
-	workerId: string,
+	{task}: TaskRef,
 	now: number
 ): EndProof | undefined {
-	const node = board.nodes.get(workerId)
+	if (task.phase === TaskPhase.planned) return undefined
+	const {replacedAt, answeredAs} = board.nodes.get(task.workerId) ?? {}
 	const steadyNow = computeSteadyTime(board, now)
-	if (node?.replacedAt !== undefined)
-		return {place, evidence: EndEvidence.replaced, ageMs: steadyNow - node.replacedAt}
-	// A worker that has not been listed in this term has leases of earlier holders only, which renew them for a while.
-	const expiresAt = node?.leaseExpiresAt ?? computeEarlierExpiry(board)
+	if (replacedAt !== undefined && answeredAs === task.incarnation)
+		return {place, evidence: EndEvidence.replaced, ageMs: steadyNow - replacedAt}
+	const expiresAt = findLeaseExpiry(board, task.workerId)
 	if (steadyNow <= expiresAt) return undefined
 	return {place, evidence: EndEvidence.leaseExpired, ageMs: steadyNow - expiresAt}
 }
+
+/** A worker that has not been listed in this term has leases of earlier holders only, which renew them for a while. */
+function findLeaseExpiry(board: Board, workerId: string): number {
+	return board.nodes.get(workerId)?.leaseExpiresAt ?? computeEarlierExpiry(board)
+}
