Give workers of the stand-in clocks of their own

Each incarnation's clock starts anew, may be slow, and bounds its leases; an answer's delay may differ from its call's. Before, an incarnation inherited the lease and the clock of the one before, which hid leases that are granted longer than they were meant.

--- a/standins/fleet/direct.ts
+++ b/standins/fleet/direct.ts
@@ -16,6 +16,8 @@
 	decide(hostId: string, call: FleetCall): DeliveryAction
 	/** One-way delay in milliseconds. */
 	computeDelay(hostId: string, call: FleetCall): number
+	/** Delay of the answer, read when it is made; by default that of the call. */
+	computeAnswerDelay?(hostId: string, call: FleetCall): number | undefined
 }
 
 export class DirectExchange implements HttpExchange {
@@ -61,7 +63,8 @@
 			this.#clock.schedule(delayMs, () => {
 				void this.#fleet.handle(call).then(answer => {
 					if (action === DeliveryAction.loseAnswer) return
-					this.#clock.schedule(delayMs, () => {
+					const answerMs = this.#plan.computeAnswerDelay?.(this.#hostId, call) ?? delayMs
+					this.#clock.schedule(answerMs, () => {
 						cancel()
 						resolve(ok(answer))
 					})
--- a/standins/fleet/fleet.ts
+++ b/standins/fleet/fleet.ts
@@ -51,6 +51,8 @@
 	readonly capacity?: ResourceDemand
 	/** Address that it listens on; by default its id as the host, which `DirectExchange` needs. */
 	readonly address?: string
+	/** Rate of its own clock. */
+	readonly clockRate?: number
 }
 
 const DEFAULT_PORT = 7000
@@ -80,7 +82,9 @@
 
 	addWorker(id: string, options: FleetWorkerOptions = {}): FleetWorker {
 		const capacity = options.capacity ?? DEFAULT_CAPACITY
-		const worker = new FleetWorker(id, this.#clock, this.monitor, this.#fleetWorkers, capacity)
+		const worker = new FleetWorker(id, this.#clock, this.monitor, this.#fleetWorkers, capacity, {
+			...(options.clockRate !== undefined && {clockRate: options.clockRate})
+		})
 		this.workers.set(id, worker)
 		this.#options.set(id, options)
 		this.register(id)
@@ -104,7 +108,7 @@
 			...(remainingMs !== undefined && {remaining_ms: remainingMs}),
 			capacity: {cpu: cpuMillis, mem_mb: memoryMb, gpu: accelerators},
 			labels: [...(options.labels ?? ["kind-a"]), options.rack ?? "rack-1"],
-			clock_ms: this.#clock.now(),
+			clock_ms: Math.floor(this.workers.get(id)?.clockMs ?? 0),
 			born: this.workers.get(id)?.born ?? 0
 		}
 	}
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -114,6 +114,11 @@
 	#restarts = 0
 	#ends: End[] = []
 	#position = 0
+	/** Time of the shared clock at which its own began; the first incarnation uses the shared one. */
+	#clockOrigin = 0
+	/** Rate of its own clock. */
+	readonly #clockRate: number
+	/** End of its lease, on its own clock. */
 	#leaseUntil = 0
 	#cancelLease: () => void = () => undefined
 	readonly #runs = new Map<string, Run>()
@@ -126,7 +131,7 @@
 		monitor: FleetMonitor,
 		fleetWorkers: Set<FleetWorker>,
 		capacity: ResourceDemand,
-		stopMs = 100
+		{stopMs = 100, clockRate = 1}: {stopMs?: number; clockRate?: number} = {}
 	) {
 		this.id = id
 		this.#clock = clock
@@ -134,6 +139,7 @@
 		this.#fleetWorkers = fleetWorkers
 		this.#capacity = capacity
 		this.stopMs = stopMs
+		this.#clockRate = clockRate
 		this.born = clock.readWallClock()
 		fleetWorkers.add(this)
 	}
@@ -152,6 +158,11 @@
 		return this.#ends
 	}
 
+	/** Its own clock, which starts anew with each incarnation. */
+	get clockMs(): number {
+		return (this.#clock.now() - this.#clockOrigin) * this.#clockRate
+	}
+
 	/** Starts a new incarnation at the same address, without the runs and the state of the previous one. */
 	restart(): void {
 		for (const run of [...this.#runs.values()]) this.#remove(run)
@@ -160,6 +171,9 @@
 		this.#position = 0
 		this.#token = 0
 		this.#highestRun.clear()
+		this.#cancelLease()
+		this.#leaseUntil = 0
+		this.#clockOrigin = this.#clock.now()
 		this.#restarts++
 		this.born = this.#clock.readWallClock()
 	}
@@ -185,7 +199,7 @@
 		if (present?.run === run) return this.#answer()
 		this.#renew(command.until_ms)
 		if (run <= (this.#highestRun.get(task) ?? 0)) return this.#refuse("old")
-		if (command.until_ms <= this.#clock.now()) return this.#refuse("late")
+		if (command.until_ms <= this.clockMs) return this.#refuse("late")
 		const payload = payloadSchema.parse(JSON.parse(command.spec === "" ? "{}" : command.spec))
 		this.#highestRun.set(task, run)
 		this.#monitor.recordStart(task, run, this.id, payload.steps)
@@ -298,11 +312,11 @@
 	}
 
 	#renew(requestedUntil: number): void {
-		const until = Math.min(requestedUntil, this.#clock.now() + this.leaseMaxMs)
+		const until = Math.min(requestedUntil, this.clockMs + this.leaseMaxMs)
 		if (until <= this.#leaseUntil) return
 		this.#leaseUntil = until
 		this.#cancelLease()
-		this.#cancelLease = this.#clock.schedule(until - this.#clock.now(), () => {
+		this.#cancelLease = this.#clock.schedule((until - this.clockMs) / this.#clockRate, () => {
 			this.#recordLostEnds()
 			for (const run of [...this.#runs.values()]) this.#endRun(run, "lapsed")
 		})
@@ -344,10 +358,10 @@
 	}
 
 	#answer(fields: Readonly<Record<string, unknown>> = {}): CommandAnswer {
-		return {status: 200, body: {clock_ms: this.#clock.now(), ...fields}}
+		return {status: 200, body: {clock_ms: Math.floor(this.clockMs), ...fields}}
 	}
 
 	#refuse(reason: string): CommandAnswer {
-		return {status: 409, body: {clock_ms: this.#clock.now(), reason}}
+		return {status: 409, body: {clock_ms: Math.floor(this.clockMs), reason}}
 	}
 }
