Show that a late report of an earlier process proves the end of a run that began after it

What callers see: two runs of one task at once. Cause: settleStart notes the acknowledgement only while the run is starting. If a report shows the run before its start is answered, acknowledgedAt stays undefined with no open start, so isOlderThanStart lets a report count that was requested before the start: findRestartProof.

The reports beside the long poll are requested by the test, as an acknowledged stop of another run does.

--- a/__tests__/end-proof-limits.test.ts
+++ b/__tests__/end-proof-limits.test.ts
@@ -7,15 +7,21 @@
 import {TransportError} from "../src/internal.js"
 import {HttpClient} from "../src/adapters/http-client.js"
 import {type CommandAnswer, FleetWorker} from "../standins/fleet/worker.js"
+import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
 import {BATCH, createJob, createServingDomain} from "./fixtures/domain.js"
 
 const ID = "0000000000000037"
 const START = "/v1/run-start"
+const LATENCY_MS = 2
 const LONG_MS = 30000
+/** Time after the arrival of a start at which a report is requested. */
+const SEEN_MS = 5
 /** Longer than any lease counts. */
 const PLAYED_MS = 25000
 const CONNECTED_CHANNEL = "undici:client:connected"
 
+type Domain = Awaited<ReturnType<typeof createServingDomain>>
+
 /** Lets the worker carry out its first start and answer it with a status that says nothing about the run. */
 function answerFirstStart(worker: FleetWorker, status: number): void {
 	const start = worker.start.bind(worker)
@@ -54,6 +60,16 @@
 	}
 }
 
+/** Advances until the list of workers is read. */
+async function awaitList({plan, advanceUntil}: Domain): Promise<void> {
+	let isRead = false
+	plan.computeDelay = (_, {target, query}) => {
+		if (target === STORE_TARGET && query.get("table") === "servers") isRead = true
+		return LATENCY_MS
+	}
+	await advanceUntil(() => isRead)
+}
+
 describe("the answer to a start", () => {
 	for (const status of [408, 500, 502, 504])
 		it(`proves nothing by the status ${status}`, async () => {
@@ -74,3 +90,41 @@
 			expect(error.sent).to.equal(true)
 		})
 })
+
+describe("a run on a worker that restarted under its id", () => {
+	for (const [startMs, order] of [
+		[LATENCY_MS, "answered before"],
+		[30, "answered after"]
+	] as const)
+		it(`is not started elsewhere because of a late report of the earlier process (its start is ${order} it was seen)`, async () => {
+			const domain = await createServingDomain({workers: 1})
+			const {first, fleet, plan, clock, submit, advance, advanceUntil} = domain
+			const requestReport = () => {
+				first.board.reportRequests.set("w1", clock.now())
+			}
+			await awaitList(domain)
+			await advance(320)
+			let late: FleetCall | undefined
+			let isStarted = false
+			plan.computeDelay = (_, call) => {
+				if (call.target === "w1" && call.path.endsWith("hold")) late ??= call
+				if (call.path === START) isStarted = true
+				if (call === late) return 450
+				return call.path === START ? startMs : LATENCY_MS
+			}
+			requestReport()
+			await advance(460)
+			fleet.workers.get("w1")!.restart()
+			fleet.register("w1")
+			requestReport()
+			await advance(40)
+			expect(first.board.nodes.get("w1")?.incarnation).to.equal(`${fleet.workers.get("w1")!.born}`)
+			void submit(first, `${BATCH}${ID}`, createJob({workMs: LONG_MS}))
+			await advanceUntil(() => isStarted)
+			await advance(startMs + SEEN_MS)
+			requestReport()
+			fleet.addWorker("w2")
+			await advance(PLAYED_MS)
+			expect(fleet.monitor.violations).to.deep.equal([])
+		})
+})
