Show that another worker's answer proves the end of a run that a late start begins afterwards

What callers see: two runs of one task at once. Cause: findLossProof takes "replaced" without a look at openStarts, as findRestartProof does for "restarted".

Evidence, by the manual clock: a start 4.5 s on its way; its worker is replaced, and back under its id at its address before the start arrives: run-released replaced 45 ms after the answer, phase stopping, and release-contradicted running 1,515 ms later. A variant of the late calls to a worker that restarts under its id.

--- a/__tests__/end-proof-limits.test.ts
+++ b/__tests__/end-proof-limits.test.ts
@@ -6,11 +6,12 @@
 import {expect} from "chai"
 import {TransportError} from "../src/internal.js"
 import {HttpClient} from "../src/adapters/http-client.js"
-import {type CommandAnswer, FleetWorker} from "../standins/fleet/worker.js"
+import {type CommandAnswer, FleetMonitor, FleetWorker} from "../standins/fleet/worker.js"
 import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
 import {BATCH, createJob, createServingDomain} from "./fixtures/domain.js"
 
 const ID = "0000000000000037"
+const TASK = `${ID}.0.0.0`
 const START = "/v1/run-start"
 const LATENCY_MS = 2
 const LONG_MS = 30000
@@ -22,6 +23,12 @@
 
 type Domain = Awaited<ReturnType<typeof createServingDomain>>
 
+/** Lets another worker answer at the worker's address. */
+function replaceWorker({fleet, clock}: Domain, id: string): void {
+	const capacity = {cpuMillis: 0, memoryMb: 0, accelerators: 0}
+	fleet.workers.set(id, new FleetWorker("other", clock, new FleetMonitor(), new Set(), capacity))
+}
+
 /** Lets the worker carry out its first start and answer it with a status that says nothing about the run. */
 function answerFirstStart(worker: FleetWorker, status: number): void {
 	const start = worker.start.bind(worker)
@@ -127,4 +134,27 @@
 			await advance(PLAYED_MS)
 			expect(fleet.monitor.violations).to.deep.equal([])
 		})
+
+	it("is not started elsewhere because another worker answered in between, while a late start may still reach it", async () => {
+		const domain = await createServingDomain({workers: 1})
+		const {first, fleet, plan, submit, advance, advanceUntil} = domain
+		const starts: FleetCall[] = []
+		plan.computeDelay = (_, call) => {
+			if (call.path === START && call.target === "w1") starts.push(call)
+			return call === starts[0] ? 4500 : LATENCY_MS
+		}
+		plan.isLost = (_, call) => call.path === START && call.target === "w1" && starts.length > 0
+		await submit(first, `${BATCH}${ID}`, createJob({workMs: LONG_MS}))
+		await advanceUntil(() => starts.length === 1)
+		const worker = fleet.workers.get("w1")!
+		worker.restart()
+		fleet.addWorker("w2")
+		replaceWorker(domain, "w1")
+		await advance(4000)
+		fleet.workers.set("w1", worker)
+		worker.restart()
+		await advance(PLAYED_MS)
+		expect(fleet.monitor.starts.map(start => start.task)).to.include(TASK)
+		expect(fleet.monitor.violations).to.deep.equal([])
+	})
 })
