Show that the record of a worker that is still listed is dropped

What callers see: work stands still until the leases of the earlier term have run out, though another worker answers in the place of its worker. Cause: adoptRecorded passes over a worker that the list has already named and forgets its record, also if it is unlisted later; answeredFrom stays undefined, so the other worker's answer proves nothing.

--- a/__tests__/end-proof-limits.test.ts
+++ b/__tests__/end-proof-limits.test.ts
@@ -8,7 +8,7 @@
 import {HttpClient} from "../src/adapters/http-client.js"
 import {type CommandAnswer, FleetMonitor, FleetWorker} from "../standins/fleet/worker.js"
 import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
-import {BATCH, createJob, createServingDomain} from "./fixtures/domain.js"
+import {BATCH, type DomainHost, createJob, createServingDomain} from "./fixtures/domain.js"
 
 const ID = "0000000000000037"
 const TASK = `${ID}.0.0.0`
@@ -29,6 +29,21 @@
 	fleet.workers.set(id, new FleetWorker("other", clock, new FleetMonitor(), new Set(), capacity))
 }
 
+/** Creates a domain of two hosts whose holder has recorded its workers and runs a task on one of them. */
+async function createRecordedRun() {
+	const domain = await createServingDomain({hosts: 2, workers: 2})
+	await domain.advance(2000)
+	await domain.submit(domain.first, `${BATCH}${ID}`, createJob({workMs: LONG_MS}))
+	await domain.advanceUntil(() => domain.fleet.monitor.starts.length === 1)
+	await domain.advance(500)
+	return {...domain, worker: domain.fleet.monitor.starts[0]!.worker}
+}
+
+function killHolder(host: DomainHost): void {
+	host.stop()
+	host.board.authority.delete("fleet")
+}
+
 /** Lets the worker carry out its first start and answer it with a status that says nothing about the run. */
 function answerFirstStart(worker: FleetWorker, status: number): void {
 	const start = worker.start.bind(worker)
@@ -158,3 +173,18 @@
 		expect(fleet.monitor.violations).to.deep.equal([])
 	})
 })
+
+describe("the record of a worker", () => {
+	for (const isListed of [true, false])
+		it(`lets a new holder go on once another worker answers in its place (${isListed ? "listed" : "unlisted"})`, async () => {
+			const domain = await createRecordedRun()
+			const {first, fleet, worker, advanceUntil, findHolder} = domain
+			killHolder(first)
+			fleet.workers.get(worker)!.restart()
+			replaceWorker(domain, worker)
+			if (!isListed) fleet.store.deleteRow("servers", worker)
+			await advanceUntil(() => findHolder()?.board.terms.has("loaded") === true)
+			expect(findHolder()).not.to.equal(first)
+			expect(await advanceUntil(() => fleet.monitor.starts.length === 2)).to.be.below(3000)
+		})
+})
