Show that a late commit of a record puts back an older one

Records are written with any version, so a commit without an answer that takes effect late replaces a newer one, and the holder, which believes that the row is right, doesn't write it again in its term.

Evidence, by the manual clock: a commit 4.5 s on its way, its worker restarted twice: the row has the first incarnation 25 s later.

--- a/__tests__/end-proof-limits.test.ts
+++ b/__tests__/end-proof-limits.test.ts
@@ -4,7 +4,7 @@
 import {createServer} from "node:http"
 import {type AddressInfo, type Socket} from "node:net"
 import {expect} from "chai"
-import {TransportError} from "../src/internal.js"
+import {NODE_PREFIX, TransportError} from "../src/internal.js"
 import {HttpClient} from "../src/adapters/http-client.js"
 import {type CommandAnswer, FleetMonitor, FleetWorker} from "../standins/fleet/worker.js"
 import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
@@ -187,4 +187,30 @@
 			expect(findHolder()).not.to.equal(first)
 			expect(await advanceUntil(() => fleet.monitor.starts.length === 2)).to.be.below(3000)
 		})
+
+	it("is the newest one after an earlier commit without an answer took effect late", async () => {
+		const {first, fleet, plan, advance, advanceUntil} = await createServingDomain({workers: 2})
+		await advance(3000)
+		const isRecordCommit = ({target, body}: FleetCall) =>
+			target === STORE_TARGET && JSON.stringify(body ?? {}).includes('"table":"node"')
+		const commits: FleetCall[] = []
+		plan.computeDelay = (_, call) => {
+			if (isRecordCommit(call)) commits.push(call)
+			return call === commits[0] ? 4500 : LATENCY_MS
+		}
+		const worker = fleet.workers.get("w1")!
+		const restart = () => {
+			worker.restart()
+			fleet.register("w1")
+		}
+		restart()
+		await advanceUntil(() => commits.length === 1)
+		restart()
+		await advance(PLAYED_MS)
+		expect(commits.length).to.be.at.least(2)
+		expect(first.board.nodes.get("w1")?.answeredAs).to.equal(`${worker.born}`)
+		const {rows} = fleet.store.readRange(NODE_PREFIX.slice(0, -1), "main", "w1", undefined, 1)
+		const record = JSON.parse(Buffer.from(rows[0]?.value ?? "", "base64").toString()) as object
+		expect(record).to.include({incarnation: `${worker.born}`})
+	})
 })
