Show that the silence of a worker that never answered in the term counts from 0

worker-expired gives the time since the worker's last answer. A worker that was listed or recalled and has not answered this holder has answeredAt 0, so silentMs is the reading of the host's monotonic clock: 1,015,610 ms for a worker silent for some 15 s.

--- a/__tests__/end-proof-limits.test.ts
+++ b/__tests__/end-proof-limits.test.ts
@@ -4,7 +4,7 @@
 import {createServer} from "node:http"
 import {type AddressInfo, type Socket} from "node:net"
 import {expect} from "chai"
-import {NODE_PREFIX, TransportError} from "../src/internal.js"
+import {type BoardEvent, NODE_PREFIX, TransportError} from "../src/internal.js"
 import {HttpClient} from "../src/adapters/http-client.js"
 import {type CommandAnswer, FleetMonitor, FleetWorker} from "../standins/fleet/worker.js"
 import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
@@ -44,6 +44,10 @@
 	host.board.authority.delete("fleet")
 }
 
+function findLast({board}: DomainHost, name: string): BoardEvent | undefined {
+	return [...board.events.values()].filter(event => event.name === name).at(-1)
+}
+
 /** Lets the worker carry out its first start and answer it with a status that says nothing about the run. */
 function answerFirstStart(worker: FleetWorker, status: number): void {
 	const start = worker.start.bind(worker)
@@ -214,3 +218,15 @@
 		expect(record).to.include({incarnation: `${worker.born}`})
 	})
 })
+
+describe("the log of a release", () => {
+	it("counts the silence of a worker that did not answer in this term from the load of the term", async () => {
+		const {first, fleet, plan, worker, advanceUntil, findHolder} = await createRecordedRun()
+		killHolder(first)
+		plan.isLost = (_, {target}) => target === worker
+		fleet.store.deleteRow("servers", worker)
+		await advanceUntil(() => fleet.monitor.starts.length === 2)
+		const expired = findLast(findHolder()!, "worker-expired")
+		expect(expired?.fields.silentMs).to.be.below(PLAYED_MS)
+	})
+})
