Show that no warning is given of a run that an earlier term released and that goes on

release-contradicted needs the task's released run, which is not in the table. After a change of holder the worker's run is a foreign one and is stopped without a word, and start-sent says earlierTerm only.

--- a/__tests__/end-proof-limits.test.ts
+++ b/__tests__/end-proof-limits.test.ts
@@ -4,7 +4,13 @@
 import {createServer} from "node:http"
 import {type AddressInfo, type Socket} from "node:net"
 import {expect} from "chai"
-import {type BoardEvent, NODE_PREFIX, TransportError} from "../src/internal.js"
+import {
+	type BoardEvent,
+	EndEvidence,
+	NODE_PREFIX,
+	TransportError,
+	releaseRun
+} from "../src/internal.js"
 import {HttpClient} from "../src/adapters/http-client.js"
 import {type CommandAnswer, FleetMonitor, FleetWorker} from "../standins/fleet/worker.js"
 import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
@@ -229,4 +235,20 @@
 		const expired = findLast(findHolder()!, "worker-expired")
 		expect(expired?.fields.silentMs).to.be.below(PLAYED_MS)
 	})
+
+	it("warns in the next term of a released run that goes on", async () => {
+		const {first, fleet, clock, worker, advance, advanceUntil, findHolder} =
+			await createRecordedRun()
+		const ref = first.board.runs.get(TASK)!
+		const proof = {place: "test", evidence: EndEvidence.absent, ageMs: 40}
+		releaseRun(first.board, ref, "absent", proof, clock.now())
+		await advanceUntil(() => ref.occurrence.savedRevision === ref.occurrence.revision)
+		killHolder(first)
+		expect(fleet.workers.get(worker)!.running).to.deep.equal([TASK])
+		await advanceUntil(() => findHolder()?.board.terms.has("loaded") === true)
+		expect(findHolder()).not.to.equal(first)
+		await advance(3000)
+		expect(findLast(findHolder()!, "run-ended")?.fields).to.include({task: TASK, run: 1, worker})
+		expect(findLast(findHolder()!, "release-contradicted")).not.to.equal(undefined)
+	})
 })
