Show that the record of an address releases the runs of a live worker that has another one since

What callers would see: two runs of one task at once. Cause: isReplaced takes another worker's answer at the address for the end of the process that answered there. A recorded address may be as old as the last term, and the worker's entry may be gone just then.

Evidence, by the manual clock: the holder killed, the worker at a new address, another one at its old address, the entry back 1.5 s after the load. It rests on a premise that PROTOCOL.md neither states nor rules out: that a live worker may change its address. Before the records such a run waited for its lease.

--- a/__tests__/end-proof-limits.test.ts
+++ b/__tests__/end-proof-limits.test.ts
@@ -198,6 +198,21 @@
 			expect(await advanceUntil(() => fleet.monitor.starts.length === 2)).to.be.below(3000)
 		})
 
+	it("proves nothing about a live worker that has another address since", async () => {
+		const domain = await createRecordedRun()
+		const {first, fleet, worker, advance, advanceUntil, findHolder} = domain
+		killHolder(first)
+		fleet.workers.set("moved", fleet.workers.get(worker)!)
+		replaceWorker(domain, worker)
+		fleet.store.deleteRow("servers", worker)
+		await advanceUntil(() => findHolder()?.board.terms.has("loaded") === true)
+		await advance(1500)
+		const entry = {...fleet.describeWorker(worker), born: fleet.workers.get("moved")!.born}
+		fleet.store.putRow("servers", worker, {...entry, address: "moved:7000"})
+		await advance(PLAYED_MS)
+		expect(fleet.monitor.violations).to.deep.equal([])
+	})
+
 	it("is the newest one after an earlier commit without an answer took effect late", async () => {
 		const {first, fleet, plan, advance, advanceUntil} = await createServingDomain({workers: 2})
 		await advance(3000)
