--- a/standins/fleet/direct.ts
+++ b/standins/fleet/direct.ts
@@ -25,12 +25,21 @@
 	readonly #fleet: FleetStandIn
 	readonly #clock: Clock
 	readonly #plan: CallPlan
+	/** Moves calls that were sent, also those of a host that has stopped since. */
+	readonly #networkClock: Clock
 
-	constructor(hostId: string, fleet: FleetStandIn, clock: Clock, plan: CallPlan) {
+	constructor(
+		hostId: string,
+		fleet: FleetStandIn,
+		clock: Clock,
+		plan: CallPlan,
+		networkClock = clock
+	) {
 		this.#hostId = hostId
 		this.#fleet = fleet
 		this.#clock = clock
 		this.#plan = plan
+		this.#networkClock = networkClock
 	}
 
 	exchange(request: HttpRequest): Promise<Result<HttpAnswer, CallError>> {
@@ -60,7 +69,7 @@
 				resolve(ok({status: HTTP_TOO_MANY, body: undefined}))
 				return
 			}
-			this.#clock.schedule(delayMs, () => {
+			this.#networkClock.schedule(delayMs, () => {
 				void this.#fleet.handle(call).then(answer => {
 					if (action === DeliveryAction.loseAnswer) return
 					const answerMs = this.#plan.computeAnswerDelay?.(this.#hostId, call) ?? delayMs
