Show which late and stale evidence gets no task run twice

A worker of slow clock that is cut off, unlisted, refuses connections or has a stale entry with another's address, through two changes of the holder; and reports that overtake each other.

--- a/__tests__/run-end-evidence.test.ts
+++ b/__tests__/run-end-evidence.test.ts
@@ -1,7 +1,7 @@
 /** Calls and answers that come late or out of order must not prove the end of a run that is still on its worker. */
 import {expect} from "chai"
-import {type FleetCall} from "../standins/fleet/fleet.js"
-import {BATCH, createJob, createServingDomain} from "./fixtures/domain.js"
+import {type FleetCall, STORE_TARGET} from "../standins/fleet/fleet.js"
+import {BATCH, type DomainHost, createJob, createServingDomain} from "./fixtures/domain.js"
 
 const ID = "0000000000000037"
 const OTHER_IDS = ["00000000000000aa", "00000000000000bb"]
@@ -152,3 +152,111 @@
 		expect(fleet.monitor.violations).to.deep.equal([])
 	})
 })
+
+/** Ends the holder's process; another one of the same host begins at once if it is to. */
+function killHolder({findHolder, addHost}: Domain, isRestarted: boolean): void {
+	const holder = findHolder()
+	if (holder === undefined) return
+	holder.stop()
+	holder.board.authority.delete("fleet")
+	if (isRestarted) addHost({}, holder.id)
+}
+
+function findHolderOtherThan({findHolder}: Domain, earlier: DomainHost): DomainHost | undefined {
+	const holder = findHolder()
+	return holder === earlier ? undefined : holder
+}
+
+/** Plays a run on a worker of slow clock through two changes of the holder, the second soon after the first. */
+async function playTerms(
+	secondMs: number,
+	isRestarted: boolean,
+	breakWorker: (domain: Domain, worker: string) => void
+) {
+	const domain = await createServingDomain({
+		hosts: isRestarted ? 1 : 3,
+		workers: 3,
+		clockRate: 0.98
+	})
+	const {first, fleet, submit, advance, advanceUntil, findHolder} = domain
+	await submit(first, `${BATCH}${ID}`, createJob({workMs: LONG_MS}))
+	await advanceUntil(() => fleet.monitor.starts.length === 1)
+	await advance(1000)
+	breakWorker(domain, fleet.monitor.starts[0]!.worker)
+	killHolder(domain, isRestarted)
+	await advanceUntil(() => findHolderOtherThan(domain, first) !== undefined)
+	await advance(secondMs)
+	killHolder(domain, isRestarted)
+	await advanceUntil(() => findHolder() !== undefined)
+	expect(findHolder()?.board.authority.get("fleet")?.epoch).to.be.at.least(3)
+	await advance(PLAYED_MS)
+	return fleet.monitor
+}
+
+describe("a run on a worker that lives on through two terms", () => {
+	for (const isRestarted of [false, true])
+		for (const secondMs of [0, 500]) {
+			const title = `${secondMs} ms, ${isRestarted ? "one host that restarts" : "three hosts"}`
+			it(`ends with its lease before it starts elsewhere if the worker is cut off (${title})`, async () => {
+				const monitor = await playTerms(secondMs, isRestarted, ({plan}, worker) => {
+					plan.isLost = (_, {target}) => target === worker
+				})
+				expect(monitor.violations).to.deep.equal([])
+				expect(monitor.starts).to.have.length(2)
+			})
+
+			it(`ends with its lease before it starts elsewhere if the worker is cut off and unlisted (${title})`, async () => {
+				const monitor = await playTerms(secondMs, isRestarted, ({plan, fleet}, worker) => {
+					fleet.store.deleteRow("servers", worker)
+					plan.isLost = (_, {target}) => target === worker
+				})
+				expect(monitor.violations).to.deep.equal([])
+				expect(monitor.starts).to.have.length(2)
+			})
+
+			it(`is not started elsewhere if the worker's port refuses connections (${title})`, async () => {
+				const monitor = await playTerms(secondMs, isRestarted, ({plan, clock}, worker) => {
+					plan.isClosed = (_, {target}) => target === worker
+					clock.schedule(6000, () => {
+						plan.isClosed = () => false
+					})
+				})
+				expect(monitor.violations).to.deep.equal([])
+				expect(monitor.starts).to.have.length(1)
+			})
+
+			it(`is not started elsewhere if the worker's entry is stale and has the address of another (${title})`, async () => {
+				const monitor = await playTerms(secondMs, isRestarted, ({fleet, clock}, worker) => {
+					const stale = {...fleet.describeWorker(worker), born: 1, address: "w3:7000"}
+					fleet.store.putRow("servers", worker, stale)
+					clock.schedule(6000, () => {
+						fleet.register(worker)
+					})
+				})
+				expect(monitor.violations).to.deep.equal([])
+				expect(monitor.starts).to.have.length(1)
+			})
+		}
+})
+
+describe("a run whose reports overtake each other", () => {
+	for (const lateMs of [300, 900])
+		it(`is not started elsewhere (answers up to ${lateMs} ms late)`, async () => {
+			const {first, fleet, plan, clock, submit, advance} = await createServingDomain({workers: 3})
+			let answers = 0
+			plan.computeAnswerDelay = (_, {target}) =>
+				target === STORE_TARGET ? undefined : (lateMs * (++answers % 4)) / 3
+			for (let index = 0; index < 10; index++) {
+				const id = `000000000000000${index}`
+				await submit(first, `${BATCH}${id}`, createJob({count: 2, workMs: 700 + index * 100}))
+				for (let step = 0; step < 10; step++) {
+					for (const worker of fleet.workers.keys())
+						first.board.reportRequests.set(worker, clock.now())
+					await advance(50)
+				}
+			}
+			await advance(PLAYED_MS)
+			expect(fleet.monitor.violations).to.deep.equal([])
+			expect(fleet.monitor.done.size).to.equal(20)
+		})
+})
