Count a call as not sent only if its connection was never made

What callers would see: a task runs twice if its start was carried out and the network then reported the worker as unreachable. Cause: EHOSTUNREACH and ENETUNREACH counted as errors of connections that were never made, though an open one fails with them too.

--- a/src/adapters/http-client.ts
+++ b/src/adapters/http-client.ts
@@ -19,13 +19,11 @@
 const HTTP_CLIENT_ERROR_MIN = 400
 const HTTP_SERVER_ERROR_MIN = 500
 
-/** Error codes of connections that failed before any byte of the request was sent. */
-const UNSENT_CODES = new Set([
-	"ECONNREFUSED",
-	"UND_ERR_CONNECT_TIMEOUT",
-	"EHOSTUNREACH",
-	"ENETUNREACH"
-])
+/** Error codes of connections that were never made. */
+const UNCONNECTED_CODES = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"])
+/** The same if the call that failed is the one that connects; an open connection may fail with them too. */
+const UNREACHABLE_CODES = new Set(["EHOSTUNREACH", "ENETUNREACH"])
+const CONNECT_CALL = "connect"
 
 export interface HttpRequest {
 	readonly method: "GET" | "POST"
@@ -146,9 +144,10 @@
 
 function describeFailure(url: string, error: unknown): CallError {
 	if (error instanceof SyntaxError) return new MalformedError(`answer of ${url}`, error.message)
-	const code = (error as {code?: unknown}).code
+	const {code, syscall} = error as {code?: unknown; syscall?: unknown}
 	const detail = error instanceof Error ? error.message : String(error)
-	const sent = !(typeof code === "string" && UNSENT_CODES.has(code))
+	const isUnreachable = syscall === CONNECT_CALL && UNREACHABLE_CODES.has(String(code))
+	const sent = !UNCONNECTED_CODES.has(String(code)) && !isUnreachable
 	const text = typeof code === "string" ? `${code} ${detail}` : detail
 	return new TransportError(url, text, sent)
 }
