Take no late report of an earlier process for the worker's newest one

What callers would see: a task runs twice after its worker restarted under its id, if a report of the earlier process arrives last. Cause: each answer set the incarnation, and a start that was answered after a report had shown its run had no time of acknowledgement to compare the report with. Evidence: end-proof-limits.test.ts, failed before and passes now. A change of the incarnation is taken only from an answer to a call that was sent after the last answer.

--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -366,6 +366,9 @@
 		now: number
 	): void {
 		const {id} = node.registration
+		// A change of the incarnation shows in an answer to a later call; this one may be of the earlier incarnation.
+		const isOther = node.incarnation !== undefined && node.incarnation !== incarnation
+		if (isOther && sentAt <= node.answeredAt) return
 		if (node.failures > 0)
 			board.record(EventLevel.info, "worker-reached", {worker: id, failures: node.failures})
 		if (node.incarnation !== incarnation) this.#acknowledgedPositions.set(id, 0)
--- a/src/controllers/run-order.ts
+++ b/src/controllers/run-order.ts
@@ -257,6 +257,8 @@
 
 	#settleStart(board: Board, ref: TaskRef, {result}: Completion, now: number): void {
 		if (result.isOk() || isRefusedOrUnsent(result.error)) ref.task.openStarts--
+		// A report may have shown the run before.
+		if (result.isOk() && ref.task.phase === TaskPhase.running) ref.task.acknowledgedAt ??= now
 		if (ref.task.phase !== TaskPhase.starting) return
 		if (result.isOk()) {
 			ref.task.acknowledgedAt = now
