Use the record of a worker that is still listed

What callers would see: work stands still for 11,960 ms after a change of holder, though another worker answers in the place of one that crashed shortly before. Cause: the record of where a worker had answered was dropped if its entry was still in the list.

--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -281,12 +281,14 @@
 	#adoptRecorded(board: Board): void {
 		for (const id of this.#recorded) {
 			const registration = board.recordedNodes.get(id)
-			if (registration === undefined || board.nodes.has(id)) continue
-			if (board.runs.listOn(id).size === 0) continue
+			if (registration === undefined || board.runs.listOn(id).size === 0) continue
 			const {address, incarnation} = registration
-			const answered = {answeredFrom: address, answeredAs: incarnation}
-			board.nodes.set(id, {...createNodeEntry(board, registration), ...answered, listed: false})
-			board.record(EventLevel.info, "worker-recalled", {worker: id, address, incarnation})
+			const known = board.nodes.get(id)
+			if (known?.answeredFrom !== undefined) continue
+			const node = known ?? {...createNodeEntry(board, registration), listed: false}
+			board.nodes.set(id, {...node, answeredFrom: address, answeredAs: incarnation})
+			if (known === undefined)
+				board.record(EventLevel.info, "worker-recalled", {worker: id, address, incarnation})
 		}
 		this.#recorded.clear()
 	}
