Let another worker's answer prove nothing while a start is under way

What callers would see: a task runs twice if its worker's machine is used by another worker in between, and a start that is carried out seconds late then reaches the first one again. Evidence: end-proof-limits.test.ts, failed before and passes now; such a run waits for the lease.

--- a/src/utils/end-proofs.ts
+++ b/src/utils/end-proofs.ts
@@ -124,7 +124,8 @@
 	if (task.phase === TaskPhase.planned) return undefined
 	const {replacedAt, answeredAs} = board.nodes.get(task.workerId) ?? {}
 	const steadyNow = computeSteadyTime(board, now)
-	if (replacedAt !== undefined && answeredAs === task.incarnation)
+	const isReplacedProcess = replacedAt !== undefined && answeredAs === task.incarnation
+	if (isReplacedProcess && task.openStarts === 0)
 		return {place, evidence: EndEvidence.replaced, ageMs: steadyNow - replacedAt}
 	const expiresAt = findLeaseExpiry(board, task.workerId)
 	if (steadyNow <= expiresAt) return undefined
