Write records of workers on the version of their rows

Cause: a commit without an answer that took effect late put back an older record, which stayed for the rest of the term.

--- a/src/controllers/node-log.ts
+++ b/src/controllers/node-log.ts
@@ -10,7 +10,6 @@
 	type Controller,
 	type RowWrite,
 	type TableRow,
-	ANY_VERSION,
 	COMMIT_ENTRIES_MAX,
 	NODE_PREFIX,
 	Outage,
@@ -34,13 +33,16 @@
 /** Shortest time between two commits, so that one covers the workers that answer together. */
 const COMMIT_INTERVAL_MS = 1000
 
+/** The check of the holder row is one entry of a commit; the check of a row's version and its change are two. */
+const COMMIT_ROWS_MAX = Math.floor((COMMIT_ENTRIES_MAX - 1) / 2)
+
 export class NodeLogController implements Controller {
 	readonly name = "node-log"
 	readonly reads = [SectionName.completions, SectionName.authority, SectionName.nodes]
 	readonly #changed: Set<string>
 	readonly #outage = new Outage("node-log")
-	/** Value of each row in the table, by worker. */
-	readonly #values = new Map<string, string>()
+	/** The rows in the table, by worker. */
+	readonly #rows = new Map<string, Pick<TableRow, "value" | "version">>()
 	#epoch = 0
 	#isRead = false
 	#isCallInFlight = false
@@ -74,7 +76,7 @@
 		this.#epoch = 0
 		this.#isRead = false
 		this.#nextCallAt = 0
-		this.#values.clear()
+		this.#rows.clear()
 		for (const id of [...board.recordedNodes.keys()]) board.recordedNodes.delete(id)
 	}
 
@@ -96,7 +98,7 @@
 		this.#isRead = true
 		for (const row of rows) {
 			const id = row.key.slice(NODE_PREFIX.length)
-			this.#values.set(id, row.value)
+			this.#rows.set(id, row)
 			decodeNodeRecord(row.value).match(
 				registration => {
 					if (registration.id === id) board.recordedNodes.set(id, registration)
@@ -108,15 +110,22 @@
 		}
 	}
 
+	/** A conflict shows the rows that an earlier commit without an answer has written, or that the term is over. */
 	#adoptCommit({command, result}: Completion<"table-commit">, now: number): void {
 		this.#nextCallAt = now + COMMIT_INTERVAL_MS
-		// The conflict of the holder row means that the term is over.
-		if (result.isErr() || !result.value.committed) return
-		for (const {key, value} of command.request.writes) {
+		if (result.isErr()) return
+		const {value: answer} = result
+		if (!answer.committed) {
+			for (const row of answer.conflicts)
+				if (row.key.startsWith(NODE_PREFIX)) this.#rows.set(row.key.slice(NODE_PREFIX.length), row)
+			return
+		}
+		for (const [index, {key, value}] of command.request.writes.entries()) {
 			if (!key.startsWith(NODE_PREFIX)) continue
 			const id = key.slice(NODE_PREFIX.length)
-			if (typeof value === "string") this.#values.set(id, value)
-			else this.#values.delete(id)
+			if (typeof value === "string")
+				this.#rows.set(id, {value, version: answer.versions[index] ?? 0})
+			else this.#rows.delete(id)
 		}
 	}
 
@@ -129,7 +138,7 @@
 			board,
 			this.name,
 			`${COMMIT} ${this.#epoch}`,
-			[holderCheck, ...writes].slice(0, COMMIT_ENTRIES_MAX),
+			[holderCheck, ...writes.slice(0, COMMIT_ROWS_MAX)],
 			now
 		)
 	}
@@ -140,8 +149,9 @@
 		for (const id of [...this.#changed]) {
 			const node = board.nodes.get(id)
 			const value = node === undefined ? undefined : encodeNodeRecord(node)
-			if (value === undefined || value === this.#values.get(id)) this.#changed.delete(id)
-			else writes.push({key: formatNodeKey(id), ifVersion: ANY_VERSION, value})
+			const row = this.#rows.get(id)
+			if (value === undefined || value === row?.value) this.#changed.delete(id)
+			else writes.push({key: formatNodeKey(id), ifVersion: row?.version ?? 0, value})
 		}
 		return writes
 	}
@@ -150,8 +160,8 @@
 	#listRemovals(board: Board, now: number): RowWrite[] {
 		if (!board.terms.has("loaded") || computeSteadyTime(board, now) <= computeEarlierExpiry(board))
 			return []
-		return [...this.#values.keys()]
-			.filter(id => !board.nodes.has(id) && board.runs.listOn(id).size === 0)
-			.map(id => ({key: formatNodeKey(id), ifVersion: ANY_VERSION, value: null}))
+		return [...this.#rows]
+			.filter(([id]) => !board.nodes.has(id) && board.runs.listOn(id).size === 0)
+			.map(([id, {version}]) => ({key: formatNodeKey(id), ifVersion: version, value: null}))
 	}
 }
