Stop a run that ended while a repeated start of it is under way

What callers would see: a task runs twice if its first start is not answered, its run fails, the worker restarts under its id, and the repeated start reaches the next process: the end of the earlier process was taken for the end of both. Evidence: run-end-evidence.test.ts, failed before and passes now. The failure counts as before; the task starts again once the run has been stopped on the worker.

--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -5,7 +5,6 @@
 import {
 	type Board,
 	type Controller,
-	type EndProof,
 	type EndReport,
 	type NodeEntry,
 	type NodeHealth,
@@ -178,10 +177,8 @@
 		now: number
 	): void {
 		const ref = findTaskRef(board, end.taskId)
-		const proof =
-			ref !== undefined && board.runs.has(end.taskId)
-				? findListedEndProof(this.name, ref, node, {end, report}, now)
-				: undefined
+		const isCurrent =
+			ref !== undefined && board.runs.has(end.taskId) && isCurrentRun(ref, node, end.run)
 		this.#rates.delete(end.taskId)
 		board.record(EventLevel.info, "run-ended", {
 			task: end.taskId,
@@ -189,9 +186,9 @@
 			worker: node.registration.id,
 			end: end.end,
 			position: end.position,
-			isCurrent: proof !== undefined
+			isCurrent
 		})
-		if (ref !== undefined && proof !== undefined) this.#settleRun(board, node, ref, end, proof, now)
+		if (isCurrent) this.#settleRun(board, node, ref, {end, report}, now)
 		else if (end.end !== RunEnd.lapsed) this.#recordContradiction(board, node, end, end.end, report)
 		// The end of a gang's member changes nothing if another member's came first, but has to outlast that change.
 		if (ref !== undefined)
@@ -202,8 +199,7 @@
 		board: Board,
 		node: NodeEntry,
 		ref: TaskRef,
-		end: EndReport,
-		proof: EndProof,
+		{end, report}: {readonly end: EndReport; readonly report: NodeReport},
 		now: number
 	): void {
 		updateCheckpoint(ref, end.checkpoint)
@@ -212,8 +208,12 @@
 			this.#clearFailures(board, node.registration.id, ref, now)
 			return
 		}
-		if (end.end === RunEnd.failed) this.#handleFailure(board, node, ref, proof, now)
+		const hasFailed = end.end === RunEnd.failed
+		const isLastFailure = hasFailed && this.#recordFailure(board, node, ref, now)
+		const proof = findListedEndProof(this.name, ref, node, {end, report}, now)
+		if (proof === undefined) stopRun(board, ref, ReasonCode.workerLost, now)
 		else releaseRun(board, ref, end.end, proof, now)
+		if (isLastFailure) endWorkflow(board, ref.workflow, WorkflowState.failed, now)
 	}
 
 	/** Runs that use only idle CPU are slow while others need it. */
@@ -257,7 +257,8 @@
 		})
 	}
 
-	#handleFailure(board: Board, node: NodeEntry, ref: TaskRef, proof: EndProof, now: number): void {
+	/** Returns true if the workflow fails with it. */
+	#recordFailure(board: Board, node: NodeEntry, ref: TaskRef, now: number): boolean {
 		const {task, step, spec, workflow} = ref
 		const {id} = node.registration
 		if (spec.gang) {
@@ -267,9 +268,7 @@
 		recordFailedWorker(task, id)
 		this.#markSuspect(board, id, workflow.record.id, now)
 		const failures = spec.gang ? step.gangFailures : task.failures
-		releaseRun(board, ref, RunEnd.failed, proof, now)
-		if (failures >= workflow.record.maxAttempts && !spec.longRunning)
-			endWorkflow(board, workflow, WorkflowState.failed, now)
+		return failures >= workflow.record.maxAttempts && !spec.longRunning
 	}
 
 	/** After one failure a worker is used last; after failures of several workflows it is quarantined. */
--- a/src/utils/end-proofs.ts
+++ b/src/utils/end-proofs.ts
@@ -52,6 +52,7 @@
 	return error instanceof RefusedError || (error instanceof TransportError && !error.sent)
 }
 
+/** A repeated start may still be under way to the next process of the worker, which would carry it out again. */
 export function findListedEndProof(
 	place: string,
 	ref: TaskRef,
@@ -59,7 +60,8 @@
 	{end, report}: {readonly end: EndReport; readonly report: NodeReport},
 	now: number
 ): EndProof | undefined {
-	if (!isCurrentRun(ref, node, end.run)) return undefined
+	const {starts, openStarts} = ref.task
+	if (!isCurrentRun(ref, node, end.run) || (starts > 1 && openStarts > 0)) return undefined
 	return {place, evidence: EndEvidence.listedEnd, ageMs: now - report.sentAt}
 }
 
