Say in the log what is known of releases by earlier holders

The silence of a worker that had not answered in the term was counted from 0, and a run that an earlier holder had released and that goes on was not warned of. Evidence: end-proof-limits.test.ts, both failed before and pass now.

--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -362,9 +362,11 @@
 				worker: workerId,
 				runs: lost.length,
 				isListed: node?.listed ?? false,
-				// Since its last answer, or since the load of a term in which it has not been listed.
+				// Since its last answer, or since the load of a term in which it has not answered.
 				silentMs: Math.round(
-					node === undefined ? computeSteadyTime(board, now) - loadedAt : now - node.answeredAt
+					node?.incarnation === undefined
+						? computeSteadyTime(board, now) - loadedAt
+						: now - node.answeredAt
 				)
 			})
 			for (const {ref, proof} of lost) releaseRun(board, ref, RunEnd.lapsed, proof, now)
--- a/src/types/run-ends.ts
+++ b/src/types/run-ends.ts
@@ -14,7 +14,9 @@
 	/** Another worker answers at the address that this one answered from. */
 	replaced: "replaced",
 	/** Every lease that the worker was granted has expired. */
-	leaseExpired: "lease-expired"
+	leaseExpired: "lease-expired",
+	/** An earlier holder released the run; its log has the evidence. */
+	earlierTerm: "earlier-term"
 } as const
 export type EndEvidence = (typeof EndEvidence)[keyof typeof EndEvidence]
 
@@ -29,6 +31,7 @@
 /** The run that a task had before its current one, and why that run was released. */
 export interface ReleasedRun {
 	readonly run: number
+	/** Empty if an earlier holder released it. */
 	readonly workerId: string
 	readonly epoch: number
 	readonly proof: EndProof
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -122,7 +122,7 @@
 	startPercent: number
 	/** The latest workers that this task failed on, oldest first. */
 	readonly failedOn: string[]
-	/** The run before the current one; undefined if there is none, or an earlier holder released it. */
+	/** The run before the current one; undefined if there is none. */
 	released: ReleasedRun | undefined
 }
 
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -9,6 +9,7 @@
 	type TaskProgress,
 	type TaskRef,
 	type WorkflowEntry,
+	EndEvidence,
 	EventLevel,
 	FAILED_WORKERS_MAX,
 	ReasonCode,
@@ -142,10 +143,8 @@
 }
 
 /** Log fields that name the task's earlier run and what proved its end; none for a first run. */
-export function describeReleasedRun({run, released}: TaskProgress, now: number) {
-	if (run <= 1) return {}
-	// The log of the earlier holder has its release.
-	if (released === undefined) return {earlierRun: run - 1, earlierTerm: true}
+export function describeReleasedRun({released}: TaskProgress, now: number) {
+	if (released === undefined) return {}
 	const {workerId, epoch, proof, releasedAt} = released
 	return {
 		earlierRun: released.run,
@@ -167,8 +166,11 @@
 	{sentAt}: Pick<NodeReport, "sentAt">
 ): void {
 	if (released === undefined || released.isContradicted) return
-	const isReleased = released.run === run && released.workerId === workerId
-	const isEarlier = shown === RUNNING && sentAt <= released.releasedAt
+	const isOfThisTerm = released.proof.evidence !== EndEvidence.earlierTerm
+	const isReleased = isOfThisTerm
+		? released.run === run && released.workerId === workerId
+		: released.run >= run && shown === RUNNING
+	const isEarlier = isOfThisTerm && shown === RUNNING && sentAt <= released.releasedAt
 	if (!isReleased || isEarlier) return
 	released.isContradicted = true
 	const {epoch, proof, releasedAt} = released
--- a/src/utils/workflow-rows.ts
+++ b/src/utils/workflow-rows.ts
@@ -9,10 +9,12 @@
 	type MalformedError,
 	type Occurrence,
 	type StepProgress,
+	type ReleasedRun,
 	type TableRow,
 	type TaskProgress,
 	type WorkflowRecord,
 	type WorkflowStateRow,
+	EndEvidence,
 	EventLevel,
 	PROGRESS_PREFIX,
 	PROGRESS_ROWS_MAX,
@@ -223,9 +225,16 @@
 	task.progressAt = now
 	task.startedAt = now
 	task.startPercent = 0
+	task.released = findEarlierRelease(phase === "waiting" ? run : run - 1, now)
 	for (const id of failedOn) recordFailedWorker(task, id)
 }
 
+function findEarlierRelease(run: number, now: number): ReleasedRun | undefined {
+	if (run === 0) return undefined
+	const proof = {place: "earlier-holder", evidence: EndEvidence.earlierTerm, ageMs: 0}
+	return {run, workerId: "", epoch: 0, proof, releasedAt: now, isContradicted: false}
+}
+
 /** Logs a row that can't be read. */
 export function recordMalformedRow(board: Board, {key, version}: TableRow, detail: string): void {
 	const fields = {key, version, detail}
