Play random faults against the ends of runs, and check that none is repeated

Calls and answers overtake each other, ports refuse, commits take effect late, holders change in quick succession, and workers restart or are replaced.

The stand-ins are stricter for it: calls under way arrive after their host has stopped, a boot has neither the lease nor the clock of the one before, and a worker's entry shows its own clock.

--- a/standins/fleet/direct.ts
+++ b/standins/fleet/direct.ts
@@ -16,6 +16,8 @@
 	decide(hostId: string, call: FleetCall): DeliveryAction
 	/** One-way delay in milliseconds. */
 	computeDelay(hostId: string, call: FleetCall): number
+	/** Delay of the answer; by default that of the request. */
+	computeAnswerDelay?(hostId: string, call: FleetCall): number
 }
 
 export class DirectExchange implements HttpExchange {
@@ -23,12 +25,21 @@
 	readonly #fleet: FleetStandIn
 	readonly #clock: Clock
 	readonly #plan: CallPlan
+	readonly #transitClock: Clock
 
-	constructor(hostId: string, fleet: FleetStandIn, clock: Clock, plan: CallPlan) {
+	/** A call that is under way arrives by `transitClock`, also if its host has been stopped meanwhile. */
+	constructor(
+		hostId: string,
+		fleet: FleetStandIn,
+		clock: Clock,
+		plan: CallPlan,
+		transitClock = clock
+	) {
 		this.#hostId = hostId
 		this.#fleet = fleet
 		this.#clock = clock
 		this.#plan = plan
+		this.#transitClock = transitClock
 	}
 
 	exchange(request: HttpRequest): Promise<Result<HttpAnswer, CallError>> {
@@ -43,6 +54,7 @@
 		}
 		const action = this.#plan.decide(this.#hostId, call)
 		const delayMs = this.#plan.computeDelay(this.#hostId, call)
+		const answerDelayMs = this.#plan.computeAnswerDelay?.(this.#hostId, call) ?? delayMs
 		return new Promise(resolve => {
 			const cancel = this.#clock.schedule(request.timeoutMs, () => {
 				resolve(err(new TransportError(request.url, "no answer in time", true)))
@@ -58,10 +70,10 @@
 				resolve(ok({status: HTTP_TOO_MANY, body: undefined}))
 				return
 			}
-			this.#clock.schedule(delayMs, () => {
+			this.#transitClock.schedule(delayMs, () => {
 				void this.#fleet.handle(call).then(answer => {
 					if (action === DeliveryAction.loseAnswer) return
-					this.#clock.schedule(delayMs, () => {
+					this.#clock.schedule(answerDelayMs, () => {
 						cancel()
 						resolve(ok(answer))
 					})
--- a/standins/fleet/fleet.ts
+++ b/standins/fleet/fleet.ts
@@ -51,6 +51,8 @@
 	readonly capacity?: ResourceDemand
 	/** Address that it listens on; by default its id as the host, which `DirectExchange` needs. */
 	readonly address?: string
+	/** Its steady clock; by default that of the fleet. */
+	readonly clock?: Clock
 }
 
 const DEFAULT_PORT = 7000
@@ -80,13 +82,29 @@
 
 	addWorker(id: string, options: FleetWorkerOptions = {}): FleetWorker {
 		const capacity = options.capacity ?? DEFAULT_CAPACITY
-		const worker = new FleetWorker(id, this.#clock, this.monitor, this.#fleetWorkers, capacity)
+		const worker = new FleetWorker(
+			id,
+			options.clock ?? this.#clock,
+			this.monitor,
+			this.#fleetWorkers,
+			capacity
+		)
 		this.workers.set(id, worker)
 		this.#options.set(id, options)
 		this.register(id)
 		return worker
 	}
 
+	/** Ends the worker that listens at the target, and lets one of another id listen there. */
+	replaceWorker(target: string, id: string, options: FleetWorkerOptions = {}): void {
+		this.workers.get(target)?.crash()
+		this.addWorker(id, {...options, address: `${target}:${DEFAULT_PORT}`})
+		const worker = this.workers.get(id)
+		this.workers.delete(id)
+		if (worker !== undefined) this.workers.set(target, worker)
+		this.register(id)
+	}
+
 	/** Writes the worker's entry, as a worker does with every heartbeat. */
 	register(id: string, state = "ready", remainingMs?: number): void {
 		this.store.putRow("servers", id, this.describeWorker(id, state, remainingMs))
@@ -94,6 +112,7 @@
 
 	/** Builds the worker's entry. */
 	describeWorker(id: string, state = "ready", remainingMs?: number) {
+		const worker = [...this.#fleetWorkers].find(candidate => candidate.id === id)
 		const options = this.#options.get(id) ?? {}
 		const {cpuMillis, memoryMb, accelerators} = options.capacity ?? DEFAULT_CAPACITY
 		return {
@@ -104,8 +123,8 @@
 			...(remainingMs !== undefined && {remaining_ms: remainingMs}),
 			capacity: {cpu: cpuMillis, mem_mb: memoryMb, gpu: accelerators},
 			labels: [...(options.labels ?? ["kind-a"]), options.rack ?? "rack-1"],
-			clock_ms: this.#clock.now(),
-			born: this.workers.get(id)?.born ?? 0
+			clock_ms: worker?.readClock() ?? this.#clock.now(),
+			born: worker?.born ?? 0
 		}
 	}
 
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -49,11 +49,20 @@
 /** How long a run lasts that fails because of its worker. */
 const FAILED_START_MS = 100
 
+/** An end as done, with its position in its worker's list. */
+export interface DoneEnd {
+	readonly task: string
+	readonly worker: string
+	readonly position: number
+}
+
 /** Records the runs on all workers of a fleet, and the rules that they violate. */
 export class FleetMonitor {
 	readonly violations: string[] = []
 	readonly starts: {readonly task: string; readonly run: number; readonly worker: string}[] = []
 	readonly done = new Set<string>()
+	/** Tasks with an end as done that was acknowledged. */
+	readonly acknowledged = new Set<string>()
 	readonly #running = new Map<string, string>()
 
 	recordStart(task: string, run: number, worker: string, steps: Payload["steps"]): void {
@@ -77,14 +86,19 @@
 	}
 
 	/** Takes back completions that were not acknowledged when their worker restarted or lost its lease. */
-	recordLostEnds(tasks: readonly string[]): void {
-		for (const task of tasks) this.done.delete(task)
+	recordLostEnds(ends: readonly DoneEnd[]): void {
+		for (const {task} of ends) this.done.delete(task)
 	}
 
-	recordDone(task: string): void {
+	recordDone({task}: DoneEnd): void {
 		this.done.add(task)
 	}
 
+	/** The worker was told to forget these ends. */
+	recordAcknowledged(ends: readonly DoneEnd[]): void {
+		for (const {task} of ends) this.acknowledged.add(task)
+	}
+
 	recordEnd(task: string, worker: string): void {
 		if (this.#running.get(task) === worker) this.#running.delete(task)
 	}
@@ -144,6 +158,11 @@
 		this.#slowSince = isSlow ? this.#clock.now() : undefined
 	}
 
+	/** Reads its own clock. */
+	readClock(): number {
+		return this.#clock.now()
+	}
+
 	get running(): readonly string[] {
 		return [...this.#runs.keys()]
 	}
@@ -160,6 +179,8 @@
 		this.#position = 0
 		this.#token = 0
 		this.#highestRun.clear()
+		this.#leaseUntil = 0
+		this.#cancelLease()
 		this.#restarts++
 		this.born = this.#clock.readWallClock()
 	}
@@ -214,6 +235,9 @@
 		wait_ms?: number | undefined
 	}): Promise<CommandAnswer> {
 		if (!this.#acceptToken(command.fencing_token)) return this.#refuse("fence")
+		this.#monitor.recordAcknowledged(
+			this.#listDone().filter(({position}) => position <= command.ack_seq)
+		)
 		this.#ends = this.#ends.filter(([position]) => position > command.ack_seq)
 		if (command.until_ms !== undefined) this.#renew(command.until_ms)
 		const restarts = this.#restarts
@@ -285,8 +309,9 @@
 	#endRun(run: Run, outcome: string): void {
 		if (this.#runs.get(run.task) !== run) return
 		this.#remove(run)
-		if (outcome === "done") this.#monitor.recordDone(run.task)
 		this.#ends.push([++this.#position, run.task, run.run, outcome, ""])
+		if (outcome === "done")
+			this.#monitor.recordDone({task: run.task, worker: this.id, position: this.#position})
 		for (const wake of [...this.#waiters]) wake()
 		if (outcome === "done" || run.payload.gang === 1) return
 		for (const {worker, member} of this.#listMembers(run)) worker.#endRun(member, "broken")
@@ -309,8 +334,13 @@
 	}
 
 	#recordLostEnds(): void {
-		const lostEnds = this.#ends.filter(([, , , outcome]) => outcome === "done")
-		this.#monitor.recordLostEnds(lostEnds.map(([, task]) => task))
+		this.#monitor.recordLostEnds(this.#listDone())
+	}
+
+	#listDone(): DoneEnd[] {
+		return this.#ends
+			.filter(([, , , outcome]) => outcome === "done")
+			.map(([position, task]) => ({task, worker: this.id, position}))
 	}
 
 	#sumLost(): number {
--- a/standins/fleet/workers-main.ts
+++ b/standins/fleet/workers-main.ts
@@ -10,7 +10,7 @@
 import {type StandInApp, announce, listen, printLine} from "../serve.js"
 import {createFleetApp} from "./app.js"
 import {FleetStandIn} from "./fleet.js"
-import {FleetMonitor} from "./worker.js"
+import {type DoneEnd, FleetMonitor} from "./worker.js"
 
 const HEARTBEAT_MS = 1500
 const RACK_WORKERS = 12
@@ -26,14 +26,14 @@
 		printLine({event: "start", at: Date.now(), task, run, worker})
 	}
 
-	override recordDone(task: string): void {
-		super.recordDone(task)
-		printLine({event: "done", at: Date.now(), task})
+	override recordDone(end: DoneEnd): void {
+		super.recordDone(end)
+		printLine({event: "done", at: Date.now(), task: end.task})
 	}
 
-	override recordLostEnds(tasks: readonly string[]): void {
-		super.recordLostEnds(tasks)
-		for (const task of tasks) printLine({event: "lost", at: Date.now(), task})
+	override recordLostEnds(ends: readonly DoneEnd[]): void {
+		super.recordLostEnds(ends)
+		for (const {task} of ends) printLine({event: "lost", at: Date.now(), task})
 	}
 
 	override recordEnd(task: string, worker: string): void {
