--- a/__tests__/run-end-model.test.ts
+++ b/__tests__/run-end-model.test.ts
@@ -11,7 +11,7 @@
 } from "./fixtures/run-end-model.js"
 
 const SEED = 20261206
-const SEQUENCES = Number(process.env.RUN_END_SEQUENCES ?? "20")
+const SEQUENCES = Number(process.env.RUN_END_SEQUENCES ?? "40")
 const STEPS_MAX = Number(process.env.RUN_END_STEPS ?? "16")
 
 async function runSequence({seed, steps}: RunEndSequence): Promise<void> {
