--- a/standins/fleet/fleet.ts
+++ b/standins/fleet/fleet.ts
@@ -91,6 +91,16 @@
 		return worker
 	}
 
+	/** Ends the worker that listens at the target, and lets one of another id listen there. */
+	replaceWorker(target: string, id: string, options: FleetWorkerOptions = {}): void {
+		this.workers.get(target)?.crash()
+		this.addWorker(id, {...options, address: `${target}:${DEFAULT_PORT}`})
+		const worker = this.workers.get(id)
+		this.workers.delete(id)
+		if (worker !== undefined) this.workers.set(target, worker)
+		this.register(id)
+	}
+
 	/** Writes the worker's entry, as a worker does with every heartbeat. */
 	register(id: string, state = "ready", remainingMs?: number): void {
 		this.store.putRow("servers", id, this.describeWorker(id, state, remainingMs))
@@ -98,6 +108,7 @@
 
 	/** Builds the worker's entry. */
 	describeWorker(id: string, state = "ready", remainingMs?: number) {
+		const worker = [...this.#fleetWorkers].find(candidate => candidate.id === id)
 		const options = this.#options.get(id) ?? {}
 		const {cpuMillis, memoryMb, accelerators} = options.capacity ?? DEFAULT_CAPACITY
 		return {
@@ -108,8 +119,8 @@
 			...(remainingMs !== undefined && {remaining_ms: remainingMs}),
 			capacity: {cpu: cpuMillis, mem_mb: memoryMb, gpu: accelerators},
 			labels: [...(options.labels ?? ["kind-a"]), options.rack ?? "rack-1"],
-			clock_ms: Math.floor(this.workers.get(id)?.clockMs ?? 0),
-			born: this.workers.get(id)?.born ?? 0
+			clock_ms: Math.floor(worker?.clockMs ?? this.#clock.now()),
+			born: worker?.born ?? 0
 		}
 	}
 
