Check from outside that no task of the site's bench runs twice

The bench looked for standstills only, so a change that starts tasks again too early was not seen in it. The workers' stand-ins now print the run, the worker and the outcome with each end, and the ends that a holder has acknowledged; TwiceCheck finds two live runs of one task, and starts after an end as done that is acknowledged by then or later. Each case is printed, and goes into report.json with the hosts' lines about its task; their number is a metric with target 0.

--- a/bench/site-outage.ts
+++ b/bench/site-outage.ts
@@ -1,8 +1,8 @@
 /**
  * Runs a site of real daemons in real time while its store is away near the end of the traffic, and looks from outside
- * for jobs that stand still. The policy names the run: a fault of the store, then any of `kept` (workers' entries outlast
- * the outage), `kill` (the holder is killed in it), `crash` (so is a tenth of the workers), `tight` (hosts run only for
- * their share of a core) and `small` (there are no large hosts).
+ * for jobs that stand still and tasks that run twice. The policy names the run: a fault of the store, then any of `kept`
+ * (workers' entries outlast the outage), `kill` (the holder is killed in it), `crash` (so is a tenth of the workers),
+ * `tight` (hosts run only for their share of a core) and `small` (there are no large hosts).
  */
 import {mkdirSync, mkdtempSync, writeFileSync} from "node:fs"
 import {loadavg, tmpdir} from "node:os"
@@ -13,6 +13,7 @@
 import {pause, waitUntil} from "./daemon-rig.js"
 import {SiteHost} from "./site-hosts.js"
 import {type SiteJob, SiteClient, createSiteConfig, drawJobs} from "./site-load.js"
+import {type TwiceCase, TwiceCheck, TwiceKind, formatTwiceCase} from "./site-twice.js"
 import {type RunEvent, type StillCase, StillCheck, findStandstills} from "./site-still.js"
 
 const HOSTS = 44
@@ -195,7 +196,15 @@
 	const standstills = findStandstills(cases)
 	const report = standstills.map(found => ({...found, lines: findGateLines(site, found)}))
 	writeFileSync(join(folder, "events.json"), JSON.stringify(events))
-	writeFileSync(join(folder, "report.json"), JSON.stringify({times, jobs, standstills: report}))
+	const twiceCheck = new TwiceCheck()
+	twiceCheck.play(events)
+	const twice = twiceCheck.findCases()
+	const twiceReport = twice.map(found => ({...found, lines: findTaskLines(site, found)}))
+	writeFileSync(
+		join(folder, "report.json"),
+		JSON.stringify({times, jobs, standstills: report, twice: twiceReport})
+	)
+	for (const found of twice) console.log(formatTwiceCase(found, times.backAt))
 	for (const {job, fromMs, toMs, movedLater} of standstills)
 		console.log(
 			`${job.id} ${job.route} still from ${fromMs - times.backAt} to ${toMs - times.backAt} ms ` +
@@ -214,6 +223,10 @@
 		buildMetric("standstills in the whole run", standstills.length, "jobs"),
 		buildMetric("longest still after the traffic", findLongest(afterTraffic), "ms"),
 		buildMetric("longest still in the whole run", findLongest(cases), "ms"),
+		buildMetric("tasks run twice", countTwice(twice, Object.values(TwiceKind)), "pairs of runs", 0),
+		buildMetric("of these two live runs", countTwice(twice, [TwiceKind.liveRuns]), "pairs of runs"),
+		buildMetric("of these after done", countTwice(twice, [TwiceKind.afterDone]), "pairs of runs"),
+		buildMetric("release-contradicted", countLines(site, "release-contradicted"), "lines"),
 		buildMetric("jobs", jobs.length, "jobs"),
 		buildMetric("accepted", jobs.filter(job => job.acceptedAt !== undefined).length, "jobs"),
 		buildMetric("completed", jobs.filter(job => job.completedAt !== undefined).length, "jobs"),
@@ -273,6 +286,18 @@
 	return Math.max(0, ...cases.map(({fromMs, toMs}) => toMs - fromMs))
 }
 
+function countTwice(cases: readonly TwiceCase[], kinds: readonly TwiceKind[]): number {
+	return cases.filter(({kind}) => kinds.includes(kind)).length
+}
+
+function countLines(site: Site, word: string): number {
+	return site.hosts.reduce((sum, host) => sum + host.findLines([word]).length, 0)
+}
+
+function findTaskLines(site: Site, {task}: TwiceCase): readonly string[] {
+	return site.hosts.flatMap(host => host.findLines([`"${task}"`]).map(line => `${host.id} ${line}`))
+}
+
 /** Lines of all hosts that say what held the job, or all jobs, while it stood still. */
 function findGateLines(site: Site, {job, fromMs, toMs}: StillCase): readonly string[] {
 	return site.hosts.flatMap(host =>
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -49,11 +49,22 @@
 /** How long a run lasts that fails because of its worker. */
 const FAILED_START_MS = 100
 
+/** Outcome of a run that was lost with its worker. */
+const OUTCOME_LOST = "lost"
+
+export interface EndRecord {
+	readonly task: string
+	readonly run: number
+	readonly worker: string
+	readonly outcome: string
+}
+
 /** Records the runs on all workers of a fleet, and the rules that they violate. */
 export class FleetMonitor {
 	readonly violations: string[] = []
 	readonly starts: {readonly task: string; readonly run: number; readonly worker: string}[] = []
 	readonly done = new Set<string>()
+	readonly acknowledged: EndRecord[] = []
 	readonly #running = new Map<string, string>()
 
 	recordStart(task: string, run: number, worker: string, steps: Payload["steps"]): void {
@@ -77,17 +88,23 @@
 	}
 
 	/** Takes back completions that were not acknowledged when their worker restarted or lost its lease. */
-	recordLostEnds(tasks: readonly string[]): void {
-		for (const task of tasks) this.done.delete(task)
+	recordLostEnds(ends: readonly EndRecord[]): void {
+		for (const {task} of ends) this.done.delete(task)
 	}
 
-	recordDone(task: string): void {
+	recordDone({task}: EndRecord): void {
 		this.done.add(task)
 	}
 
-	recordEnd(task: string, worker: string): void {
+	/** Records a run that is over, whether its end will be listed or is lost with its worker. */
+	recordEnd({task, worker}: EndRecord): void {
 		if (this.#running.get(task) === worker) this.#running.delete(task)
 	}
+
+	/** Records ends that a holder has acknowledged. */
+	recordAcknowledged(ends: readonly EndRecord[]): void {
+		this.acknowledged.push(...ends)
+	}
 }
 
 export class FleetWorker {
@@ -154,7 +171,7 @@
 
 	/** Starts a new incarnation at the same address, without the runs and the state of the previous one. */
 	restart(): void {
-		for (const run of [...this.#runs.values()]) this.#remove(run)
+		for (const run of [...this.#runs.values()]) this.#remove(run, OUTCOME_LOST)
 		this.#recordLostEnds()
 		this.#ends = []
 		this.#position = 0
@@ -214,7 +231,7 @@
 		wait_ms?: number | undefined
 	}): Promise<CommandAnswer> {
 		if (!this.#acceptToken(command.fencing_token)) return this.#refuse("fence")
-		this.#ends = this.#ends.filter(([position]) => position > command.ack_seq)
+		this.#acknowledgeEnds(command.ack_seq)
 		if (command.until_ms !== undefined) this.#renew(command.until_ms)
 		const restarts = this.#restarts
 		if (this.#ends.length === 0 && command.wait_ms !== undefined && command.wait_ms > 0)
@@ -284,17 +301,30 @@
 
 	#endRun(run: Run, outcome: string): void {
 		if (this.#runs.get(run.task) !== run) return
-		this.#remove(run)
-		if (outcome === "done") this.#monitor.recordDone(run.task)
+		this.#remove(run, outcome)
+		if (outcome === "done") this.#monitor.recordDone(this.#describeEnd(run.task, run.run, outcome))
 		this.#ends.push([++this.#position, run.task, run.run, outcome, ""])
 		for (const wake of [...this.#waiters]) wake()
 		if (outcome === "done" || run.payload.gang === 1) return
 		for (const {worker, member} of this.#listMembers(run)) worker.#endRun(member, "broken")
 	}
 
-	#remove(run: Run): void {
+	#remove(run: Run, outcome: string): void {
 		this.#runs.delete(run.task)
-		this.#monitor.recordEnd(run.task, this.id)
+		this.#monitor.recordEnd(this.#describeEnd(run.task, run.run, outcome))
+	}
+
+	#describeEnd(task: string, run: number, outcome: string): EndRecord {
+		return {task, run, worker: this.id, outcome}
+	}
+
+	#acknowledgeEnds(position: number): void {
+		const acknowledged = this.#ends.filter(([listed]) => listed <= position)
+		if (acknowledged.length === 0) return
+		this.#ends = this.#ends.filter(([listed]) => listed > position)
+		this.#monitor.recordAcknowledged(
+			acknowledged.map(([, task, run, outcome]) => this.#describeEnd(task, run, outcome))
+		)
 	}
 
 	#renew(requestedUntil: number): void {
@@ -310,7 +340,9 @@
 
 	#recordLostEnds(): void {
 		const lostEnds = this.#ends.filter(([, , , outcome]) => outcome === "done")
-		this.#monitor.recordLostEnds(lostEnds.map(([, task]) => task))
+		this.#monitor.recordLostEnds(
+			lostEnds.map(([, task, run, outcome]) => this.#describeEnd(task, run, outcome))
+		)
 	}
 
 	#sumLost(): number {
--- a/standins/fleet/workers-main.ts
+++ b/standins/fleet/workers-main.ts
@@ -10,7 +10,7 @@
 import {type StandInApp, announce, listen, printLine} from "../serve.js"
 import {createFleetApp} from "./app.js"
 import {FleetStandIn} from "./fleet.js"
-import {FleetMonitor} from "./worker.js"
+import {type EndRecord, FleetMonitor} from "./worker.js"
 
 const HEARTBEAT_MS = 1500
 const RACK_WORKERS = 12
@@ -26,19 +26,24 @@
 		printLine({event: "start", at: Date.now(), task, run, worker})
 	}
 
-	override recordDone(task: string): void {
-		super.recordDone(task)
-		printLine({event: "done", at: Date.now(), task})
+	override recordDone(end: EndRecord): void {
+		super.recordDone(end)
+		printLine({event: "done", at: Date.now(), ...end})
 	}
 
-	override recordLostEnds(tasks: readonly string[]): void {
-		super.recordLostEnds(tasks)
-		for (const task of tasks) printLine({event: "lost", at: Date.now(), task})
+	override recordLostEnds(ends: readonly EndRecord[]): void {
+		super.recordLostEnds(ends)
+		for (const end of ends) printLine({event: "lost", at: Date.now(), ...end})
 	}
 
-	override recordEnd(task: string, worker: string): void {
-		super.recordEnd(task, worker)
-		printLine({event: "end", at: Date.now(), task, worker})
+	override recordEnd(end: EndRecord): void {
+		super.recordEnd(end)
+		printLine({event: "end", at: Date.now(), ...end})
+	}
+
+	override recordAcknowledged(ends: readonly EndRecord[]): void {
+		super.recordAcknowledged(ends)
+		for (const end of ends) printLine({event: "acknowledged", at: Date.now(), ...end})
 	}
 }
 
