--- a/bench/bench.ts
+++ b/bench/bench.ts
@@ -5,6 +5,8 @@
 	readonly policy: string
 	/** Folder for the logs of a run; empty for a temporary one. */
 	readonly out: string
+	/** Daemon's program to measure, for benches that allow another one; empty for the built one. */
+	readonly program: string
 }
 
 export interface BenchMetric {
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -1,5 +1,5 @@
 /**
- * `npm run bench -- NAME --seed N [--policy P] [--out FOLDER] [--json]` runs one bench and prints its metrics;
+ * `npm run bench -- NAME --seed N [--policy P] [--out FOLDER] [--program PATH] [--json]` runs one bench and prints its metrics;
  * `npm run bench -- lateness LOG [--plot FILE]` splits the ages of the workflows in a log;
  * `npm run bench -- standstill LOG` lists the workflows of which nothing ran for a while.
  */
@@ -25,7 +25,8 @@
 		policy: {type: "string", default: ""},
 		json: {type: "boolean", default: false},
 		plot: {type: "string", default: ""},
-		out: {type: "string", default: ""}
+		out: {type: "string", default: ""},
+		program: {type: "string", default: ""}
 	}
 })
 const [name = "list", path = ""] = positionals
@@ -38,7 +39,12 @@
 	process.exitCode = name === "list" ? 0 : EXIT_USAGE
 } else {
 	const seed = Number(values.seed)
-	const results = await bench.run({seed, policy: values.policy, out: values.out})
+	const results = await bench.run({
+		seed,
+		policy: values.policy,
+		out: values.out,
+		program: values.program
+	})
 	for (const metric of results) console.log(formatMetric(metric))
 	if (values.json) {
 		const record = {bench: name, seed, policy: values.policy, results}
--- a/bench/site-hosts.ts
+++ b/bench/site-hosts.ts
@@ -4,7 +4,7 @@
 import {join} from "node:path"
 import {readProcessUsage} from "./daemon-rig.js"
 
-const PROGRAM = "target/cardamomhook-platform.mjs"
+const BUILT_PROGRAM = "target/cardamomhook-platform.mjs"
 const TEMPLATE = "deploy/settings.yaml"
 const CALLER_PORT = 8521
 const READINESS_PORT = 8523
@@ -17,17 +17,26 @@
 	readonly id: string
 	readonly url: string
 	readonly logPath: string
+	readonly #program: string
 	readonly #coreShare: number
 	readonly #settingsPath: string
 	#child: ChildProcess | undefined
 	#quota: NodeJS.Timeout | undefined
 
-	constructor(index: number, zone: string, isLarge: boolean, platformUrl: string, folder: string) {
+	constructor(
+		index: number,
+		zone: string,
+		isLarge: boolean,
+		platformUrl: string,
+		folder: string,
+		program: string
+	) {
 		const {cores, coreShare} = isLarge ? LARGE : SMALL
 		const ip = `127.1.0.${index + 1}`
 		this.id = `host-${index}`
 		this.url = `http://${ip}:${CALLER_PORT}`
 		this.logPath = join(folder, `${this.id}.log`)
+		this.#program = program === "" ? BUILT_PROGRAM : program
 		this.#coreShare = coreShare
 		this.#settingsPath = join(folder, `${this.id}.yaml`)
 		const values: Readonly<Record<string, string | number>> = {
@@ -53,7 +62,7 @@
 
 	start(): void {
 		const log = openSync(this.logPath, "a")
-		this.#child = spawn(process.execPath, ["--max-old-space-size=200", PROGRAM], {
+		this.#child = spawn(process.execPath, ["--max-old-space-size=200", this.#program], {
 			stdio: ["ignore", log, log],
 			env: {PATH: process.env.PATH, CARDAMOMHOOK_SETTINGS: this.#settingsPath}
 		})
--- a/bench/site-outage.ts
+++ b/bench/site-outage.ts
@@ -58,7 +58,12 @@
 	#controlUrl = ""
 	#fleet: StartedProcess | undefined
 
-	async start(folder: string, largeHosts: number, isTight: boolean): Promise<void> {
+	async start(
+		folder: string,
+		program: string,
+		largeHosts: number,
+		isTight: boolean
+	): Promise<void> {
 		const store = await this.launcher.start("standin-store", [])
 		const {controlPort} = JSON.parse(store.lines[0] ?? "{}") as {controlPort: number}
 		this.#controlUrl = `http://127.0.0.1:${controlPort}/control`
@@ -67,7 +72,7 @@
 		const fleet = await this.launcher.start("standin-fleet", options)
 		for (let index = 0; index < HOSTS; index++) {
 			const zone = ZONES[index % ZONES.length] ?? ""
-			this.hosts.push(new SiteHost(index, zone, index < largeHosts, store.url, folder))
+			this.hosts.push(new SiteHost(index, zone, index < largeHosts, store.url, folder, program))
 		}
 		for (const host of this.hosts) host.start()
 		await waitUntil("all hosts are ready", async () => {
@@ -119,7 +124,7 @@
 	readonly name = "site-outage"
 	readonly summary = "44 daemons in real time while the store is away: jobs that stand still"
 
-	async run({seed, policy, out}: BenchOptions): Promise<readonly BenchMetric[]> {
+	async run({seed, policy, out, program}: BenchOptions): Promise<readonly BenchMetric[]> {
 		const [fault = "", ...variants] = (policy || "refuse").split("-")
 		const folder = out === "" ? mkdtempSync(join(tmpdir(), "cardamomhook-site-")) : out
 		mkdirSync(folder, {recursive: true})
@@ -127,7 +132,7 @@
 		const site = new Site()
 		try {
 			const largeHosts = variants.includes("small") ? 0 : LARGE_HOSTS
-			await site.start(folder, largeHosts, variants.includes("tight"))
+			await site.start(folder, program, largeHosts, variants.includes("tight"))
 			await pause(SETTLE_MS)
 			const times = await runTraffic(site, jobs, fault, variants, seed)
 			return summarizeRun(site, jobs, times, folder)
