Refuse connections and delay answers of live workers in the site's bench

A released run that goes on needs a worker that lives: the bench only had workers that die. New parts of the policy: `refusing` (a worker with runs closes its port and resets its connections for 0.3 to 3 s while its runs go on), `delayed` (some answers of workers come up to 3 s late, so that later ones overtake them) and `chain` (the holder is killed, and its successor shortly after it has taken over).

--- a/bench/site-outage.ts
+++ b/bench/site-outage.ts
@@ -2,7 +2,9 @@
  * Runs a site of real daemons in real time while its store is away near the end of the traffic, and looks from outside
  * for jobs that stand still and tasks that run twice. The policy names the run: a fault of the store, then any of `kept`
  * (workers' entries outlast the outage), `kill` (the holder is killed in it), `crash` (so is a tenth of the workers),
- * `tight` (hosts run only for their share of a core) and `small` (there are no large hosts).
+ * `chain` (two holders are killed one after the other shortly before it), `refusing` (ports of live workers refuse
+ * connections now and then), `delayed` (some answers of workers come late and out of order), `tight` (hosts run only for
+ * their share of a core) and `small` (there are no large hosts).
  */
 import {mkdirSync, mkdtempSync, writeFileSync} from "node:fs"
 import {loadavg, tmpdir} from "node:os"
@@ -29,6 +31,12 @@
 const OUTAGE_SPREAD_MS = 3500
 const KILL_AFTER_MS = 1000
 const RESTART_MS = 1500
+const CHAIN_BEFORE_MS = 7000
+const SUCCESSOR_MAX_MS = 4000
+const SUCCESSOR_LIFE_MS = 500
+const POLL_MS = 100
+/** Parts of the policy that the workers' process carries out. */
+const WORKER_FAULTS = ["refusing", "delayed"]
 const FINISH_MS = 25000
 const CPU_WINDOW_MS = 6000
 const LINES_AROUND_MS = 1000
@@ -51,6 +59,13 @@
 	machineLoad: number
 }
 
+interface SiteOptions {
+	readonly seed: number
+	readonly folder: string
+	readonly program: string
+	readonly variants: readonly string[]
+}
+
 /** The processes of one run. */
 class Site {
 	readonly launcher = new Launcher()
@@ -58,18 +73,16 @@
 	#controlUrl = ""
 	#fleet: StartedProcess | undefined
 
-	async start(
-		folder: string,
-		program: string,
-		largeHosts: number,
-		isTight: boolean
-	): Promise<void> {
+	async start({seed, folder, program, variants}: SiteOptions): Promise<void> {
+		const largeHosts = variants.includes("small") ? 0 : LARGE_HOSTS
+		const faults = WORKER_FAULTS.filter(name => variants.includes(name)).join(",")
 		const store = await this.launcher.start("standin-store", [])
 		const {controlPort} = JSON.parse(store.lines[0] ?? "{}") as {controlPort: number}
 		this.#controlUrl = `http://127.0.0.1:${controlPort}/control`
 		await this.#post("row", {table: "op", key: "config", value: createSiteConfig()})
 		const options = ["--store", store.url, "--workers", `${WORKERS}`]
-		const fleet = await this.launcher.start("standin-fleet", options)
+		const faultOptions = ["--faults", faults, "--seed", `${seed}`]
+		const fleet = await this.launcher.start("standin-fleet", [...options, ...faultOptions])
 		for (let index = 0; index < HOSTS; index++) {
 			const zone = ZONES[index % ZONES.length] ?? ""
 			this.hosts.push(new SiteHost(index, zone, index < largeHosts, store.url, folder, program))
@@ -79,7 +92,7 @@
 			const answers = await Promise.all(this.hosts.map(host => host.checkReady()))
 			return answers.every(Boolean)
 		})
-		if (isTight) for (const host of this.hosts) host.limitCpu()
+		if (variants.includes("tight")) for (const host of this.hosts) host.limitCpu()
 		this.#fleet = fleet
 	}
 
@@ -131,8 +144,7 @@
 		const jobs = drawJobs(seed, TRAFFIC_S)
 		const site = new Site()
 		try {
-			const largeHosts = variants.includes("small") ? 0 : LARGE_HOSTS
-			await site.start(folder, program, largeHosts, variants.includes("tight"))
+			await site.start({seed, folder, program, variants})
 			await pause(SETTLE_MS)
 			const times = await runTraffic(site, jobs, fault, variants, seed)
 			return summarizeRun(site, jobs, times, folder)
@@ -153,16 +165,16 @@
 	const beginAt = Date.now()
 	const lengthMs = OUTAGE_MIN_MS + ((seed * 997) % OUTAGE_SPREAD_MS)
 	const clients = jobs.map(job => client.runJob(job))
-	await pause(TRAFFIC_S * MS_PER_S - RETURN_BEFORE_END_MS - lengthMs)
+	const awayAfterMs = TRAFFIC_S * MS_PER_S - RETURN_BEFORE_END_MS - lengthMs
+	await pause(awayAfterMs - CHAIN_BEFORE_MS)
+	if (variants.includes("chain")) await killHolders(site)
+	await pause(beginAt + awayAfterMs - Date.now())
 	const holder = await site.findHolder()
 	const awayAt = Date.now()
 	await site.setFault(fault, variants.includes("kept"))
 	await pause(KILL_AFTER_MS)
 	if (variants.includes("crash")) site.crashWorkers()
-	if (variants.includes("kill")) {
-		holder?.kill()
-		setTimeout(() => holder?.start(), RESTART_MS)
-	}
+	if (variants.includes("kill")) restartHost(holder)
 	await pause(awayAt + lengthMs - Date.now())
 	await site.setFault("none", false)
 	const backAt = Date.now()
@@ -179,6 +191,28 @@
 	return {beginAt, awayAt, backAt, trafficEndAt, endAt: Date.now(), holderCpuMs, machineLoad}
 }
 
+/** Kills the holder, and then its successor shortly after it has taken over. */
+async function killHolders(site: Site): Promise<void> {
+	const first = await site.findHolder()
+	restartHost(first)
+	const waitUntilMs = Date.now() + SUCCESSOR_MAX_MS
+	let next = first
+	// The killed host may take over from itself.
+	while (next === first && Date.now() < waitUntilMs) {
+		await pause(POLL_MS)
+		next = await site.findHolder()
+	}
+	await pause(SUCCESSOR_LIFE_MS)
+	restartHost(next)
+}
+
+function restartHost(host: SiteHost | undefined): void {
+	host?.kill()
+	setTimeout(() => {
+		host?.start()
+	}, RESTART_MS)
+}
+
 function summarizeRun(
 	site: Site,
 	jobs: readonly SiteJob[],
@@ -231,6 +265,7 @@
 		buildMetric("tasks run twice", countTwice(twice, Object.values(TwiceKind)), "pairs of runs", 0),
 		buildMetric("of these two live runs", countTwice(twice, [TwiceKind.liveRuns]), "pairs of runs"),
 		buildMetric("of these after done", countTwice(twice, [TwiceKind.afterDone]), "pairs of runs"),
+		buildMetric("refusals of workers", countEvents(events, "refusal"), ""),
 		buildMetric("release-contradicted", countLines(site, "release-contradicted"), "lines"),
 		buildMetric("jobs", jobs.length, "jobs"),
 		buildMetric("accepted", jobs.filter(job => job.acceptedAt !== undefined).length, "jobs"),
@@ -295,6 +330,10 @@
 	return cases.filter(({kind}) => kinds.includes(kind)).length
 }
 
+function countEvents(events: readonly FleetEvent[], name: string): number {
+	return events.filter(({event}) => event === name).length
+}
+
 function countLines(site: Site, word: string): number {
 	return site.hosts.reduce((sum, host) => sum + host.findLines([word]).length, 0)
 }
--- a/standins/fleet/workers-main.ts
+++ b/standins/fleet/workers-main.ts
@@ -1,16 +1,19 @@
 /**
  * Runs a fleet of workers' stand-ins as one process, since the members of a gang wait for each other: `--store`, and
  * `--workers`, how many over all zones. Prints every start and end of a run, and the calls of each second. SIGUSR2
- * crashes a tenth of the workers for good.
+ * crashes a tenth of the workers for good; `--faults`, a list with commas, names what befalls live ones, and `--seed`
+ * when and where.
  */
 import {parseArgs} from "node:util"
 import {Hono} from "hono"
 import {request} from "undici"
 import {SystemClock} from "../../src/internal.js"
-import {type StandInApp, announce, listen, printLine} from "../serve.js"
+import {type StandInApp, announce, printLine} from "../serve.js"
 import {createFleetApp} from "./app.js"
 import {FleetStandIn} from "./fleet.js"
 import {type EndRecord, FleetMonitor} from "./worker.js"
+import {type FaultyWorker, createWorkerFaults} from "./worker-faults.js"
+import {WorkerPort} from "./worker-port.js"
 
 const HEARTBEAT_MS = 1500
 const RACK_WORKERS = 12
@@ -48,12 +51,20 @@
 }
 
 const {values} = parseArgs({
-	options: {store: {type: "string", default: ""}, workers: {type: "string", default: "0"}}
+	options: {
+		store: {type: "string", default: ""},
+		workers: {type: "string", default: "0"},
+		faults: {type: "string", default: ""},
+		seed: {type: "string", default: "1"}
+	}
 })
 const clock = new SystemClock()
 const monitor = new PrintingMonitor()
 const fleet = new FleetStandIn(clock, monitor)
 const crashed = new Set<string>()
+const faultNames = values.faults.split(",")
+const faults = createWorkerFaults(Number(values.seed)).filter(({name}) => faultNames.includes(name))
+const faultyWorkers: FaultyWorker[] = []
 let calls: Record<string, number> = {}
 
 async function sendHeartbeat(id: string): Promise<void> {
@@ -77,6 +88,8 @@
 		calls[context.req.path] = (calls[context.req.path] ?? 0) + 1
 		if (crashed.has(id)) return new Promise<Response>(() => undefined)
 		await next()
+		const delayMs = Math.max(0, ...faults.map(fault => fault.drawDelay()))
+		if (delayMs > 0) await new Promise(resolve => setTimeout(resolve, delayMs))
 		return undefined
 	})
 	app.route("/", createFleetApp(fleet, id))
@@ -87,9 +100,12 @@
 	const zone = ZONES[index % ZONES.length] ?? ""
 	const place = Math.floor(index / ZONES.length)
 	const id = `${zone}-${place}`
-	const port = await listen(createCountedApp(id), 0)
+	const workerPort = new WorkerPort(createCountedApp(id))
+	const port = await workerPort.open()
 	const rack = `${zone}-r${Math.floor(place / RACK_WORKERS)}`
 	fleet.addWorker(id, {zone, rack, service: "barua-trace", address: `127.0.0.1:${port}`})
+	const isAtWork = () => !crashed.has(id) && (fleet.workers.get(id)?.running.length ?? 0) > 0
+	faultyWorkers.push({id, port: workerPort, isAtWork})
 	setTimeout(
 		() => {
 			void sendHeartbeat(id)
@@ -125,4 +141,8 @@
 
 let port = 0
 for (let index = 0; index < Number(values.workers); index++) port = await addWorker(index)
+for (const fault of faults)
+	fault.begin(faultyWorkers, (worker, ms) => {
+		printLine({event: "refusal", at: Date.now(), task: "", worker, ms})
+	})
 announce({role: "fleet", port})
