Stop the site before its run is summarized

The summary keeps the bench's process busy for ten seconds and more, in which it does not read the lines of the workers' process; that process waits, all leases lapse, and the hosts log releases that say nothing of the run. Now the processes are ended first.

--- a/bench/site-outage.ts
+++ b/bench/site-outage.ts
@@ -153,6 +153,8 @@
 			await site.start({size, seed, folder, program, variants})
 			await pause(SETTLE_MS)
 			const times = await runTraffic(site, jobs, fault, variants, seed)
+			// The summary reads no more lines of the workers, and they would wait for that.
+			await site.stop()
 			return summarizeRun(site, jobs, times, folder, size.workers)
 		} finally {
 			await site.stop()
