--- a/bench/site-outage.ts
+++ b/bench/site-outage.ts
@@ -1,8 +1,11 @@
 /**
  * Runs a site of real daemons in real time while its store is away near the end of the traffic, and looks from outside
- * for jobs that stand still. The policy names the run: a fault of the store, then any of `kept` (workers' entries outlast
- * the outage), `kill` (the holder is killed in it), `crash` (so is a tenth of the workers), `tight` (hosts run only for
- * their share of a core) and `small` (there are no large hosts).
+ * for jobs that stand still and tasks that run twice. The policy names the run: a fault of the store, then any of `kept`
+ * (workers' entries outlast the outage), `kill` (the holder is killed in it), `crash` (so is a tenth of the workers),
+ * `chain` (two holders are killed one after the other shortly before it), `refusing` (ports of live workers refuse
+ * connections now and then), `delayed` (some answers of workers come late and out of order), `tight` (hosts run only for
+ * their share of a core), `small` (there are no large hosts) and `few` (a quarter of the hosts, workers and jobs, for a
+ * machine that has other work to do).
  */
 import {mkdirSync, mkdtempSync, writeFileSync} from "node:fs"
 import {loadavg, tmpdir} from "node:os"
@@ -13,11 +16,11 @@
 import {pause, waitUntil} from "./daemon-rig.js"
 import {SiteHost} from "./site-hosts.js"
 import {type SiteJob, SiteClient, createSiteConfig, drawJobs} from "./site-load.js"
+import {type TwiceCase, TwiceCheck, TwiceKind, formatTwiceCase} from "./site-twice.js"
 import {type RunEvent, type StillCase, StillCheck, findStandstills} from "./site-still.js"
 
-const HOSTS = 44
-const LARGE_HOSTS = 12
-const WORKERS = 350
+const FULL_SIZE = {hosts: 44, largeHosts: 12, workers: 350, guaranteedGpu: 184, eachJob: 1}
+const FEW_SIZE = {hosts: 11, largeHosts: 3, workers: 88, guaranteedGpu: 46, eachJob: 4}
 const ZONES = ["nairobi-a", "mombasa-a", "kisumu-a", "nairobi-b", "mombasa-b", "kisumu-b"]
 const MS_PER_S = 1000
 const TRAFFIC_S = 34
@@ -28,6 +31,12 @@
 const OUTAGE_SPREAD_MS = 3500
 const KILL_AFTER_MS = 1000
 const RESTART_MS = 1500
+const CHAIN_BEFORE_MS = 7000
+const SUCCESSOR_MAX_MS = 4000
+const SUCCESSOR_LIFE_MS = 500
+const POLL_MS = 100
+/** Parts of the policy that the workers' process carries out. */
+const WORKER_FAULTS = ["refusing", "delayed"]
 const FINISH_MS = 25000
 const CPU_WINDOW_MS = 6000
 const LINES_AROUND_MS = 1000
@@ -50,6 +59,14 @@
 	machineLoad: number
 }
 
+interface SiteOptions {
+	readonly size: typeof FULL_SIZE
+	readonly seed: number
+	readonly folder: string
+	readonly program: string
+	readonly variants: readonly string[]
+}
+
 /** The processes of one run. */
 class Site {
 	readonly launcher = new Launcher()
@@ -57,23 +74,30 @@
 	#controlUrl = ""
 	#fleet: StartedProcess | undefined
 
-	async start(folder: string, largeHosts: number, isTight: boolean): Promise<void> {
+	async start({size, seed, folder, program, variants}: SiteOptions): Promise<void> {
+		const largeHosts = variants.includes("small") ? 0 : size.largeHosts
+		const faults = WORKER_FAULTS.filter(name => variants.includes(name)).join(",")
 		const store = await this.launcher.start("standin-store", [])
 		const {controlPort} = JSON.parse(store.lines[0] ?? "{}") as {controlPort: number}
 		this.#controlUrl = `http://127.0.0.1:${controlPort}/control`
-		await this.#post("row", {table: "op", key: "config", value: createSiteConfig()})
-		const options = ["--store", store.url, "--workers", `${WORKERS}`]
-		const fleet = await this.launcher.start("standin-fleet", options)
-		for (let index = 0; index < HOSTS; index++) {
+		await this.#post("row", {
+			table: "op",
+			key: "config",
+			value: createSiteConfig(size.guaranteedGpu)
+		})
+		const options = ["--store", store.url, "--workers", `${size.workers}`]
+		const faultOptions = ["--faults", faults, "--seed", `${seed}`]
+		const fleet = await this.launcher.start("standin-fleet", [...options, ...faultOptions])
+		for (let index = 0; index < size.hosts; index++) {
 			const zone = ZONES[index % ZONES.length] ?? ""
-			this.hosts.push(new SiteHost(index, zone, index < largeHosts, store.url, folder))
+			this.hosts.push(new SiteHost(index, zone, index < largeHosts, store.url, folder, program))
 		}
 		for (const host of this.hosts) host.start()
 		await waitUntil("all hosts are ready", async () => {
 			const answers = await Promise.all(this.hosts.map(host => host.checkReady()))
 			return answers.every(Boolean)
 		})
-		if (isTight) for (const host of this.hosts) host.limitCpu()
+		if (variants.includes("tight")) for (const host of this.hosts) host.limitCpu()
 		this.#fleet = fleet
 	}
 
@@ -118,18 +142,20 @@
 	readonly name = "site-outage"
 	readonly summary = "44 daemons in real time while the store is away: jobs that stand still"
 
-	async run({seed, policy, out}: BenchOptions): Promise<readonly BenchMetric[]> {
+	async run({seed, policy, out, program}: BenchOptions): Promise<readonly BenchMetric[]> {
 		const [fault = "", ...variants] = (policy || "refuse").split("-")
 		const folder = out === "" ? mkdtempSync(join(tmpdir(), "cardamomhook-site-")) : out
 		mkdirSync(folder, {recursive: true})
-		const jobs = drawJobs(seed, TRAFFIC_S)
+		const size = variants.includes("few") ? FEW_SIZE : FULL_SIZE
+		const jobs = drawJobs(seed, TRAFFIC_S).filter((_, index) => index % size.eachJob === 0)
 		const site = new Site()
 		try {
-			const largeHosts = variants.includes("small") ? 0 : LARGE_HOSTS
-			await site.start(folder, largeHosts, variants.includes("tight"))
+			await site.start({size, seed, folder, program, variants})
 			await pause(SETTLE_MS)
 			const times = await runTraffic(site, jobs, fault, variants, seed)
-			return summarizeRun(site, jobs, times, folder)
+			// The summary reads no more lines of the workers, and they would wait for that.
+			await site.stop()
+			return summarizeRun(site, jobs, times, folder, size.workers)
 		} finally {
 			await site.stop()
 		}
@@ -147,16 +173,16 @@
 	const beginAt = Date.now()
 	const lengthMs = OUTAGE_MIN_MS + ((seed * 997) % OUTAGE_SPREAD_MS)
 	const clients = jobs.map(job => client.runJob(job))
-	await pause(TRAFFIC_S * MS_PER_S - RETURN_BEFORE_END_MS - lengthMs)
+	const awayAfterMs = TRAFFIC_S * MS_PER_S - RETURN_BEFORE_END_MS - lengthMs
+	await pause(awayAfterMs - CHAIN_BEFORE_MS)
+	if (variants.includes("chain")) await killHolders(site)
+	await pause(beginAt + awayAfterMs - Date.now())
 	const holder = await site.findHolder()
 	const awayAt = Date.now()
 	await site.setFault(fault, variants.includes("kept"))
 	await pause(KILL_AFTER_MS)
 	if (variants.includes("crash")) site.crashWorkers()
-	if (variants.includes("kill")) {
-		holder?.kill()
-		setTimeout(() => holder?.start(), RESTART_MS)
-	}
+	if (variants.includes("kill")) restartHost(holder)
 	await pause(awayAt + lengthMs - Date.now())
 	await site.setFault("none", false)
 	const backAt = Date.now()
@@ -173,14 +199,37 @@
 	return {beginAt, awayAt, backAt, trafficEndAt, endAt: Date.now(), holderCpuMs, machineLoad}
 }
 
+/** Kills the holder, and then its successor shortly after it has taken over. */
+async function killHolders(site: Site): Promise<void> {
+	const first = await site.findHolder()
+	restartHost(first)
+	const waitUntilMs = Date.now() + SUCCESSOR_MAX_MS
+	let next = first
+	// The killed host may take over from itself.
+	while (next === first && Date.now() < waitUntilMs) {
+		await pause(POLL_MS)
+		next = await site.findHolder()
+	}
+	await pause(SUCCESSOR_LIFE_MS)
+	restartHost(next)
+}
+
+function restartHost(host: SiteHost | undefined): void {
+	host?.kill()
+	setTimeout(() => {
+		host?.start()
+	}, RESTART_MS)
+}
+
 function summarizeRun(
 	site: Site,
 	jobs: readonly SiteJob[],
 	times: Times,
-	folder: string
+	folder: string,
+	workerCount: number
 ): readonly BenchMetric[] {
 	const events = site.readEvents()
-	const workers = Array.from({length: WORKERS}, (_, index) => {
+	const workers = Array.from({length: workerCount}, (_, index) => {
 		const place = Math.floor(index / ZONES.length)
 		return `${ZONES[index % ZONES.length] ?? ""}-${place}`
 	})
@@ -195,7 +244,15 @@
 	const standstills = findStandstills(cases)
 	const report = standstills.map(found => ({...found, lines: findGateLines(site, found)}))
 	writeFileSync(join(folder, "events.json"), JSON.stringify(events))
-	writeFileSync(join(folder, "report.json"), JSON.stringify({times, jobs, standstills: report}))
+	const twiceCheck = new TwiceCheck()
+	twiceCheck.play(events)
+	const twice = twiceCheck.findCases()
+	const twiceReport = twice.map(found => ({...found, lines: findTaskLines(site, found)}))
+	writeFileSync(
+		join(folder, "report.json"),
+		JSON.stringify({times, jobs, standstills: report, twice: twiceReport})
+	)
+	for (const found of twice) console.log(formatTwiceCase(found, times.backAt))
 	for (const {job, fromMs, toMs, movedLater} of standstills)
 		console.log(
 			`${job.id} ${job.route} still from ${fromMs - times.backAt} to ${toMs - times.backAt} ms ` +
@@ -214,6 +271,11 @@
 		buildMetric("standstills in the whole run", standstills.length, "jobs"),
 		buildMetric("longest still after the traffic", findLongest(afterTraffic), "ms"),
 		buildMetric("longest still in the whole run", findLongest(cases), "ms"),
+		buildMetric("tasks run twice", countTwice(twice, Object.values(TwiceKind)), "pairs of runs", 0),
+		buildMetric("of these two live runs", countTwice(twice, [TwiceKind.liveRuns]), "pairs of runs"),
+		buildMetric("of these after done", countTwice(twice, [TwiceKind.afterDone]), "pairs of runs"),
+		buildMetric("refusals of workers", countEvents(events, "refusal"), ""),
+		buildMetric("release-contradicted", countLines(site, "release-contradicted"), "lines"),
 		buildMetric("jobs", jobs.length, "jobs"),
 		buildMetric("accepted", jobs.filter(job => job.acceptedAt !== undefined).length, "jobs"),
 		buildMetric("completed", jobs.filter(job => job.completedAt !== undefined).length, "jobs"),
@@ -273,6 +335,22 @@
 	return Math.max(0, ...cases.map(({fromMs, toMs}) => toMs - fromMs))
 }
 
+function countTwice(cases: readonly TwiceCase[], kinds: readonly TwiceKind[]): number {
+	return cases.filter(({kind}) => kinds.includes(kind)).length
+}
+
+function countEvents(events: readonly FleetEvent[], name: string): number {
+	return events.filter(({event}) => event === name).length
+}
+
+function countLines(site: Site, word: string): number {
+	return site.hosts.reduce((sum, host) => sum + host.findLines([word]).length, 0)
+}
+
+function findTaskLines(site: Site, {task}: TwiceCase): readonly string[] {
+	return site.hosts.flatMap(host => host.findLines([`"${task}"`]).map(line => `${host.id} ${line}`))
+}
+
 /** Lines of all hosts that say what held the job, or all jobs, while it stood still. */
 function findGateLines(site: Site, {job, fromMs, toMs}: StillCase): readonly string[] {
 	return site.hosts.flatMap(host =>
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -49,10 +49,15 @@
 /** How long a run lasts that fails because of its worker. */
 const FAILED_START_MS = 100
 
-/** An end as done, with its position in its worker's list. */
-export interface DoneEnd {
+/** Outcome of a run that was lost with its worker. */
+const OUTCOME_LOST = "lost"
+
+export interface EndRecord {
 	readonly task: string
+	readonly run: number
 	readonly worker: string
+	readonly outcome: string
+	/** Position in its worker's list; 0 if it is not listed. */
 	readonly position: number
 }
 
@@ -61,8 +66,7 @@
 	readonly violations: string[] = []
 	readonly starts: {readonly task: string; readonly run: number; readonly worker: string}[] = []
 	readonly done = new Set<string>()
-	/** Tasks with an end as done that was acknowledged. */
-	readonly acknowledged = new Set<string>()
+	readonly acknowledged: EndRecord[] = []
 	readonly #running = new Map<string, string>()
 
 	recordStart(task: string, run: number, worker: string, steps: Payload["steps"]): void {
@@ -86,21 +90,22 @@
 	}
 
 	/** Takes back completions that were not acknowledged when their worker restarted or lost its lease. */
-	recordLostEnds(ends: readonly DoneEnd[]): void {
+	recordLostEnds(ends: readonly EndRecord[]): void {
 		for (const {task} of ends) this.done.delete(task)
 	}
 
-	recordDone({task}: DoneEnd): void {
+	recordDone({task}: EndRecord): void {
 		this.done.add(task)
 	}
 
-	/** The worker was told to forget these ends. */
-	recordAcknowledged(ends: readonly DoneEnd[]): void {
-		for (const {task} of ends) this.acknowledged.add(task)
+	/** Records a run that is over, whether its end will be listed or is lost with its worker. */
+	recordEnd({task, worker}: EndRecord): void {
+		if (this.#running.get(task) === worker) this.#running.delete(task)
 	}
 
-	recordEnd(task: string, worker: string): void {
-		if (this.#running.get(task) === worker) this.#running.delete(task)
+	/** Records ends that a holder has acknowledged. */
+	recordAcknowledged(ends: readonly EndRecord[]): void {
+		this.acknowledged.push(...ends)
 	}
 }
 
@@ -179,7 +184,7 @@
 
 	/** Starts a new incarnation at the same address, without the runs and the state of the previous one. */
 	restart(): void {
-		for (const run of [...this.#runs.values()]) this.#remove(run)
+		for (const run of [...this.#runs.values()]) this.#remove(run, OUTCOME_LOST)
 		this.#recordLostEnds()
 		this.#ends = []
 		this.#position = 0
@@ -242,10 +247,7 @@
 		wait_ms?: number | undefined
 	}): Promise<CommandAnswer> {
 		if (!this.#acceptToken(command.fencing_token)) return this.#refuse("fence")
-		this.#monitor.recordAcknowledged(
-			this.#listDone().filter(({position}) => position <= command.ack_seq)
-		)
-		this.#ends = this.#ends.filter(([position]) => position > command.ack_seq)
+		this.#acknowledgeEnds(command.ack_seq)
 		if (command.until_ms !== undefined) this.#renew(command.until_ms)
 		const restarts = this.#restarts
 		if (this.#ends.length === 0 && command.wait_ms !== undefined && command.wait_ms > 0)
@@ -315,18 +317,29 @@
 
 	#endRun(run: Run, outcome: string): void {
 		if (this.#runs.get(run.task) !== run) return
-		this.#remove(run)
-		this.#ends.push([++this.#position, run.task, run.run, outcome, ""])
-		if (outcome === "done")
-			this.#monitor.recordDone({task: run.task, worker: this.id, position: this.#position})
+		this.#remove(run, outcome)
+		const end: End = [++this.#position, run.task, run.run, outcome, ""]
+		this.#ends.push(end)
+		if (outcome === "done") this.#monitor.recordDone(this.#describeEnd(end))
 		for (const wake of [...this.#waiters]) wake()
 		if (outcome === "done" || run.payload.gang === 1) return
 		for (const {worker, member} of this.#listMembers(run)) worker.#endRun(member, "broken")
 	}
 
-	#remove(run: Run): void {
+	#remove(run: Run, outcome: string): void {
 		this.#runs.delete(run.task)
-		this.#monitor.recordEnd(run.task, this.id)
+		this.#monitor.recordEnd(this.#describeEnd([0, run.task, run.run, outcome, ""]))
+	}
+
+	#describeEnd([position, task, run, outcome]: End): EndRecord {
+		return {task, run, worker: this.id, outcome, position}
+	}
+
+	#acknowledgeEnds(position: number): void {
+		const acknowledged = this.#ends.filter(([listed]) => listed <= position)
+		if (acknowledged.length === 0) return
+		this.#ends = this.#ends.filter(([listed]) => listed > position)
+		this.#monitor.recordAcknowledged(acknowledged.map(end => this.#describeEnd(end)))
 	}
 
 	#renew(requestedUntil: number): void {
@@ -341,13 +354,8 @@
 	}
 
 	#recordLostEnds(): void {
-		this.#monitor.recordLostEnds(this.#listDone())
-	}
-
-	#listDone(): DoneEnd[] {
-		return this.#ends
-			.filter(([, , , outcome]) => outcome === "done")
-			.map(([position, task]) => ({task, worker: this.id, position}))
+		const lostEnds = this.#ends.filter(([, , , outcome]) => outcome === "done")
+		this.#monitor.recordLostEnds(lostEnds.map(end => this.#describeEnd(end)))
 	}
 
 	#sumLost(): number {
