--- a/src/controllers/node-log.ts
+++ b/src/controllers/node-log.ts
@@ -38,7 +38,12 @@
 
 export class NodeLogController implements Controller {
 	readonly name = "node-log"
-	readonly reads = [SectionName.completions, SectionName.authority, SectionName.nodes]
+	readonly reads = [
+		SectionName.completions,
+		SectionName.authority,
+		SectionName.nodes,
+		SectionName.terms
+	]
 	readonly #changed: Set<string>
 	readonly #outage = new Outage("node-log")
 	/** The rows in the table, by worker. */
@@ -143,10 +148,12 @@
 		)
 	}
 
-	/** Workers that have answered at addresses that their rows don't have. */
+	/** Workers that have answered at addresses that their rows don't have, those with runs first. */
 	#listChanges(board: Board): RowWrite[] {
 		const writes: RowWrite[] = []
-		for (const id of [...this.#changed]) {
+		const hasRuns = (id: string) => board.runs.listOn(id).size > 0
+		const ids = [...this.#changed]
+		for (const id of [...ids.filter(hasRuns), ...ids.filter(id => !hasRuns(id))]) {
 			const node = board.nodes.get(id)
 			const value = node === undefined ? undefined : encodeNodeRecord(node)
 			const row = this.#rows.get(id)
--- a/src/controllers/node.ts
+++ b/src/controllers/node.ts
@@ -34,7 +34,7 @@
 	isAnswered,
 	isReplaced,
 	isTermConfirmed,
-	isWorkerOver,
+	mayHaveLostRuns,
 	mayRenewLeases
 } from "../internal.js"
 
@@ -248,7 +248,7 @@
 		for (const [id, node] of [...board.nodes.entries()]) {
 			if (listed.has(id)) continue
 			if (!this.#missingSince.has(id)) this.#missingSince.set(id, now)
-			if (isWorkerOver(board, id, now) && board.runs.listOn(id).size === 0) {
+			if (mayHaveLostRuns(board, id, now) && board.runs.listOn(id).size === 0) {
 				board.nodes.delete(id)
 				this.#missingSince.delete(id)
 				board.nodeReports.take(id)
--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -35,7 +35,7 @@
 	isCurrentRun,
 	isOlderThanStart,
 	isSaved,
-	isWorkerOver,
+	mayHaveLostRuns,
 	listTaskRefs,
 	recordContradiction,
 	recordFailedWorker,
@@ -351,7 +351,7 @@
 	/** Releases the runs on workers that run nothing any more, even if they can't be reached. */
 	#releaseLost(board: Board, loadedAt: number, now: number): void {
 		for (const workerId of [...board.runs.listWorkers()]) {
-			if (!isWorkerOver(board, workerId, now)) continue
+			if (!mayHaveLostRuns(board, workerId, now)) continue
 			const lost = [...board.runs.listOn(workerId).values()].flatMap(ref => {
 				const proof = findLossProof(this.name, board, ref, now)
 				return proof === undefined ? [] : [{ref, proof}]
--- a/src/utils/end-proofs.ts
+++ b/src/utils/end-proofs.ts
@@ -2,10 +2,10 @@
  * The one rule for what proves that a run has ended, or has never begun, so that its task may start again. It is one of these:
  *
  * - No start of it was sent, or the only one was refused or never left this host.
- * - Its worker says so: it lists the end, or a report that was requested after the start or the stop had been acknowledged
- *   doesn't show the run.
- * - The process that ran it is over: another incarnation of the worker reports, and no start is under way to it, or another
- *   worker answers at its address.
+ * - Its worker says so: it lists the end, and no repeated start is under way, or a report that was requested after the start or
+ *   the stop had been acknowledged doesn't show the run.
+ * - The process that ran it is over, and no start is under way: another incarnation of the worker reports, or another worker
+ *   answers at its address.
  * - Every lease that its worker was granted has expired.
  *
  * A missing answer proves nothing, in whatever form: silence, a refused or reset connection, an entry that is gone from the
@@ -110,8 +110,8 @@
 	return isOther && target === answeredFrom
 }
 
-/** True if some runs on the worker may be proved to have ended, even if it can't be reached. */
-export function isWorkerOver(board: Board, workerId: string, now: number): boolean {
+/** True if findLossProof may find a proof for runs on the worker. */
+export function mayHaveLostRuns(board: Board, workerId: string, now: number): boolean {
 	const isReplacedNow = board.nodes.get(workerId)?.replacedAt !== undefined
 	return isReplacedNow || computeSteadyTime(board, now) > findLeaseExpiry(board, workerId)
 }
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -146,6 +146,9 @@
 export function describeReleasedRun({released}: TaskProgress, now: number) {
 	if (released === undefined) return {}
 	const {workerId, epoch, proof, releasedAt} = released
+	// The log of the earlier holder has the rest.
+	if (proof.evidence === EndEvidence.earlierTerm)
+		return {earlierRun: released.run, earlierEvidence: proof.evidence}
 	return {
 		earlierRun: released.run,
 		earlierWorker: workerId,
