--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -9,6 +9,7 @@
 	type NodeEntry,
 	type NodeHealth,
 	type NodeReport,
+	type RunShown,
 	type RunningReport,
 	type TaskRef,
 	EventLevel,
@@ -35,8 +36,8 @@
 	isCurrentRun,
 	isOlderThanStart,
 	isSaved,
-	mayHaveLostRuns,
 	listTaskRefs,
+	mayHaveLostRuns,
 	recordContradiction,
 	recordFailedWorker,
 	recordIncarnation,
@@ -161,7 +162,7 @@
 		board: Board,
 		{registration: {id}}: NodeEntry,
 		{taskId, run}: Pick<EndReport, "taskId" | "run">,
-		shown: "running" | RunEnd,
+		shown: RunShown,
 		report: NodeReport
 	): void {
 		const ref = findTaskRef(board, taskId)
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -27,7 +27,7 @@
 
 const RUNNING = "running"
 /** How a worker shows a run. */
-type RunShown = typeof RUNNING | RunEnd
+export type RunShown = typeof RUNNING | RunEnd
 
 /** Marks a change of the occurrence that has to be durable before it takes effect. */
 export function recordProgress(
