--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -159,9 +159,7 @@
 		this.#createDueOccurrences(board, active)
 		const steps = listReadySteps(catalog, active, guaranteed, now, this.#clock.readWallClock())
 		const ready = this.#queue.order(steps.filter(({step}) => step.notBefore <= now))
-		this.#delayedUntil = Math.min(
-			...steps.map(({step}) => (step.notBefore > now ? step.notBefore : Infinity))
-		)
+		this.#delayedUntil = findDelayEnd(steps, now)
 		this.#recordReadySteps(ready, now)
 		if (ready.length === 0) return 0
 		const capacityByService = listNodeCapacities(board, catalog, guaranteed, now)
@@ -387,6 +385,14 @@
 	return workflow.record.priority === 0 && punctuality === Punctuality.onTime ? URGENT_LOSS_MAX : -1
 }
 
+/** Earliest time at which one of the steps may run that may not yet; not by Math.min, as a call takes few arguments. */
+function findDelayEnd(steps: readonly ReadyStep[], now: number): number {
+	let earliest = Infinity
+	for (const {step} of steps)
+		if (step.notBefore > now && step.notBefore < earliest) earliest = step.notBefore
+	return earliest
+}
+
 function isLastAttempt(ref: TaskRef | undefined): boolean {
 	if (ref === undefined) return false
 	const {workflow, spec, step, task} = ref
