--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -32,8 +32,6 @@
 	computeNextRun,
 	buildPlannedRun,
 	computeCores,
-	countOccurrences,
-	createOccurrence,
 	findGuaranteed,
 	findRoundGate,
 	isFitting,
@@ -41,6 +39,7 @@
 	listReadySteps,
 	listNodeCapacities,
 	listTaskRefs,
+	openDueOccurrences,
 	planRun,
 	stopRun
 } from "../internal.js"
@@ -76,9 +75,6 @@
 const GUARANTEED_LOSS_MAX = 3000
 const GUARANTEE_PATIENCE_MS = 1000
 
-/** Added to the due time of an occurrence, because the wall clocks of hosts differ. */
-const DUE_MARGIN_MS = 20
-
 const MS_PER_S = 1000
 
 /** Time beyond `stopMs` for which capacity is held for tasks before they are placed again. */
@@ -156,8 +152,9 @@
 	#placeAll(board: Board, catalog: CatalogEntry, now: number): number {
 		const active = [...board.workflows.values()].filter(isSchedulable)
 		const guaranteed = findGuaranteed(catalog.catalog, active)
-		this.#createDueOccurrences(board, active)
-		const steps = listReadySteps(catalog, active, guaranteed, now, this.#clock.readWallClock())
+		const wallNow = this.#clock.readWallClock()
+		this.#nextDueWallMs = openDueOccurrences(active, wallNow)
+		const steps = listReadySteps(catalog, active, guaranteed, now, wallNow)
 		const ready = this.#queue.order(steps.filter(({step}) => step.notBefore <= now))
 		this.#delayedUntil = findDelayEnd(steps, now)
 		this.#recordReadySteps(ready, now)
@@ -192,26 +189,6 @@
 		}
 	}
 
-	/** Creates occurrences that have become due. */
-	#createDueOccurrences(board: Board, active: readonly WorkflowEntry[]): void {
-		const wallNow = this.#clock.readWallClock()
-		this.#nextDueWallMs = Infinity
-		for (const workflow of active) {
-			const total = countOccurrences(workflow.record)
-			for (let index = 0; index < total; index++) {
-				// After a failover a later occurrence may be known from its row while an earlier one had no run yet.
-				if (workflow.occurrences.has(index)) continue
-				const occurrence = createOccurrence(workflow.record, index)
-				const dueWallMs = occurrence.dueWallMs + DUE_MARGIN_MS
-				if (workflow.record.spec.schedule !== undefined && dueWallMs > wallNow) {
-					this.#nextDueWallMs = Math.min(this.#nextDueWallMs, dueWallMs)
-					break
-				}
-				workflow.occurrences.set(index, occurrence)
-			}
-		}
-	}
-
 	#recordReadySteps(ready: readonly ReadyStep[], now: number): void {
 		const keys = new Set<string>()
 		for (const {occurrence, stepIndex} of ready) {
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -299,7 +299,7 @@
 			return
 		}
 		workflow.occurrences.set(occurrence.index, occurrence)
-		if (isOccurrenceDone(occurrence)) workflow.completedOccurrences++
+		if (isOccurrenceDone(occurrence)) workflow.done.add(occurrence.index)
 		for (const [stepIndex, step] of occurrence.steps.entries())
 			for (const [taskIndex, task] of step.tasks.entries()) {
 				if (task.phase !== TaskPhase.starting) continue
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -275,6 +275,11 @@
 /** Delay before the tasks of a step are placed again after a refused start. */
 export const STEP_RETRY_DELAY_MS = 150
 
+/** Limits of one workflow. The progress of each of its occurrences is written in one commit. */
+export const WORKFLOW_TASKS_MAX = 2300
+export const WORKFLOW_STEPS_MAX = 100
+export const WORKFLOW_OCCURRENCES_MAX = 10000
+
 /** Limits of the platform's table on one commit: the conditions and changes in it, and its size as it is sent. */
 export const COMMIT_ENTRIES_MAX = 100
 export const COMMIT_BYTES_MAX = 1_000_000
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -2,7 +2,7 @@
  * Work of several steps. A workflow is accepted as a whole. Each of its occurrences runs every step once, a step
  * consists of tasks, and each attempt of a task is a run. A job of the caller API is the special case of one step.
  */
-import {type ReleasedRun, type WorkerRegistration} from "../internal.js"
+import {type IndexRanges, type ReleasedRun, type WorkerRegistration} from "../internal.js"
 
 /** Resources of a worker that one task uses while it runs. */
 export interface ResourceDemand {
@@ -158,8 +158,8 @@
 	state: WorkflowState
 	savedState: WorkflowState
 	stateVersion: number
-	/** Number of completed occurrences. */
-	completedOccurrences: number
+	/** Occurrences that are done. */
+	readonly done: IndexRanges
 	cancelRequested: boolean
 	/** Monotonic time at which this holder first saw the workflow. */
 	readonly seenAt: number
--- a/src/utils/runs.ts
+++ b/src/utils/runs.ts
@@ -222,8 +222,8 @@
 		board.runs.delete(taskId)
 	}
 	if (isOccurrenceDone(occurrence)) {
-		workflow.completedOccurrences++
-		if (workflow.completedOccurrences === countOccurrences(workflow.record))
+		workflow.done.add(occurrence.index)
+		if (workflow.done.size === countOccurrences(workflow.record))
 			endWorkflow(board, workflow, WorkflowState.completed, now)
 	}
 	recordProgress(board, workflow, occurrence)
--- a/src/utils/workflows.ts
+++ b/src/utils/workflows.ts
@@ -7,6 +7,8 @@
 	type TaskRef,
 	type WorkflowEntry,
 	type WorkflowRecord,
+	type WorkflowSpec,
+	IndexRanges,
 	TaskPhase,
 	WorkflowState,
 	computeCriticalPaths,
@@ -92,22 +94,31 @@
 }
 
 export function createOccurrence(record: WorkflowRecord, index: number): Occurrence {
-	const {schedule, steps} = record.spec
 	return {
 		key: formatOccurrenceKey(record.id, index),
 		index,
-		dueWallMs: schedule === undefined ? 0 : schedule.firstDueWallMs + index * schedule.intervalMs,
-		steps: steps.map(createStepProgress),
+		dueWallMs: computeDueTime(record, index),
+		steps: record.spec.steps.map(createStepProgress),
 		rowVersions: [],
 		revision: 0,
 		savedRevision: 0
 	}
 }
 
+/** Wall time at which an occurrence is due; 0 without a schedule. */
+export function computeDueTime({spec: {schedule}}: WorkflowRecord, index: number): number {
+	return schedule === undefined ? 0 : schedule.firstDueWallMs + index * schedule.intervalMs
+}
+
 export function countOccurrences({spec}: WorkflowRecord): number {
 	return spec.schedule?.occurrences ?? 1
 }
 
+/** Tasks of one occurrence. */
+export function countTasks({steps}: WorkflowSpec): number {
+	return steps.reduce((sum, {tasks}) => sum + tasks, 0)
+}
+
 export function createWorkflowEntry(
 	record: WorkflowRecord,
 	now: number,
@@ -121,7 +132,7 @@
 		state: WorkflowState.queued,
 		savedState: WorkflowState.queued,
 		stateVersion: 0,
-		completedOccurrences: 0,
+		done: new IndexRanges(),
 		cancelRequested: false,
 		seenAt: now,
 		acceptedAt: now - waitedMs,
