Keep occurrences that are done as ranges in the state of their workflow

What callers saw: nothing yet. A recurring job left a row and all of its tasks in the holder's memory for each occurrence that was done, until the whole job ended: after a week of a job each minute, 10,000 rows of up to 64 KB each, which every new holder had to read before any work of anybody could start.

Now the state names the occurrences that are done as ranges, their rows are deleted in the same commit or a later one, and the holder drops them. Rows that are left over when a term begins are deleted by its holder. A state with ranges is `partly-done` in the table: a holder of an earlier version, which would run these occurrences again, can't read it and leaves the workflow alone.

--- a/__tests__/commit-limits.test.ts
+++ b/__tests__/commit-limits.test.ts
@@ -34,6 +34,12 @@
 	return {...createJob({workMs: 50}), ...schedule}
 }
 
+/** The same, with occurrences that are not done soon. */
+function createLastingJob(occurrences: number, firstRunMs: number) {
+	const {steps, spec} = createJob({workMs: 600000, gpu: 0, cpu: 100})
+	return {...createRecurringJob(occurrences, firstRunMs), steps, spec}
+}
+
 function countProgressRows({fleet}: Domain): number {
 	return fleet.store.readRange("progress", "main", "", undefined, 500).rows.length
 }
@@ -52,7 +58,7 @@
 	it("is cancelled without holding up other work", async () => {
 		const domain = await createServingDomain()
 		const {first, submit, ask, advance, readState, clock} = domain
-		await submit(first, `${BATCH}${ID_A}`, createRecurringJob(2 * OCCURRENCES, clock.now()))
+		await submit(first, `${BATCH}${ID_A}`, createLastingJob(2 * OCCURRENCES, clock.now()))
 		await advance(OCCURRENCES * INTERVAL_MS)
 		expect(countProgressRows(domain)).to.be.above(OCCURRENCES - 5)
 		await ask(first, {action: WorkflowAction.cancel, path: `${BATCH}${ID_A}`})
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -271,7 +271,14 @@
 			this.#exclude(board, entry)
 			return
 		}
-		const {state} = decoded.value
+		const {state, done} = decoded.value
+		if ((done.at(-1)?.[1] ?? -1) >= countOccurrences(entry.record)) {
+			recordMalformedRow(board, row, "no such occurrence")
+			this.#exclude(board, entry)
+			return
+		}
+		entry.done.append(done)
+		entry.savedDone = entry.done.size
 		entry.state = state
 		entry.savedState = state
 		entry.pendingRemoved = true
@@ -290,6 +297,12 @@
 			/^\d+$/.test(index) &&
 			others.length === 0 &&
 			occurrence.index < countOccurrences(workflow.record)
+		if (isDue && workflow.done.has(occurrence.index)) {
+			// The deletion of its rows was left to a later commit.
+			const rowVersions = rows.map(({version}) => version)
+			workflow.occurrences.set(occurrence.index, {...occurrence, steps: [], rowVersions})
+			return
+		}
 		const restored = restoreOccurrence(occurrence, rows, now)
 		if (!isDue || restored.isErr()) {
 			const detail = restored.isErr() ? restored.error.message : "no such occurrence"
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -158,8 +158,9 @@
 	state: WorkflowState
 	savedState: WorkflowState
 	stateVersion: number
-	/** Occurrences that are done. */
+	/** Occurrences that are done, and how many of them the table has as done. */
 	readonly done: IndexRanges
+	savedDone: number
 	cancelRequested: boolean
 	/** Monotonic time at which this holder first saw the workflow. */
 	readonly seenAt: number
--- a/src/utils/commit-batch.ts
+++ b/src/utils/commit-batch.ts
@@ -1,7 +1,7 @@
 /**
  * A commit of the workflow log: the rows that it writes, and the state that is durable once it has succeeded. The platform
  * limits the size of a commit, so a workflow with more changes than fit is written in several; its state goes first, and
- * the row of each occurrence stands for itself.
+ * the row of each occurrence stands for itself. The state names the occurrences that are done, whose rows are deleted.
  */
 import {
 	ANY_VERSION,
@@ -10,10 +10,13 @@
 	type Board,
 	type Occurrence,
 	type RowWrite,
+	type StepProgress,
 	type WorkflowEntry,
 	EventLevel,
+	TaskPhase,
 	WorkflowState,
 	encodeOccurrence,
+	encodeWorkflowState,
 	formatCancelKey,
 	formatPendingKey,
 	formatProgressKey,
@@ -25,6 +28,8 @@
 interface SavedState {
 	readonly entry: WorkflowEntry
 	readonly state: WorkflowState
+	/** Number of occurrences that it names as done. */
+	readonly done: number
 }
 interface SavedOccurrence {
 	readonly occurrence: Occurrence
@@ -91,19 +96,15 @@
 	return Math.ceil(Buffer.byteLength(value ?? "") / BASE64_GROUP_BYTES) * BASE64_GROUP_CHARACTERS
 }
 
-export interface WorkflowStateRow {
-	readonly workspace: string
-	readonly state: WorkflowState
-}
-
 /** Adds the changes of one workflow that are not in the table yet. Returns false if not all of them fit. */
 export function addChanges(batch: CommitBatch, entry: WorkflowEntry): boolean {
 	if (!addState(batch, entry)) return false
 	const isEnded = isFinal(entry.state)
 	for (const occurrence of entry.occurrences.values()) {
-		const {revision, savedRevision, rowVersions} = occurrence
-		if (!isEnded && revision === savedRevision) continue
-		const values = isEnded ? [] : encodeOccurrence(occurrence)
+		const {index, revision, savedRevision, rowVersions} = occurrence
+		const isOver = isEnded || entry.done.has(index)
+		if (!isOver && revision === savedRevision) continue
+		const values = isOver ? [] : encodeOccurrence(occurrence)
 		const writes = buildProgressWrites(occurrence, values)
 		if (writes.length === 0) continue
 		if (!batch.add(writes)) return false
@@ -126,17 +127,17 @@
 }
 
 function addState(batch: CommitBatch, entry: WorkflowEntry): boolean {
-	const {record, state, stateVersion} = entry
-	if (state === entry.savedState && (entry.pendingRemoved || state === WorkflowState.queued))
-		return true
-	const row: WorkflowStateRow = {workspace: record.workspace, state}
+	const {record, state, stateVersion, done} = entry
+	const isDoneSaved = isFinal(state) || done.size === entry.savedDone
+	const isPendingSaved = entry.pendingRemoved || state === WorkflowState.queued
+	if (state === entry.savedState && isDoneSaved && isPendingSaved) return true
 	const writes: RowWrite[] = [
-		{key: formatStateKey(record.id), ifVersion: stateVersion, value: JSON.stringify(row)}
+		{key: formatStateKey(record.id), ifVersion: stateVersion, value: encodeWorkflowState(entry)}
 	]
 	if (!entry.pendingRemoved)
 		writes.push({key: formatPendingKey(record.id), ifVersion: ANY_VERSION, value: null})
 	if (!batch.add(writes)) return false
-	batch.states.push({entry, state})
+	batch.states.push({entry, state, done: done.size})
 	return true
 }
 
@@ -156,13 +157,15 @@
 	versions: ReadonlyMap<string, number>
 ): void {
 	const touched = new Set<WorkflowEntry>()
-	for (const {entry, state} of batch.states) {
+	for (const {entry, state, done} of batch.states) {
 		const {id} = entry.record
+		const isNews = state !== entry.savedState
 		entry.savedState = state
+		entry.savedDone = done
 		entry.stateVersion = versions.get(formatStateKey(id)) ?? entry.stateVersion
 		entry.pendingRemoved = true
 		touched.add(entry)
-		board.record(EventLevel.info, "workflow-state", {workflow: id, state})
+		if (isNews) board.record(EventLevel.info, "workflow-state", {workflow: id, state})
 	}
 	for (const saved of batch.occurrences) {
 		const {occurrence, revision} = saved
@@ -173,7 +176,24 @@
 		if (entry !== undefined) touched.add(entry)
 	}
 	for (const {record} of batch.removed) board.workflows.delete(record.id)
-	for (const entry of touched) board.workflows.set(entry.record.id, entry)
+	for (const entry of touched) {
+		removeFinished(entry)
+		board.workflows.set(entry.record.id, entry)
+	}
+}
+
+/** Removes occurrences of which nothing is left on a worker or in the table, and nothing remains to be done. */
+function removeFinished({savedState, occurrences, done}: WorkflowEntry): void {
+	for (const [index, occurrence] of occurrences) {
+		const {revision, savedRevision, rowVersions, steps} = occurrence
+		const isOver = isFinal(savedState) || (done.has(index) && savedRevision >= revision)
+		const hasRows = rowVersions.some(version => version > 0)
+		if (isOver && !hasRows && !steps.some(hasRuns)) occurrences.delete(index)
+	}
+}
+
+function hasRuns({tasks}: StepProgress): boolean {
+	return tasks.some(({phase}) => phase !== TaskPhase.waiting && phase !== TaskPhase.done)
 }
 
 /** Adopts the row versions that a conflicting commit found, so that the next commit expects them. */
--- a/src/utils/workflow-rows.ts
+++ b/src/utils/workflow-rows.ts
@@ -12,8 +12,9 @@
 	type ReleasedRun,
 	type TableRow,
 	type TaskProgress,
+	type IndexRange,
+	type WorkflowEntry,
 	type WorkflowRecord,
-	type WorkflowStateRow,
 	EndEvidence,
 	EventLevel,
 	PROGRESS_PREFIX,
@@ -24,6 +25,7 @@
 	WorkflowState,
 	decodeJson,
 	formatProgressKey,
+	isFinal,
 	recordFailedWorker
 } from "../internal.js"
 
@@ -74,9 +76,24 @@
 	})
 })
 
+/**
+ * State in the row of a running workflow of which occurrences are done. Hosts of earlier versions would run these again, but
+ * don't schedule a workflow whose state they can't read.
+ */
+const PARTLY_DONE = "partly-done"
+
+const rangesSchema = z
+	.array(z.tuple([countSchema, countSchema]))
+	.refine(
+		ranges =>
+			ranges.every(([first, last], at) => first <= last && first > (ranges[at - 1]?.[1] ?? -1)),
+		"not in ascending order"
+	)
+
 const stateSchema = z.object({
 	workspace: z.string(),
-	state: z.enum(Object.values(WorkflowState))
+	state: z.enum([...Object.values(WorkflowState), PARTLY_DONE]),
+	done: rangesSchema.default([])
 })
 
 const ownerSchema = z.object({workspace: z.string(), queue: z.string()})
@@ -103,13 +120,30 @@
 
 const progressSchema = z.array(stepRowSchema)
 
+export interface WorkflowStateRow {
+	readonly workspace: string
+	readonly state: WorkflowState
+	/** Occurrences that are done; empty once the workflow has ended. */
+	readonly done: readonly IndexRange[]
+}
+
 export function decodeWorkflowRecord(text: string): Result<WorkflowRecord, MalformedError> {
 	// Optional fields are absent from the JSON and undefined in the record.
 	return decodeJson("workflow", recordSchema, text).map(record => record as WorkflowRecord)
 }
 
 export function decodeWorkflowState(text: string): Result<WorkflowStateRow, MalformedError> {
-	return decodeJson<WorkflowStateRow>("workflow state", stateSchema, text)
+	return decodeJson("workflow state", stateSchema, text).map(({workspace, state, done}) => ({
+		workspace,
+		state: state === PARTLY_DONE ? WorkflowState.running : state,
+		done
+	}))
+}
+
+/** Once a workflow has ended, its state stands for all of its occurrences. */
+export function encodeWorkflowState({record: {workspace}, state, done}: WorkflowEntry): string {
+	if (isFinal(state) || done.size === 0) return JSON.stringify({workspace, state})
+	return JSON.stringify({workspace, state: PARTLY_DONE, done: done.encode()})
 }
 
 /** The workspace and the queue that a workflow belongs to; undefined if its record is malformed. */
--- a/src/utils/workflows.ts
+++ b/src/utils/workflows.ts
@@ -133,6 +133,7 @@
 		savedState: WorkflowState.queued,
 		stateVersion: 0,
 		done: new IndexRanges(),
+		savedDone: 0,
 		cancelRequested: false,
 		seenAt: now,
 		acceptedAt: now - waitedMs,
