Let work without accelerators run beside withheld ones

What callers saw: while wide work waits for accelerators, other tenants' work that needs none waits as well, on workers with free cores.

Cause: capacity that is withheld makes the free accelerators of a worker negative, and a demand of 0 is above that. The same for memory.

The new test of run-placement.test.ts fails without the change.

--- a/__tests__/run-placement.test.ts
+++ b/__tests__/run-placement.test.ts
@@ -105,6 +105,13 @@
 		expect(chooseNodes(createUnit(createRefs("one", gang)), nodes)).to.deep.equal(["b1", "c1"])
 	})
 
+	// Regression test: withheld accelerators kept work that needs none from free cores.
+	it("takes a worker with free cores for work without accelerators, also if those are withheld", () => {
+		const [ref] = createRefs("cores", {count: 1, cpu: 1000})
+		const free = {cpuMillis: 32000, memoryMb: 131072, accelerators: -8}
+		expect(chooseNodes(createUnit([ref!]), [createNode("a1", "a", {free})])).to.deep.equal(["a1"])
+	})
+
 	// Load pattern: gangs wider than a rack. They waited 2 s for a rack that could never hold them.
 	it("spreads a gang at once that no rack could ever hold", () => {
 		const nodes = [createNode("a1", "a"), createNode("b1", "b"), createNode("c1", "c")]
--- a/src/policies/run-placement.ts
+++ b/src/policies/run-placement.ts
@@ -175,12 +175,17 @@
 
 export function isFitting(free: ResourceDemand, {demand, usesIdleCpu}: StepSpec): boolean {
 	return (
-		(usesIdleCpu || free.cpuMillis >= demand.cpuMillis) &&
-		free.memoryMb >= demand.memoryMb &&
-		free.accelerators >= demand.accelerators
+		(usesIdleCpu || isEnough(free.cpuMillis, demand.cpuMillis)) &&
+		isEnough(free.memoryMb, demand.memoryMb) &&
+		isEnough(free.accelerators, demand.accelerators)
 	)
 }
 
+/** What is withheld or held for others may make the free capacity negative; that concerns only work that needs some of it. */
+function isEnough(free: number, demand: number): boolean {
+	return demand === 0 || free >= demand
+}
+
 /** Adds a task's demand to the free capacity, or subtracts it if `sign` is -1. */
 export function addDemand(
 	free: NodeCapacity["free"],
