Try units that are alike once in a round of placement

What callers saw: with thousands of tasks waiting, a round of placement takes so long that starts, renewals and answers of everybody wait for it.

Cause: each waiting step was tried on all workers in each round, its tasks were all listed for that, and each that found no capacity was logged. In one round capacity only shrinks, so after one unit has found none, another one of which the policy decides on the same finds none either.

Now a round keeps what found no capacity, and what never will, by what the policy decides on; tasks are listed as they are asked for; a round logs 50 waiting groups at most, and what was logged is forgotten when it may be logged again.

--- a/src/controllers/run-placement.ts
+++ b/src/controllers/run-placement.ts
@@ -17,28 +17,27 @@
 	type RunQueuePolicy,
 	type Slot,
 	type StepSpec,
-	type TaskRef,
 	type WorkflowEntry,
 	EventLevel,
-	GUARANTEED_RANK,
 	Lifecycle,
 	PackedRunPlacement,
-	Punctuality,
 	PunctualRunQueue,
 	ReasonCode,
 	SectionName,
 	TaskPhase,
 	addDemand,
 	computeNextRun,
+	buildPlacementUnit,
 	buildPlannedRun,
 	computeCores,
 	findGuaranteed,
 	findRoundGate,
+	formatUnitKey,
 	isFitting,
 	isSchedulable,
 	listReadySteps,
 	listNodeCapacities,
-	listTaskRefs,
+	listWaitingGroups,
 	openDueOccurrences,
 	planRun,
 	stopRun
@@ -62,20 +61,8 @@
 /** Interval of log entries for a task that still waits. */
 const WAITING_LOG_INTERVAL_MS = 2000
 
-/** How long a step that is not urgent waits for the rack of its data, or a tightly coupled gang for a single rack. */
-const RACK_WAIT_MS = 2000
-
-/**
- * Core-seconds of other work that may be lost to preemption for urgent work that no guarantee covers: about what its
- * workspace loses when it is late.
- */
-const URGENT_LOSS_MAX = 1500
-
-/** The same for guaranteed work that has waited less than this time, and without bound after it. */
-const GUARANTEED_LOSS_MAX = 3000
-const GUARANTEE_PATIENCE_MS = 1000
-
-const MS_PER_S = 1000
+/** The same entries in one round; the next rounds log the others. */
+const WAITING_LINES_MAX = 50
 
 /** Time beyond `stopMs` for which capacity is held for tasks before they are placed again. */
 const HOLD_MARGIN_MS = 400
@@ -109,6 +96,9 @@
 	#withheldGroups = 0
 	/** What was withheld in this round. */
 	#withheld: {readonly node: NodeCapacity; readonly spec: StepSpec}[] = []
+	/** Units that found no capacity in this round, by what the policy decides on, and those of them that never will. */
+	readonly #misfits = new Set<string>()
+	readonly #hopeless = new Set<string>()
 	/** Monotonic time at which each waiting step became ready, by occurrence and step. */
 	readonly #readyAt = new Map<string, number>()
 	#nextDueWallMs = Infinity
@@ -116,6 +106,8 @@
 	#delayedUntil = Infinity
 	/** Monotonic time of the last log entry about a waiting group, by the first task's id. */
 	readonly #waitingLoggedAt = new Map<string, number>()
+	/** Log entries about waiting groups in this round. */
+	#waitingLines = 0
 
 	constructor(
 		clock: Clock,
@@ -163,6 +155,9 @@
 		this.#applyHolds(board, capacityByService, now)
 		this.#withheldGroups = 0
 		this.#withheld = []
+		this.#misfits.clear()
+		this.#hopeless.clear()
+		this.#resetWaitingLines(now)
 		const waiting = ready.filter(
 			step => !this.#placeStep(board, step, catalog, capacityByService, now)
 		)
@@ -180,6 +175,7 @@
 	): void {
 		for (const {node, spec} of this.#withheld) addDemand(node.free, spec, 1)
 		this.#withheld = []
+		this.#misfits.clear()
 		this.#withheldGroups = WITHHELD_GROUPS_MAX
 		for (const step of waiting) {
 			const readyAt = this.#readyAt.get(`${step.occurrence.key}.${step.stepIndex}`) ?? now
@@ -237,49 +233,61 @@
 		capacityByService: CapacityByService,
 		now: number
 	): boolean {
-		const {workflow, occurrence, stepIndex, spec, rank} = ready
+		const {workflow, occurrence, stepIndex} = ready
 		const service = findService(catalog, workflow)
 		const nodes = capacityByService.get(service) ?? []
-		const refs = listTaskRefs(workflow, occurrence, stepIndex)
-		const waiting = refs.filter(({task}) => task.phase === TaskPhase.waiting)
-		const groups = (spec.gang ? [waiting] : waiting.map(ref => [ref])).filter(
-			([first]) => first !== undefined && !this.#holds.has(first.taskId)
-		)
 		const readyAt = this.#readyAt.get(`${occurrence.key}.${stepIndex}`) ?? now
-		for (const group of groups) {
-			const mayWait = !this.#overdue.has(group[0]?.taskId ?? "")
-			const unit: PlacementUnit = {
-				refs: group,
-				spec,
-				rank,
-				lossMax: computeLossMax(ready, now),
-				mayWait,
-				prefersFast: workflow.record.priority === 0,
-				remoteCost: computeRemoteCost(board, ready, now - readyAt),
-				failedOn: new Set(group.flatMap(({task}) => task.failedOn)),
-				isLastAttempt: isLastAttempt(group[0])
-			}
-			const slots = this.#policy.choose(unit, nodes)
-			if (slots === undefined) {
-				this.#recordWaiting(board, unit, nodes, now - readyAt, now)
-				this.#withhold(unit, nodes)
-				return false
-			}
-			this.#commitSlots(board, unit, slots, now)
+		for (const group of listWaitingGroups(ready)) {
+			const [first] = group
+			if (first === undefined || this.#holds.has(first.taskId)) continue
+			const mayWait = !this.#overdue.has(first.taskId)
+			const unit = buildPlacementUnit(board, ready, group, {mayWait, waitedMs: now - readyAt}, now)
+			if (!this.#placeUnit(board, unit, service, nodes, now - readyAt, now)) return false
 		}
 		return true
 	}
 
-	/** Withholds from all later steps the capacity where a waiting group is forecast to fit soonest. */
-	#withhold(unit: PlacementUnit, nodes: readonly NodeCapacity[]): void {
-		if (this.#withheldGroups >= WITHHELD_GROUPS_MAX) return
+	/** Returns false if the unit found no capacity. Then another one like it finds none in this round either. */
+	#placeUnit(
+		board: Board,
+		unit: PlacementUnit,
+		service: string,
+		nodes: readonly NodeCapacity[],
+		waitedMs: number,
+		now: number
+	): boolean {
+		const key = formatUnitKey(unit, service)
+		const slots = this.#misfits.has(key) ? undefined : this.#policy.choose(unit, nodes)
+		if (slots !== undefined) {
+			this.#commitSlots(board, unit, slots, now)
+			return true
+		}
+		this.#misfits.add(key)
+		this.#recordWaiting(board, unit, nodes, waitedMs, now)
+		if (!this.#hopeless.has(key) && !this.#withhold(unit, nodes)) this.#hopeless.add(key)
+		return false
+	}
+
+	/**
+	 * Withholds from all later steps the capacity where a waiting group is forecast to fit soonest. Returns false if it
+	 * never fits.
+	 */
+	#withhold(unit: PlacementUnit, nodes: readonly NodeCapacity[]): boolean {
+		if (this.#withheldGroups >= WITHHELD_GROUPS_MAX) return true
 		const slots = this.#policy.forecast(unit, nodes)
-		if (slots === undefined) return
+		if (slots === undefined) return false
 		this.#withheldGroups++
 		for (const {node} of slots) {
 			addDemand(node.free, unit.spec, -1)
 			this.#withheld.push({node, spec: unit.spec})
 		}
+		return true
+	}
+
+	#resetWaitingLines(now: number): void {
+		this.#waitingLines = 0
+		for (const [taskId, loggedAt] of this.#waitingLoggedAt)
+			if (now - loggedAt >= WAITING_LOG_INTERVAL_MS) this.#waitingLoggedAt.delete(taskId)
 	}
 
 	#recordWaiting(
@@ -290,9 +298,10 @@
 		now: number
 	): void {
 		const [first] = refs
-		if (first === undefined) return
+		if (first === undefined || this.#waitingLines >= WAITING_LINES_MAX) return
 		if (now - (this.#waitingLoggedAt.get(first.taskId) ?? -Infinity) < WAITING_LOG_INTERVAL_MS)
 			return
+		this.#waitingLines++
 		this.#waitingLoggedAt.set(first.taskId, now)
 		const fields = {
 			task: first.taskId,
@@ -352,16 +361,6 @@
 		nodes[index]?.listRuns().push(buildPlannedRun(ref, rank))
 }
 
-/**
- * Only guaranteed work, and work of priority 0 that is expected to complete in time, may preempt. Guaranteed work waits
- * for cheap victims at first: a gang of dozens of workers should not be lost for what other runs free within a second.
- */
-function computeLossMax({rank, workflow, punctuality}: ReadyStep, now: number): number {
-	if (rank === GUARANTEED_RANK)
-		return now - workflow.acceptedAt < GUARANTEE_PATIENCE_MS ? GUARANTEED_LOSS_MAX : Infinity
-	return workflow.record.priority === 0 && punctuality === Punctuality.onTime ? URGENT_LOSS_MAX : -1
-}
-
 /** Earliest time at which one of the steps may run that may not yet; not by Math.min, as a call takes few arguments. */
 function findDelayEnd(steps: readonly ReadyStep[], now: number): number {
 	let earliest = Infinity
@@ -370,22 +369,6 @@
 	return earliest
 }
 
-function isLastAttempt(ref: TaskRef | undefined): boolean {
-	if (ref === undefined) return false
-	const {workflow, spec, step, task} = ref
-	const failures = spec.gang ? step.gangFailures : task.failures
-	return failures + 1 >= workflow.record.maxAttempts
-}
-
-/** Core-seconds that a longer run in a remote rack costs; urgent work would also be late because of it. */
-function computeRemoteCost(board: Board, {spec, workflow}: ReadyStep, waitedMs: number): number {
-	if (spec.dataRack === undefined && !spec.tightlyCoupled) return 0
-	if (workflow.record.priority === 0) return URGENT_LOSS_MAX
-	if (waitedMs < RACK_WAIT_MS) return Infinity
-	const factor = board.settings.domain?.remoteFactor ?? 1
-	return (computeCores(spec) * spec.tasks * (factor - 1) * spec.estimateMs) / MS_PER_S
-}
-
 /** Returns the queue's current service, or the recorded one if the queue no longer exists. */
 function findService({catalog}: CatalogEntry, {record}: WorkflowEntry): string {
 	return catalog.queues.find(({name}) => name === record.queue)?.service ?? record.service
