--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -341,8 +341,11 @@
 			value: undefined
 		}
 		const batch = this.#collectBatch(board, holderCheck, now)
-		if (batch.writes.length === 0)
-			return Math.min(this.#findNextRemoval(board), ...this.#refusedUntil.values())
+		if (batch.writes.length === 0) {
+			let nextAt = this.#findNextRemoval(board)
+			for (const until of this.#refusedUntil.values()) nextAt = Math.min(nextAt, until)
+			return nextAt
+		}
 		this.#batch = batch
 		issueTableCommit(
 			board,
--- a/src/utils/workflow-load.ts
+++ b/src/utils/workflow-load.ts
@@ -52,11 +52,11 @@
 	}
 
 	addWorkflows({rows, version}: TableChanges): void {
-		this.workflowRows.push(...rows)
+		for (const row of rows) this.workflowRows.push(row)
 		this.version = Math.min(this.version, version)
 	}
 
 	addProgress(rows: readonly TableRow[]): void {
-		this.progressRows.push(...rows)
+		for (const row of rows) this.progressRows.push(row)
 	}
 }
--- a/src/utils/workflow-rows.ts
+++ b/src/utils/workflow-rows.ts
@@ -226,7 +226,7 @@
 ): Result<void, MalformedError> {
 	const text = tableRows.map(({value}) => value).join("")
 	return decodeJson("progress", progressSchema, text).map(rows => {
-		occurrence.rowVersions.push(...tableRows.map(({version}) => version))
+		for (const {version} of tableRows) occurrence.rowVersions.push(version)
 		for (const [index, step] of occurrence.steps.entries()) {
 			const row = rows[index]
 			if (row === undefined) continue
