--- a/src/utils/workflow-rows.ts
+++ b/src/utils/workflow-rows.ts
@@ -22,6 +22,9 @@
 	ROW_BYTES_MAX,
 	ReasonCode,
 	TaskPhase,
+	WORKFLOW_OCCURRENCES_MAX,
+	WORKFLOW_STEPS_MAX,
+	WORKFLOW_TASKS_MAX,
 	WorkflowState,
 	decodeJson,
 	formatProgressKey,
@@ -65,12 +68,19 @@
 	acceptedAtWallMs: z.number(),
 	spec: z.object({
 		payload: z.string(),
-		steps: z.array(stepSpecSchema).min(1),
+		steps: z
+			.array(stepSpecSchema)
+			.min(1)
+			.max(WORKFLOW_STEPS_MAX)
+			.refine(
+				steps => steps.reduce((sum, {tasks}) => sum + tasks, 0) <= WORKFLOW_TASKS_MAX,
+				`more than ${WORKFLOW_TASKS_MAX} tasks`
+			),
 		schedule: z
 			.object({
 				firstDueWallMs: z.number(),
 				intervalMs: amountSchema,
-				occurrences: countSchema
+				occurrences: countSchema.max(WORKFLOW_OCCURRENCES_MAX)
 			})
 			.optional()
 	})
