Name each step that a step depends on once

Records are read with each name once.

The test of workflow-records.test.ts fails without it (trial).

--- a/__tests__/workflow-records.test.ts
+++ b/__tests__/workflow-records.test.ts
@@ -21,4 +21,15 @@
 			const value = JSON.stringify({...record, spec: {...record.spec, ...(odd as object)}})
 			expect(decodeWorkflowRecord(value).isErr()).to.equal(true)
 		})
+
+	// Regression test: a step that names an earlier one thousands of times was checked as often in each round.
+	it("names each of the steps that a step depends on once", () => {
+		const record = createRecord()
+		const after = Array.from({length: 15000}, () => 0)
+		const value = JSON.stringify({
+			...record,
+			spec: {...record.spec, steps: [step, {...step, after}]}
+		})
+		expect(decodeWorkflowRecord(value)._unsafeUnwrap().spec.steps[1]!.after).to.deep.equal([0])
+	})
 })
--- a/src/utils/workflow-rows.ts
+++ b/src/utils/workflow-rows.ts
@@ -35,6 +35,9 @@
 const countSchema = z.int().min(0)
 const amountSchema = z.number().min(0)
 
+/** Each step is named once, since every round checks all of them. */
+const afterSchema = z.array(countSchema).transform(steps => [...new Set(steps)])
+
 const stepSpecSchema = z.object({
 	tasks: countSchema.min(1),
 	demand: z.object({
@@ -43,7 +46,7 @@
 		accelerators: amountSchema
 	}),
 	estimateMs: amountSchema,
-	after: z.array(countSchema),
+	after: afterSchema,
 	checkpoints: z.boolean(),
 	gang: z.boolean(),
 	tightlyCoupled: z.boolean(),
