Adopt the rows of a term in parts

What callers saw: nothing yet. A holder decoded all rows of its domain in one turn. With tens of thousands of jobs that takes longer than its lease on a small host, so it lost the domain before it had loaded it, and so did the next.

--- a/src/controllers/registry.ts
+++ b/src/controllers/registry.ts
@@ -78,7 +78,7 @@
 	return [
 		new CatalogController(),
 		new AuthorityController(new FollowedHolderRows(), createHolderLease(board.settings)),
-		new WorkflowLogController(board, readWallClock),
+		new WorkflowLogController(board, clock),
 		new NodeController(board),
 		new NodeLogController(board),
 		new RunReportController(board),
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/workflow-log.ts
@@ -8,13 +8,12 @@
 	type AuthorityEntry,
 	type Board,
 	type CallError,
+	type Clock,
 	type Completion,
 	type Controller,
 	type TableChanges,
-	type ProgressRows,
 	type RowWrite,
 	type TableRow,
-	type WorkflowEntry,
 	COMMIT_REFUSED_RETRY_MS,
 	COMMIT_SOON_MS,
 	COMMIT_TIMEOUT_MS,
@@ -32,34 +31,19 @@
 	RefusedError,
 	SectionName,
 	WORKFLOW_PREFIX,
+	WorkflowAdoption,
 	WorkflowLoad,
-	WorkflowRowKind,
-	WorkflowState,
 	addChanges,
 	addRemoval,
 	adoptVersions,
 	computeSteadyTime,
-	countOccurrences,
-	createOccurrence,
-	createTaskRef,
-	createWorkflowEntry,
-	decodeWorkflowRecord,
-	decodeWorkflowState,
-	endWorkflow,
-	findObjective,
 	findTerm,
 	formatHolderKey,
-	groupProgressRows,
 	isFinal,
-	isOccurrenceDone,
-	recordMalformedRow,
 	recordSaved,
 	issueTableCommit,
 	issueTableFollow,
 	issueTableScan,
-	parseWorkflowKey,
-	restoreOccurrence,
-	TaskPhase,
 	TransportError
 } from "../internal.js"
 
@@ -71,14 +55,20 @@
 /** Number of keys that an event about a conflict names. */
 const CONFLICTS_LOGGED_MAX = 40
 
+/** Time between the parts of a load, in which answers are read and commands are sent. */
+const ADOPTION_PAUSE_MS = 5
+
 /** First digits of workflow ids, which are spread evenly: one read for each. */
 const ID_DIGITS = "0123456789abcdef"
 
 export class WorkflowLogController implements Controller {
 	readonly name = "workflow-log"
 	readonly reads = [SectionName.completions, SectionName.authority, SectionName.workflows]
-	readonly #readWallClock: () => number
 	readonly #changed: Set<string>
+	readonly #clock: Clock
+	readonly #adoption: WorkflowAdoption
+	/** Monotonic time at which the next part of a term's first rows is adopted. */
+	#adoptAt = 0
 	#epoch = 0
 	/** Version after which changes are requested; undefined until all rows have been read. */
 	#afterVersion: number | undefined
@@ -93,17 +83,14 @@
 	#commitTimeoutMs = PLATFORM_TIMEOUT_MS
 	/** Workflows with unsaved changes, in the order in which they changed. */
 	readonly #dirty = new Set<string>()
-	/** Ended workflows, oldest first, until their rows are deleted. */
-	readonly #ended = new Set<string>()
-	/** Workflows with a malformed row, which are not scheduled in this term. */
-	readonly #excluded = new Set<string>()
 	/** Workflows left out of commits until a monotonic time, since the platform refused their changes. */
 	readonly #refusedUntil = new Map<string, number>()
 	/** Number of commits still to be made of one workflow each, after a commit of several was refused. */
 	#singleCommits = 0
 
-	constructor(board: Board, readWallClock: () => number) {
-		this.#readWallClock = readWallClock
+	constructor(board: Board, clock: Clock) {
+		this.#clock = clock
+		this.#adoption = new WorkflowAdoption(board, () => clock.readWallClock())
 		this.#changed = board.workflows.watch()
 	}
 
@@ -118,6 +105,13 @@
 			this.#removeAll(board)
 			this.#epoch = term.epoch
 		}
+		if (this.#adoption.isPending) {
+			if (now < this.#adoptAt) return this.#adoptAt
+			const isLeft = this.#adoption.adoptNext(now)
+			this.#adoptAt = this.#clock.now() + ADOPTION_PAUSE_MS
+			if (isLeft) return this.#adoptAt
+			this.#recordLoaded(board, now)
+		}
 		const pollAt = this.#poll(board, now)
 		for (const id of this.#changed) this.#dirty.add(id)
 		this.#changed.clear()
@@ -129,11 +123,10 @@
 		this.#epoch = 0
 		this.#afterVersion = undefined
 		this.#load = undefined
+		this.#adoption.clear()
 		this.#nextPollAt = 0
 		this.#batch = undefined
 		this.#dirty.clear()
-		this.#ended.clear()
-		this.#excluded.clear()
 		this.#refusedUntil.clear()
 		this.#singleCommits = 0
 		for (const id of [...board.runs.keys()]) board.runs.delete(id)
@@ -177,7 +170,7 @@
 			return
 		}
 		this.#pollOutage.recordSuccess(board)
-		this.#adoptRows(board, result.value.rows, now)
+		this.#adoption.adoptRows(result.value.rows, now)
 		this.#afterVersion = result.value.version
 	}
 
@@ -209,129 +202,22 @@
 		if (!load.take(command.id)) return
 		if (command.kind === CommandKind.tableFollow) load.addWorkflows(result.value as TableChanges)
 		else load.addProgress(result.value as readonly TableRow[])
-		if (load.isComplete) this.#adoptLoad(board, load, now)
+		if (load.isComplete) this.#endLoad(board, load)
 	}
 
-	#adoptLoad(board: Board, load: WorkflowLoad, now: number): void {
+	#endLoad(board: Board, load: WorkflowLoad): void {
 		this.#load = undefined
 		this.#pollOutage.recordSuccess(board)
 		this.#afterVersion = load.version
-		this.#adoptRows(board, load.workflowRows, now)
-		for (const rows of groupProgressRows(load.progressRows)) this.#restoreProgress(board, rows, now)
+		this.#adoption.plan(load)
+	}
+
+	#recordLoaded(board: Board, now: number): void {
 		board.terms.set("loaded", {epoch: this.#epoch, loadedAt: computeSteadyTime(board, now)})
 		const fields = {epoch: this.#epoch, workflows: board.workflows.size, runs: board.runs.size}
 		board.record(EventLevel.info, "workflows-loaded", fields)
 	}
 
-	#adoptRows(board: Board, rows: readonly TableRow[], now: number): void {
-		const records = rows.filter(
-			({key, version}) => version > 0 && parseWorkflowKey(key).kind === WorkflowRowKind.record
-		)
-		for (const row of records) this.#adoptRecord(board, row, now)
-		const cancelled: WorkflowEntry[] = []
-		for (const row of rows) {
-			const {id, kind} = parseWorkflowKey(row.key)
-			const entry = board.workflows.get(id)
-			if (entry === undefined || row.version === 0) continue
-			if (kind === WorkflowRowKind.state) this.#adoptState(board, entry, row)
-			else if (kind === WorkflowRowKind.cancel) cancelled.push(entry)
-		}
-		// All states must be known first: a cancellation after the end of a workflow has no effect.
-		for (const entry of cancelled) cancelWorkflow(board, entry, now)
-	}
-
-	#adoptRecord(board: Board, row: TableRow, now: number): void {
-		const {id} = parseWorkflowKey(row.key)
-		if (board.workflows.has(id) || this.#excluded.has(id)) return
-		const decoded = decodeWorkflowRecord(row.value)
-		if (decoded.isErr() || decoded.value.id !== id) {
-			recordMalformedRow(board, row, decoded.isErr() ? decoded.error.message : "another id")
-			return
-		}
-		const record = decoded.value
-		const entry = createWorkflowEntry(record, now, this.#readWallClock())
-		board.workflows.set(id, entry)
-		board.record(EventLevel.info, "workflow-taken-up", {
-			workflow: id,
-			queue: record.queue,
-			workspace: record.workspace,
-			ageMs: Math.round(now - entry.acceptedAt),
-			objectiveMs: findObjective(board, entry)
-		})
-	}
-
-	/** Only holders write states, so a state unknown to this holder was written by an earlier one. */
-	#adoptState(board: Board, entry: WorkflowEntry, row: TableRow): void {
-		if (row.version <= entry.stateVersion) return
-		entry.stateVersion = row.version
-		if (board.terms.has("loaded")) return
-		const decoded = decodeWorkflowState(row.value)
-		if (decoded.isErr()) {
-			recordMalformedRow(board, row, decoded.error.message)
-			this.#exclude(board, entry)
-			return
-		}
-		const {state, done} = decoded.value
-		if ((done.at(-1)?.[1] ?? -1) >= countOccurrences(entry.record)) {
-			recordMalformedRow(board, row, "no such occurrence")
-			this.#exclude(board, entry)
-			return
-		}
-		entry.done.append(done)
-		entry.savedDone = entry.done.size
-		entry.state = state
-		entry.savedState = state
-		entry.pendingRemoved = true
-		if (isFinal(state)) {
-			entry.endedAt = entry.seenAt
-			this.#ended.add(entry.record.id)
-		}
-	}
-
-	#restoreProgress(board: Board, {key, rows}: ProgressRows, now: number): void {
-		const [id = "", index = "", ...others] = key.split(".")
-		const workflow = board.workflows.get(id)
-		if (workflow === undefined) return
-		const occurrence = createOccurrence(workflow.record, Number(index))
-		const isDue =
-			/^\d+$/.test(index) &&
-			others.length === 0 &&
-			occurrence.index < countOccurrences(workflow.record)
-		if (isDue && workflow.done.has(occurrence.index)) {
-			// The deletion of its rows was left to a later commit.
-			const rowVersions = rows.map(({version}) => version)
-			workflow.occurrences.set(occurrence.index, {...occurrence, steps: [], rowVersions})
-			return
-		}
-		const restored = restoreOccurrence(occurrence, rows, now)
-		if (!isDue || restored.isErr()) {
-			const detail = restored.isErr() ? restored.error.message : "no such occurrence"
-			for (const row of rows) recordMalformedRow(board, row, detail)
-			// Without its progress, work that is done or running would start again.
-			if (isDue) this.#exclude(board, workflow)
-			return
-		}
-		workflow.occurrences.set(occurrence.index, occurrence)
-		if (isOccurrenceDone(occurrence)) workflow.done.add(occurrence.index)
-		for (const [stepIndex, step] of occurrence.steps.entries())
-			for (const [taskIndex, task] of step.tasks.entries()) {
-				if (task.phase !== TaskPhase.starting) continue
-				const ref = createTaskRef(workflow, occurrence, stepIndex, taskIndex)
-				if (ref === undefined) continue
-				board.runs.set(ref.taskId, ref)
-				board.reportRequests.set(task.workerId, now)
-			}
-	}
-
-	/** Schedules nothing of a workflow whose rows can't be read, in this term. */
-	#exclude(board: Board, {record}: WorkflowEntry): void {
-		for (const taskId of [...board.runs.keys()])
-			if (taskId.startsWith(`${record.id}.`)) board.runs.delete(taskId)
-		board.workflows.delete(record.id)
-		this.#ended.delete(record.id)
-		this.#excluded.add(record.id)
-	}
-
 	#commit(board: Board, term: AuthorityEntry, now: number): number {
 		if (this.#batch !== undefined || !board.terms.has("loaded")) return Infinity
 		if (now < this.#nextCommitAt) return this.#nextCommitAt
@@ -359,7 +245,7 @@
 	}
 
 	#findNextRemoval(board: Board): number {
-		const [oldest] = this.#ended
+		const [oldest] = this.#adoption.ended
 		const endedAt = oldest === undefined ? undefined : board.workflows.get(oldest)?.endedAt
 		return endedAt === undefined ? Infinity : endedAt + this.#findStateKeptMs(board)
 	}
@@ -390,11 +276,11 @@
 
 	/** Adds the deletion of workflows that ended more than `stateKeptMs` ago. */
 	#collectRemovals(board: Board, batch: CommitBatch, now: number): void {
-		for (const id of this.#ended) {
+		for (const id of this.#adoption.ended) {
 			const entry = board.workflows.get(id)
 			if (entry !== undefined && (entry.endedAt ?? now) + this.#findStateKeptMs(board) > now) return
 			if (entry !== undefined && !addRemoval(batch, entry)) return
-			this.#ended.delete(id)
+			this.#adoption.ended.delete(id)
 		}
 	}
 
@@ -423,7 +309,8 @@
 		for (const [index, {key}] of command.request.writes.entries())
 			versions.set(key, result.value.versions[index] ?? 0)
 		recordSaved(board, batch, versions)
-		for (const {entry, state} of batch.states) if (isFinal(state)) this.#ended.add(entry.record.id)
+		for (const {entry, state} of batch.states)
+			if (isFinal(state)) this.#adoption.ended.add(entry.record.id)
 	}
 
 	/** Commits the batch's workflows one by one, and leaves out one that the platform refuses by itself. */
@@ -443,7 +330,7 @@
 		for (const {entry} of batch.states) this.#dirty.add(entry.record.id)
 		for (const {occurrence} of batch.occurrences)
 			this.#dirty.add(occurrence.key.split(".")[0] ?? "")
-		for (const {record} of batch.removed) this.#ended.add(record.id)
+		for (const {record} of batch.removed) this.#adoption.ended.add(record.id)
 	}
 
 	/**
@@ -474,9 +361,3 @@
 function isRefusedForContent(error: CallError): boolean {
 	return error instanceof RefusedError && error.code === RefusalCode.malformed
 }
-
-function cancelWorkflow(board: Board, entry: WorkflowEntry, now: number): void {
-	if (entry.cancelRequested) return
-	entry.cancelRequested = true
-	endWorkflow(board, entry, WorkflowState.cancelled, now)
-}
