Refuse a workspace's work at once that its holder can't keep

Each host accepted whatever it was sent, and nothing said how much the holder bears.

Now a queue is closed to a workspace while the workspace's unfinished work in it takes more of the holder than what is left for all: 150,000 tasks of open occurrences and 32 MB of records, ended ones included while they are kept. The holder writes which queues are closed beside its own rows, which all hosts follow. A submission that is refused so has not run and gets Retry-After; one that was accepted before is told so, since its row is read first.

--- a/src/controllers/authority.ts
+++ b/src/controllers/authority.ts
@@ -23,6 +23,7 @@
 	PolledHolderRows,
 	RETRY_BASE_MS,
 	SectionName,
+	adoptIntakeLimits,
 	computeConfirmedUntil,
 	computeFreeAt,
 	computeSteadyTime,
@@ -363,6 +364,7 @@
 	#adoptRows(board: Board, rows: readonly TableRow[], now: number): void {
 		const {hostId} = board.settings
 		const zone = findAuthorityScope(board.settings)
+		adoptIntakeLimits(board, rows)
 		const holderRow = rows.find(row => row.key === formatHolderKey(zone))
 		const leaseRow = rows.find(row => row.key === formatLeaseKey(zone))
 		const known = board.authority.get(zone)
--- a/src/controllers/registry.ts
+++ b/src/controllers/registry.ts
@@ -18,6 +18,7 @@
 	FollowedHolderRows,
 	GangController,
 	HostListController,
+	IntakeLimitsController,
 	JobListController,
 	LedgerController,
 	NodeController,
@@ -86,6 +87,7 @@
 		new RunOrderController(board),
 		new RunPlacementController(clock),
 		new StandstillController(),
+		new IntakeLimitsController(),
 		new WorkflowIntakeController(readWallClock),
 		new PendingCountController()
 	]
--- a/src/controllers/workflow-intake.ts
+++ b/src/controllers/workflow-intake.ts
@@ -17,6 +17,7 @@
 	type WorkflowSpec,
 	CommandKind,
 	EventLevel,
+	FULL_RETRY_AFTER_MS,
 	INTAKE_CALL_TIMEOUT_MS,
 	INTAKE_MARGIN_MS,
 	INTAKE_REFUSED_RETRIES,
@@ -39,6 +40,7 @@
 	findRecordOwner,
 	findWorkspace,
 	formatCancelKey,
+	formatIntakePair,
 	formatPendingKey,
 	formatWorkflowKey,
 	isCatalogStale,
@@ -61,6 +63,8 @@
 	readonly workflowId: string
 	readonly catalogVersion: number
 	readonly evidenceAgeMs: number
+	/** The queue is closed to the workspace for now: the submission is only answered if it was accepted before. */
+	readonly isClosed: boolean
 	/** True once a commit was sent that may still take effect. */
 	mayHaveTakenEffect: boolean
 	refusals: number
@@ -177,6 +181,7 @@
 			workflowId: rest,
 			catalogVersion: catalog.version,
 			evidenceAgeMs: Math.round(now - evidenceAt),
+			isClosed: isClosedTo(board, workspace, queue),
 			mayHaveTakenEffect: false,
 			refusals: 0,
 			retries: 0,
@@ -192,7 +197,7 @@
 		const remainingMs = computeGiveUpAt(operation) - now
 		const timeoutMs = Math.max(1, Math.min(INTAKE_CALL_TIMEOUT_MS, remainingMs))
 		const {id} = operation.request
-		if (operation.action === WorkflowAction.submit) {
+		if (operation.action === WorkflowAction.submit && !operation.isClosed) {
 			const writes = this.#buildRows(operation)
 			if (writes === undefined) return
 			operation.commandId = issueTableCommit(board, this.name, id, writes, now, timeoutMs)
@@ -230,9 +235,7 @@
 	/** A refusal by the platform means that nothing was done; after any other error a commit may still take effect. */
 	#retry(board: Board, operation: IntakeOperation, error: Error, now: number): void {
 		const isRefused = error instanceof RefusedError
-		const isWrite =
-			operation.action === WorkflowAction.submit || operation.action === WorkflowAction.cancel
-		if (!isRefused && isWrite) operation.mayHaveTakenEffect = true
+		if (!isRefused && mayWrite(operation)) operation.mayHaveTakenEffect = true
 		if (isRefused) operation.refusals++
 		const fields = {workflow: operation.workflowId, action: operation.action, detail: error.message}
 		board.record(
@@ -263,6 +266,16 @@
 		}
 		const key = formatWorkflowKey(operation.workflowId)
 		const existing = result.value.conflicts.find(row => row.key === key && row.version > 0)
+		this.#replyAccepted(board, operation, existing, now)
+	}
+
+	/** Answers a submission whose id is known; without its row, an earlier commit of the same submission succeeded. */
+	#replyAccepted(
+		board: Board,
+		operation: IntakeOperation,
+		existing: TableRow | undefined,
+		now: number
+	): void {
 		if (existing === undefined || isOwnRow(board, operation, existing))
 			this.#replyState(board, operation, WorkflowState.queued, now)
 		else {
@@ -280,6 +293,11 @@
 		if (result.isErr()) return
 		const rows = new Map(result.value.map(row => [parseWorkflowKey(row.key).kind, row]))
 		const record = rows.get(WorkflowRowKind.record)
+		if (operation.action === WorkflowAction.submit) {
+			if (record === undefined) this.#refuseClosed(board, operation, now)
+			else this.#replyAccepted(board, operation, record, now)
+			return
+		}
 		if (record === undefined || !isOwnRow(board, operation, record)) {
 			const detail = `workflow ${operation.workflowId} does not exist`
 			this.#finish(board, operation, ReasonCode.unknownWorkflow, RanState.unknown, detail, now)
@@ -307,6 +325,13 @@
 		)
 	}
 
+	/** The caller's workspace waits for its own work, so a repetition is of use only once some of it has ended. */
+	#refuseClosed(board: Board, operation: IntakeOperation, now: number): void {
+		const {workspace, queue} = operation
+		const detail = `the unfinished work of workspace "${workspace}" in queue "${queue.name}" takes all of its share`
+		this.#finish(board, operation, ReasonCode.queueFull, RanState.no, detail, now)
+	}
+
 	#replyState(board: Board, operation: IntakeOperation, state: WorkflowState, now: number): void {
 		this.#operations.delete(operation.request.id)
 		board.replies.set(operation.request.id, {kind: ReplyKind.workflow, state})
@@ -315,7 +340,7 @@
 
 	#giveUp(board: Board, operation: IntakeOperation, now: number): void {
 		// A commit in flight may take effect after the caller has its reply.
-		const isWriting = operation.commandId !== undefined && operation.action !== WorkflowAction.get
+		const isWriting = operation.commandId !== undefined && mayWrite(operation)
 		if (operation.mayHaveTakenEffect || isWriting) {
 			const detail = "the platform's table did not answer"
 			this.#finish(board, operation, ReasonCode.answerLost, RanState.unknown, detail, now)
@@ -335,7 +360,8 @@
 	): void {
 		this.#operations.delete(operation.request.id)
 		recordAnswer(board, operation, reason, now)
-		const retryAfterMs = computeRetryAfter(operation.action)
+		const retryAfterMs =
+			reason === ReasonCode.queueFull ? FULL_RETRY_AFTER_MS : computeRetryAfter(operation.action)
 		const refusal = {...buildRefusal(reason, ran, detail, operation.workflowId), retryAfterMs}
 		board.replies.set(operation.request.id, {kind: ReplyKind.refused, refusal})
 	}
@@ -397,6 +423,16 @@
 	return action === WorkflowAction.get ? 0 : PLATFORM_RETRY_AFTER_MS
 }
 
+/** True if the workspace may hand in no more work to the queue for now. */
+function isClosedTo({intakeLimits}: Board, workspace: string, queue: QueueConfig): boolean {
+	return intakeLimits.get("current")?.closed.has(formatIntakePair(workspace, queue.name)) === true
+}
+
+/** True if its calls to the table may have an effect. */
+function mayWrite({action, isClosed}: IntakeOperation): boolean {
+	return action === WorkflowAction.cancel || (action === WorkflowAction.submit && !isClosed)
+}
+
 /** On a public queue anybody may use what was submitted without a key, so no workflow of a queue that needs one. */
 function isOwnRow(board: Board, {workspace, queue}: IntakeOperation, row: TableRow): boolean {
 	const owner = findRecordOwner(row.value)
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -21,6 +21,7 @@
 	type HostRecord,
 	type HostRequest,
 	type HostSettings,
+	type IntakeLimits,
 	type JobEntry,
 	type JobNotice,
 	type JobRecord,
@@ -87,6 +88,7 @@
 	health: "health",
 	standstills: "standstills",
 	countRequests: "countRequests",
+	intakeLimits: "intakeLimits",
 	requests: "requests",
 	replies: "replies",
 	outbox: "outbox",
@@ -181,6 +183,8 @@
 	readonly standstills = new Section<string, StandstillEntry>()
 	/** Authorized requests for the number of a queue's workflows that have not started, by request id. */
 	readonly countRequests = new Section<string, CountRequest>()
+	/** Who may hand in no more work for now; keyed `current`. */
+	readonly intakeLimits = new Section<"current", IntakeLimits>()
 	readonly requests = new Section<string, HostRequest>()
 	readonly replies = new Section<string, Reply>()
 	readonly outbox = new Section<string, Command>()
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -280,6 +280,15 @@
 export const WORKFLOW_STEPS_MAX = 100
 export const WORKFLOW_OCCURRENCES_MAX = 10000
 
+/**
+ * Tasks of accepted workflows that a holder keeps at a time, and bytes of their records. A workspace hands in no more to a
+ * queue once its share is used up.
+ */
+export const DOMAIN_TASKS_MAX = 150_000
+export const DOMAIN_RECORD_BYTES_MAX = 32_000_000
+/** Retry delay sent to callers who may hand in no more for now. */
+export const FULL_RETRY_AFTER_MS = 5000
+
 /** Limits of the platform's table on one commit: the conditions and changes in it, and its size as it is sent. */
 export const COMMIT_ENTRIES_MAX = 100
 export const COMMIT_BYTES_MAX = 1_000_000
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -153,6 +153,8 @@
 export interface WorkflowEntry {
 	readonly record: WorkflowRecord
 	readonly occurrences: Map<number, Occurrence>
+	/** Size of its record in the table. */
+	readonly recordBytes: number
 	/** For each step, the estimated time from its start to the end of the last step that depends on it. */
 	readonly criticalPathsMs: readonly number[]
 	state: WorkflowState
--- a/src/utils/workflow-adoption.ts
+++ b/src/utils/workflow-adoption.ts
@@ -132,7 +132,7 @@
 			return
 		}
 		const record = decoded.value
-		const entry = createWorkflowEntry(record, now, this.#readWallClock())
+		const entry = createWorkflowEntry(record, now, this.#readWallClock(), row.value.length)
 		this.#board.workflows.set(id, entry)
 		this.#board.record(EventLevel.info, "workflow-taken-up", {
 			workflow: id,
--- a/src/utils/workflows.ts
+++ b/src/utils/workflows.ts
@@ -122,11 +122,13 @@
 export function createWorkflowEntry(
 	record: WorkflowRecord,
 	now: number,
-	wallNow: number
+	wallNow: number,
+	recordBytes = 0
 ): WorkflowEntry {
 	const waitedMs = Math.max(0, wallNow - record.acceptedAtWallMs)
 	return {
 		record,
+		recordBytes,
 		occurrences: new Map(),
 		criticalPathsMs: computeCriticalPaths(record.spec.steps),
 		state: WorkflowState.queued,
