--- a/src/controllers/run-report.ts
+++ b/src/controllers/run-report.ts
@@ -20,6 +20,7 @@
 	RUN_STALL_MS,
 	RUN_STALL_SHARE,
 	ReasonCode,
+	ReportedEnds,
 	RunEnd,
 	SectionName,
 	TaskPhase,
@@ -35,7 +36,6 @@
 	findTaskRef,
 	isCurrentRun,
 	isOlderThanStart,
-	isSaved,
 	listTaskRefs,
 	mayHaveLostRuns,
 	recordContradiction,
@@ -46,13 +46,6 @@
 	stopRun
 } from "../internal.js"
 
-/** Ends that one incarnation of a worker reported, and those whose consequences are not durable yet. */
-interface WorkerEnds {
-	readonly incarnation: string
-	lastPosition: number
-	readonly unsaved: {readonly position: number; readonly ref: TaskRef; readonly revision: number}[]
-}
-
 /** Interval of the check for runs on workers whose lease has expired. */
 const EXPIRY_CHECK_INTERVAL_MS = 200
 
@@ -75,7 +68,7 @@
 	readonly name = "run-report"
 	readonly reads = [SectionName.nodeReports, SectionName.workflows, SectionName.terms]
 	readonly #changedReports: Set<string>
-	readonly #ends = new Map<string, WorkerEnds>()
+	readonly #ends = new Map<string, ReportedEnds>()
 	readonly #paces = new WorkerPaces()
 	readonly #rates = new ProgressRates()
 	#expiryCheckAt = 0
@@ -118,7 +111,7 @@
 		if (node.incarnation === undefined) return
 		let ends = this.#ends.get(id)
 		if (ends?.incarnation !== node.incarnation) {
-			ends = {incarnation: node.incarnation, lastPosition: 0, unsaved: []}
+			ends = new ReportedEnds(node.incarnation)
 			this.#ends.set(id, ends)
 		}
 		const present = new Set<string>()
@@ -143,11 +136,8 @@
 		}
 		if (isSlow !== undefined) this.#recordSlowness(board, id, isSlow, now)
 		this.#recordForeignRuns(board, id, foreignRuns)
-		for (const end of report.ends) {
-			if (end.position <= ends.lastPosition) continue
-			ends.lastPosition = end.position
-			this.#handleEnd(board, node, end, ends, report, now)
-		}
+		for (const end of report.ends)
+			if (ends.isDue(end.position)) this.#handleEnd(board, node, end, ends, report, now)
 		if (!report.mayHaveMoreEnds) this.#releaseAbsent(board, node, report, present, now)
 		this.#stopStalled(board, node, report, now)
 	}
@@ -173,7 +163,7 @@
 		board: Board,
 		node: NodeEntry,
 		end: EndReport,
-		ends: WorkerEnds,
+		ends: ReportedEnds,
 		report: NodeReport,
 		now: number
 	): void {
@@ -181,40 +171,47 @@
 		const isCurrent =
 			ref !== undefined && board.runs.has(end.taskId) && isCurrentRun(ref, node, end.run)
 		this.#rates.delete(end.taskId)
-		board.record(EventLevel.info, "run-ended", {
-			task: end.taskId,
-			run: end.run,
-			worker: node.registration.id,
-			end: end.end,
-			position: end.position,
-			isCurrent
-		})
-		if (isCurrent) this.#settleRun(board, node, ref, {end, report}, now)
-		else if (end.end !== RunEnd.lapsed) this.#recordContradiction(board, node, end, end.end, report)
+		if (!ends.isKnown(end.position)) {
+			board.record(EventLevel.info, "run-ended", {
+				task: end.taskId,
+				run: end.run,
+				worker: node.registration.id,
+				end: end.end,
+				position: end.position,
+				isCurrent
+			})
+			if (!isCurrent && end.end !== RunEnd.lapsed)
+				this.#recordContradiction(board, node, end, end.end, report)
+		}
+		if (isCurrent && !this.#settleRun(board, node, ref, {end, report}, now))
+			ends.defer(end.position, ref)
 		// The end of a gang's member changes nothing if another member's came first, but has to outlast that change.
-		if (ref !== undefined)
-			ends.unsaved.push({position: end.position, ref, revision: ref.occurrence.revision})
+		else ends.settle(end.position, ref)
 	}
 
+	/** Returns false if the run can't be released yet: it is stopped first, and nothing follows from its end before. */
 	#settleRun(
 		board: Board,
 		node: NodeEntry,
 		ref: TaskRef,
 		{end, report}: {readonly end: EndReport; readonly report: NodeReport},
 		now: number
-	): void {
-		updateCheckpoint(ref, end.checkpoint)
+	): boolean {
 		if (end.end === RunEnd.done && !ref.spec.longRunning) {
 			completeTask(board, ref, now)
 			this.#clearFailures(board, node.registration.id, ref, now)
-			return
+			return true
 		}
-		const hasFailed = end.end === RunEnd.failed
-		const isLastFailure = hasFailed && this.#recordFailure(board, node, ref, now)
 		const proof = findListedEndProof(this.name, ref, node, {end, report}, now)
-		if (proof === undefined) stopRun(board, ref, ReasonCode.workerLost, now)
-		else releaseRun(board, ref, end.end, proof, now)
+		if (proof === undefined) {
+			stopRun(board, ref, ReasonCode.workerLost, now)
+			return false
+		}
+		updateCheckpoint(ref, end.checkpoint)
+		const isLastFailure = end.end === RunEnd.failed && this.#recordFailure(board, node, ref, now)
+		releaseRun(board, ref, end.end, proof, now)
 		if (isLastFailure) endWorkflow(board, ref.workflow, WorkflowState.failed, now)
+		return true
 	}
 
 	/** Runs that use only idle CPU are slow while others need it. */
@@ -336,13 +333,9 @@
 	}
 
 	#acknowledge(board: Board): void {
-		for (const [id, {incarnation, unsaved, lastPosition}] of this.#ends) {
-			while (
-				unsaved[0] !== undefined &&
-				isSaved(unsaved[0].ref.workflow, unsaved[0].ref.occurrence, unsaved[0].revision)
-			)
-				unsaved.shift()
-			const position = unsaved[0] === undefined ? lastPosition : unsaved[0].position - 1
+		for (const [id, ends] of this.#ends) {
+			const {incarnation} = ends
+			const position = ends.findAcknowledged()
 			const known = board.acknowledgements.get(id)
 			if (known?.incarnation === incarnation && known.position === position) continue
 			if (position > 0) board.acknowledgements.set(id, {incarnation, position})
--- a/src/utils/end-proofs.ts
+++ b/src/utils/end-proofs.ts
@@ -52,7 +52,10 @@
 	return error instanceof RefusedError || (error instanceof TransportError && !error.sent)
 }
 
-/** A repeated start may still be under way to the next process of the worker, which would carry it out again. */
+/**
+ * A repeated start may still be under way to the next process of the worker, which would carry it out again, unless this one
+ * has acknowledged a stop before it made the report.
+ */
 export function findListedEndProof(
 	place: string,
 	ref: TaskRef,
@@ -60,8 +63,13 @@
 	{end, report}: {readonly end: EndReport; readonly report: NodeReport},
 	now: number
 ): EndProof | undefined {
-	const {starts, openStarts} = ref.task
-	if (!isCurrentRun(ref, node, end.run) || (starts > 1 && openStarts > 0)) return undefined
+	const {phase, incarnation, starts, openStarts, acknowledgedAt = Infinity} = ref.task
+	const isStopped =
+		phase === TaskPhase.stopping &&
+		incarnation === node.incarnation &&
+		report.sentAt > acknowledgedAt
+	const isOpen = starts > 1 && openStarts > 0 && !isStopped
+	if (!isCurrentRun(ref, node, end.run) || isOpen) return undefined
 	return {place, evidence: EndEvidence.listedEnd, ageMs: now - report.sentAt}
 }
 
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -14,6 +14,8 @@
 	gang: z.number().default(1),
 	/** The run ends as failed. */
 	fails: z.boolean().default(false),
+	/** Listed with the end of each run. */
+	checkpoint: z.string().default(""),
 	cpu: z.number().default(0),
 	gpu: z.number().default(0),
 	/** The job's steps, if their order is to be checked. */
@@ -51,6 +53,7 @@
 
 /** Outcome of a run that was lost with its worker. */
 const OUTCOME_LOST = "lost"
+const OUTCOME_DONE = "done"
 
 export interface EndRecord {
 	readonly task: string
@@ -91,7 +94,7 @@
 
 	/** Takes back completions that were not acknowledged when their worker restarted or lost its lease. */
 	recordLostEnds(ends: readonly EndRecord[]): void {
-		for (const {task} of ends) this.done.delete(task)
+		for (const {task, outcome} of ends) if (outcome === OUTCOME_DONE) this.done.delete(task)
 	}
 
 	recordDone({task}: EndRecord): void {
@@ -318,7 +321,7 @@
 	#endRun(run: Run, outcome: string): void {
 		if (this.#runs.get(run.task) !== run) return
 		this.#remove(run, outcome)
-		const end: End = [++this.#position, run.task, run.run, outcome, ""]
+		const end: End = [++this.#position, run.task, run.run, outcome, run.payload.checkpoint]
 		this.#ends.push(end)
 		if (outcome === "done") this.#monitor.recordDone(this.#describeEnd(end))
 		for (const wake of [...this.#waiters]) wake()
@@ -354,8 +357,7 @@
 	}
 
 	#recordLostEnds(): void {
-		const lostEnds = this.#ends.filter(([, , , outcome]) => outcome === "done")
-		this.#monitor.recordLostEnds(lostEnds.map(end => this.#describeEnd(end)))
+		this.#monitor.recordLostEnds(this.#ends.map(end => this.#describeEnd(end)))
 	}
 
 	#sumLost(): number {
