--- a/eslint.config.js
+++ b/eslint.config.js
@@ -21,7 +21,19 @@
 	"**/standins/**",
 	"**/cli/**",
 	"**/daemon*",
-	"../../platform/**"
+	"**/platform/**"
+]
+
+/** Folders of decisions that are no controllers. */
+const DECISION_FOLDERS = [
+	"core",
+	"intake",
+	"losses",
+	"policies",
+	"run-times",
+	"shares",
+	"types",
+	"utils"
 ]
 
 function forbidImports(...patterns) {
@@ -58,7 +70,7 @@
 		})
 	},
 	{
-		files: ["src/core/**/*.ts", "src/policies/**/*.ts", "src/types/**/*.ts", "src/utils/**/*.ts"],
+		files: DECISION_FOLDERS.map(folder => `src/${folder}/**/*.ts`),
 		rules: forbidImports(
 			{
 				group: [...ADAPTER_LIBRARIES, ...OUTER_MODULES],
@@ -75,7 +87,7 @@
 		files: ["src/adapters/**/*.ts"],
 		rules: forbidImports(
 			{
-				group: ["**/standins/**", "**/cli/**", "**/daemon*", "../../platform/**"],
+				group: ["**/standins/**", "**/cli/**", "**/daemon*", "**/platform/**"],
 				message:
 					"Adapters must not import stand-ins, the command-line tool, the daemon or platform/."
 			},
--- a/src/controllers/catalog.ts
+++ b/src/controllers/domain/catalog.ts
@@ -14,7 +14,7 @@
 	LONG_POLL_WAIT_MS,
 	Outage,
 	SectionName
-} from "../internal.js"
+} from "../../internal.js"
 
 export class CatalogController implements Controller {
 	readonly name = "catalog"
--- a/src/controllers/intake-limits.ts
+++ b/src/controllers/domain/intake-limits.ts
@@ -17,7 +17,7 @@
 	formatIntakeLimitsKey,
 	issueTableCommit,
 	updateIntakeLimits
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Shortest time between two checks. */
 const CHECK_INTERVAL_MS = 250
--- a/src/controllers/node-drain.ts
+++ b/src/controllers/domain/node-drain.ts
@@ -17,7 +17,7 @@
 	estimateRemaining,
 	isTermConfirmed,
 	stopRun
-} from "../internal.js"
+} from "../../internal.js"
 
 export class NodeDrainController implements Controller {
 	readonly name = "node-drain"
--- a/src/controllers/node-log.ts
+++ b/src/controllers/domain/node-log.ts
@@ -25,7 +25,7 @@
 	issueTableCommit,
 	issueTableScan,
 	recordMalformedRow
-} from "../internal.js"
+} from "../../internal.js"
 
 const READ = "read"
 const COMMIT = "commit"
--- a/src/controllers/node.ts
+++ b/src/controllers/domain/node.ts
@@ -36,7 +36,7 @@
 	isTermConfirmed,
 	mayHaveLostRuns,
 	mayRenewLeases
-} from "../internal.js"
+} from "../../internal.js"
 
 const LIST = "list"
 
--- a/src/controllers/pending-count.ts
+++ b/src/controllers/domain/pending-count.ts
@@ -18,7 +18,7 @@
 	SectionName,
 	buildRefusal,
 	issueTableScan
-} from "../internal.js"
+} from "../../internal.js"
 
 interface Counts {
 	readonly readAt: number
--- a/src/controllers/run-order.ts
+++ b/src/controllers/domain/run-order.ts
@@ -41,7 +41,7 @@
 	recordRunning,
 	releaseRun,
 	stopRun
-} from "../internal.js"
+} from "../../internal.js"
 
 const START = "start"
 const STOP = "stop"
--- a/src/controllers/run-placement.ts
+++ b/src/controllers/domain/run-placement.ts
@@ -41,7 +41,7 @@
 	openDueOccurrences,
 	planRun,
 	stopRun
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Shortest time between two rounds, so that one round covers changes that arrive together. */
 const ROUND_INTERVAL_MS = 25
--- a/src/controllers/run-report.ts
+++ b/src/controllers/domain/run-report.ts
@@ -44,7 +44,7 @@
 	recordRunning,
 	releaseRun,
 	stopRun
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Interval of the check for runs on workers whose lease has expired. */
 const EXPIRY_CHECK_INTERVAL_MS = 200
--- a/src/controllers/standstill.ts
+++ b/src/controllers/domain/standstill.ts
@@ -17,7 +17,7 @@
 	findRoundGate,
 	findTerm,
 	isSchedulable
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Interval of the check; a gate that opens and closes in between is not seen. */
 const CHECK_INTERVAL_MS = 250
--- a/src/controllers/workflow-intake.ts
+++ b/src/controllers/domain/workflow-intake.ts
@@ -49,7 +49,7 @@
 	issueTableCommit,
 	issueTableScan,
 	parseWorkflowKey
-} from "../internal.js"
+} from "../../internal.js"
 
 const ID_PATTERN = /^[0-9a-f]{16}$/
 
--- a/src/controllers/workflow-log.ts
+++ b/src/controllers/domain/workflow-log.ts
@@ -45,7 +45,7 @@
 	issueTableFollow,
 	issueTableScan,
 	TransportError
-} from "../internal.js"
+} from "../../internal.js"
 
 const FOLLOW = "follow"
 const LOAD = "load"
--- a/src/controllers/admission.ts
+++ b/src/controllers/zone/admission.ts
@@ -36,7 +36,7 @@
 	formatJobKey,
 	hashText,
 	issueTableRead
-} from "../internal.js"
+} from "../../internal.js"
 
 export class AdmissionController implements Controller {
 	readonly name = "admission"
--- a/src/controllers/answer.ts
+++ b/src/controllers/zone/answer.ts
@@ -30,7 +30,7 @@
 	buildRefusal,
 	decodeJobRecord,
 	formatJobKey
-} from "../internal.js"
+} from "../../internal.js"
 
 type SingleJobRequest = Extract<HostRequest, {kind: "get" | "wait" | "cancel"}>
 
--- a/src/controllers/bundle-history.ts
+++ b/src/controllers/zone/bundle-history.ts
@@ -16,7 +16,7 @@
 	decodeSignedBundle,
 	formatBundleHistoryKey,
 	issueTableRead
-} from "../internal.js"
+} from "../../internal.js"
 
 export class BundleHistoryController implements Controller {
 	readonly name = "bundle-history"
--- a/src/controllers/bundle.ts
+++ b/src/controllers/zone/bundle.ts
@@ -19,7 +19,7 @@
 	decodeSignedBundle,
 	verifyBundle,
 	issueTableRead
-} from "../internal.js"
+} from "../../internal.js"
 
 export class BundleController implements Controller {
 	readonly name = "bundle"
--- a/src/controllers/call.ts
+++ b/src/controllers/zone/call.ts
@@ -36,7 +36,7 @@
 	formatTaskId,
 	isStartPermitted,
 	QueueContextBuilder
-} from "../internal.js"
+} from "../../internal.js"
 
 export class CallController implements Controller {
 	readonly name = "call"
--- a/src/controllers/cluster-view.ts
+++ b/src/controllers/zone/cluster-view.ts
@@ -10,7 +10,7 @@
 	SectionName,
 	TaskState,
 	buildBundleView
-} from "../internal.js"
+} from "../../internal.js"
 
 export class ClusterViewController implements Controller {
 	readonly name = "cluster-view"
--- a/src/controllers/defragment.ts
+++ b/src/controllers/zone/defragment.ts
@@ -18,7 +18,7 @@
 	computeFitShare,
 	findDefragmentMove,
 	isStartPermitted
-} from "../internal.js"
+} from "../../internal.js"
 
 const HOUR_MS = 3600000
 
--- a/src/controllers/endpoint.ts
+++ b/src/controllers/zone/endpoint.ts
@@ -14,7 +14,7 @@
 	HostRole,
 	SectionName,
 	computeSteadyTime
-} from "../internal.js"
+} from "../../internal.js"
 
 export class EndpointController implements Controller {
 	readonly name = "endpoint"
--- a/src/controllers/expiry.ts
+++ b/src/controllers/zone/expiry.ts
@@ -16,7 +16,7 @@
 	TransitionKind,
 	isEverFitting,
 	listOverflow
-} from "../internal.js"
+} from "../../internal.js"
 
 export class ExpiryController implements Controller {
 	readonly name = "expiry"
--- a/src/controllers/gang.ts
+++ b/src/controllers/zone/gang.ts
@@ -47,7 +47,7 @@
 	issueStart,
 	issueStop,
 	updateMember
-} from "../internal.js"
+} from "../../internal.js"
 
 export class GangController implements Controller {
 	readonly name = "gang"
--- a/src/controllers/host-list.ts
+++ b/src/controllers/zone/host-list.ts
@@ -13,7 +13,7 @@
 	PLATFORM_TIMEOUT_MS,
 	SectionName,
 	encodeCanonical
-} from "../internal.js"
+} from "../../internal.js"
 
 export class HostListController implements Controller {
 	readonly name = "host-list"
--- a/src/controllers/job-list.ts
+++ b/src/controllers/zone/job-list.ts
@@ -20,7 +20,7 @@
 	formatJobKey,
 	issueTableRead,
 	issueTableScan
-} from "../internal.js"
+} from "../../internal.js"
 
 export class JobListController implements Controller {
 	readonly name = "job-list"
--- a/src/controllers/ledger.ts
+++ b/src/controllers/zone/ledger.ts
@@ -42,7 +42,7 @@
 	issueTableCommit,
 	issueTableRead,
 	issueTableScan
-} from "../internal.js"
+} from "../../internal.js"
 
 const SCAN = "scan"
 const LOAD = "load"
--- a/src/controllers/notice.ts
+++ b/src/controllers/zone/notice.ts
@@ -15,7 +15,7 @@
 	PEER_TIMEOUT_MS,
 	SectionName,
 	listPeers
-} from "../internal.js"
+} from "../../internal.js"
 
 export class NoticeController implements Controller {
 	readonly name = "notice"
--- a/src/controllers/peer.ts
+++ b/src/controllers/zone/peer.ts
@@ -17,7 +17,7 @@
 	buildPeerStatus,
 	listPeers,
 	pickPeers
-} from "../internal.js"
+} from "../../internal.js"
 
 const ROUND = "round"
 const FETCH = "fetch"
--- a/src/controllers/placement.ts
+++ b/src/controllers/zone/placement.ts
@@ -24,7 +24,7 @@
 	isStartPermitted,
 	listUnits,
 	QueueContextBuilder
-} from "../internal.js"
+} from "../../internal.js"
 
 interface RoundInputs {
 	readonly fleetVersion: number
--- a/src/controllers/reclaim.ts
+++ b/src/controllers/zone/reclaim.ts
@@ -25,7 +25,7 @@
 	buildJobTask,
 	findReclaim,
 	removeTasks
-} from "../internal.js"
+} from "../../internal.js"
 
 const PRIORITY_ORDER: readonly PriorityClass[] = [
 	PriorityClass.urgent,
--- a/src/controllers/rehome.ts
+++ b/src/controllers/zone/rehome.ts
@@ -19,7 +19,7 @@
 	ReasonCode,
 	SectionName,
 	TransitionKind
-} from "../internal.js"
+} from "../../internal.js"
 
 export class RehomeController implements Controller {
 	readonly name = "rehome"
--- a/src/controllers/rollout.ts
+++ b/src/controllers/zone/rollout.ts
@@ -34,7 +34,7 @@
 	verifyBundle,
 	issueTableCommit,
 	issueTableRead
-} from "../internal.js"
+} from "../../internal.js"
 
 interface Rollout {
 	readonly request: RolloutRequest
--- a/src/controllers/run-times.ts
+++ b/src/controllers/zone/run-times.ts
@@ -11,7 +11,7 @@
 	TaskState,
 	formatRunTimeKey,
 	updateRunTime
-} from "../internal.js"
+} from "../../internal.js"
 
 export class RunTimesController implements Controller {
 	readonly name = "run-times"
--- a/src/controllers/worker.ts
+++ b/src/controllers/zone/worker.ts
@@ -22,7 +22,7 @@
 	WORKER_TIMEOUT_MS,
 	computePermitUntil,
 	computeSteadyTime
-} from "../internal.js"
+} from "../../internal.js"
 
 export class WorkerController implements Controller {
 	readonly name = "worker"
--- a/src/policies/run-placement.ts
+++ b/src/policies/domain/run-placement.ts
@@ -3,7 +3,7 @@
  * whole workers stay free for tasks that need one. Preemption selects the runs with the least loss. The tasks of a
  * tightly coupled gang go into one rack if one can hold them.
  */
-import {type ResourceDemand, type StepSpec, type TaskRef, groupBy} from "../internal.js"
+import {type ResourceDemand, type StepSpec, type TaskRef, groupBy} from "../../internal.js"
 
 /** A worker during one round of placement; its free capacity shrinks and its list of runs grows as tasks are placed. */
 export interface NodeCapacity {
--- a/src/policies/run-queue.ts
+++ b/src/policies/domain/run-queue.ts
@@ -11,7 +11,7 @@
 	type StepProgress,
 	type StepSpec,
 	type WorkflowEntry
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Whether a workflow that starts now is expected to complete within its queue's objective. */
 export const Punctuality = {onTime: 0, late: 1, overdue: 2} as const
--- a/src/policies/defragment.ts
+++ b/src/policies/zone/defragment.ts
@@ -12,7 +12,7 @@
 	findFreeBlock,
 	listFreeSizes,
 	removeTasks
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Minimum gain of a move for each moved accelerator, in squared block sizes. */
 const GAIN_PER_ACCELERATOR_MIN = 2
--- a/src/policies/guarantee-check.ts
+++ b/src/policies/zone/guarantee-check.ts
@@ -9,7 +9,7 @@
 	ReasonCode,
 	RefusalError,
 	listUnits
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Zones without declared capacity are not checked. A guarantee in a zone that the bundle does not list is refused. */
 export function checkGuarantees(content: BundleContent): Result<void, RefusalError> {
--- a/src/policies/guarantee-home-worker.ts
+++ b/src/policies/zone/guarantee-home-worker.ts
@@ -11,7 +11,7 @@
 	computeLoss,
 	listBlock,
 	listBlockStarts
-} from "../internal.js"
+} from "../../internal.js"
 
 const OWN_COST = 0
 const FREE_COST = 1
--- a/src/policies/guarantee-homes.ts
+++ b/src/policies/zone/guarantee-homes.ts
@@ -5,7 +5,7 @@
 	type GuaranteePlacement,
 	type GuaranteeUnit,
 	PackingWorker
-} from "../internal.js"
+} from "../../internal.js"
 
 export interface GuaranteedBlock {
 	readonly unit: GuaranteeUnit
--- a/src/policies/guarantee-keeper.ts
+++ b/src/policies/zone/guarantee-keeper.ts
@@ -15,7 +15,7 @@
 	GuaranteePlacementIndex,
 	ReasonCode,
 	addTask
-} from "../internal.js"
+} from "../../internal.js"
 import {err, ok, type Result} from "neverthrow"
 
 /** A task of a job as it would be once placed. */
--- a/src/policies/guarantee.ts
+++ b/src/policies/zone/guarantee.ts
@@ -12,7 +12,7 @@
 	Adjacency,
 	PackingWorker,
 	groupBy
-} from "../internal.js"
+} from "../../internal.js"
 
 /** One unit for each instance of a shape that is guaranteed in the zone. */
 export function listUnits(content: BundleContent, zone: string): readonly GuaranteeUnit[] {
--- a/src/policies/placement-best-fit.ts
+++ b/src/policies/zone/placement-best-fit.ts
@@ -19,7 +19,7 @@
 	findTightestBlock,
 	isMemberFitting,
 	mayUseFailedWorkers
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Workers of one bucket that may fail to fit before the next bucket is tried. */
 const BUCKET_MISSES_MAX = 16
--- a/src/policies/placement.ts
+++ b/src/policies/zone/placement.ts
@@ -9,7 +9,7 @@
 	isEverFitting,
 	isMemberFitting,
 	listBlock
-} from "../internal.js"
+} from "../../internal.js"
 
 export interface PlacementRequest {
 	readonly jobId: string
--- a/src/policies/queue-backfill.ts
+++ b/src/policies/zone/queue-backfill.ts
@@ -13,7 +13,7 @@
 	MAX_BACKFILL_RESERVATIONS,
 	computeExpectedRunMs,
 	computeReadyAt
-} from "../internal.js"
+} from "../../internal.js"
 
 /** One pass over the ordered queue. */
 export interface BackfillPass {
--- a/src/policies/queue-priority.ts
+++ b/src/policies/zone/queue-priority.ts
@@ -10,7 +10,7 @@
 	ReservingBackfillPolicy,
 	computeCost,
 	orderByAcceptance
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Strict classes, in order of acceptance within each. Batch work starves while normal work keeps arriving. */
 export class PriorityQueuePolicy implements QueuePolicy {
--- a/src/policies/queue.ts
+++ b/src/policies/zone/queue.ts
@@ -5,7 +5,7 @@
 	type QueueContext,
 	GreedyBackfillPolicy,
 	orderByAcceptance
-} from "../internal.js"
+} from "../../internal.js"
 
 export interface QueuePolicy {
 	readonly name: string
--- a/src/policies/reclaim.ts
+++ b/src/policies/zone/reclaim.ts
@@ -16,7 +16,7 @@
 	groupBy,
 	listBlock,
 	listBlockStarts
-} from "../internal.js"
+} from "../../internal.js"
 
 export interface ReclaimRule {
 	/** Reason for the stop, as events show it. */
--- a/src/policies/registry.ts
+++ b/src/policies/zone/registry.ts
@@ -10,7 +10,7 @@
 	LoadAwareZoneChoicePolicy,
 	LocalFirstZoneChoicePolicy,
 	PriorityQueuePolicy
-} from "../internal.js"
+} from "../../internal.js"
 
 export class PolicyRegistry<P extends {readonly name: string}> {
 	readonly #policies = new Map<string, P>()
--- a/src/policies/zone-choice-load.ts
+++ b/src/policies/zone/zone-choice-load.ts
@@ -13,7 +13,7 @@
 	LOCAL_QUEUE_THRESHOLD,
 	REGION_PAYLOAD_BYTES,
 	computeFraction
-} from "../internal.js"
+} from "../../internal.js"
 
 export class LoadAwareZoneChoicePolicy implements ZoneChoicePolicy {
 	readonly name = "load-aware"
--- a/src/policies/zone-choice.ts
+++ b/src/policies/zone/zone-choice.ts
@@ -1,5 +1,5 @@
 /** Chooses the zone in which an accepted job is queued. */
-import {type BundleContent, type JobSpec, type PeerEntry} from "../internal.js"
+import {type BundleContent, type JobSpec, type PeerEntry} from "../../internal.js"
 
 export interface ZoneChoiceContext {
 	readonly jobId: string
--- a/src/utils/call-window.ts
+++ b/src/utils/domain/call-window.ts
@@ -4,7 +4,7 @@
  * grows with each answer that comes soon, and halves when one comes late, or none comes.
  */
 import {type Result} from "neverthrow"
-import {type CallError, CALL_WINDOW_MAX, CALL_WINDOW_MIN, RefusedError} from "../internal.js"
+import {type CallError, CALL_WINDOW_MAX, CALL_WINDOW_MIN, RefusedError} from "../../internal.js"
 
 /** Share of its deadline from which an answer is late. */
 const LATE_SHARE = 0.25
--- a/src/utils/commit-batch.ts
+++ b/src/utils/domain/commit-batch.ts
@@ -23,7 +23,7 @@
 	formatStateKey,
 	formatWorkflowKey,
 	isFinal
-} from "../internal.js"
+} from "../../internal.js"
 
 interface SavedState {
 	readonly entry: WorkflowEntry
--- a/src/utils/due-occurrences.ts
+++ b/src/utils/domain/due-occurrences.ts
@@ -12,7 +12,7 @@
 	countOccurrences,
 	countTasks,
 	createOccurrence
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Added to the due time of an occurrence, because the wall clocks of hosts differ. */
 const DUE_MARGIN_MS = 20
--- a/src/utils/end-proofs.ts
+++ b/src/utils/domain/end-proofs.ts
@@ -27,7 +27,7 @@
 	computeEarlierExpiry,
 	computeSteadyTime,
 	isCurrentRun
-} from "../internal.js"
+} from "../../internal.js"
 
 /** A run that is only planned. */
 export function findUnsentProof(place: string, {task}: TaskRef): EndProof | undefined {
--- a/src/utils/node-rows.ts
+++ b/src/utils/domain/node-rows.ts
@@ -6,7 +6,7 @@
 	type NodeEntry,
 	type WorkerRegistration,
 	decodeJson
-} from "../internal.js"
+} from "../../internal.js"
 
 export const NODE_PREFIX = "node/"
 
--- a/src/utils/nodes.ts
+++ b/src/utils/domain/nodes.ts
@@ -16,7 +16,7 @@
 	findTerm,
 	groupBy,
 	isPlatformLost
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Share of a service's workers above which quarantine is not applied. */
 const QUARANTINED_SHARE_MAX = 0.5
--- a/src/utils/placement-units.ts
+++ b/src/utils/domain/placement-units.ts
@@ -10,7 +10,7 @@
 	computeCores,
 	createTaskRef,
 	listTaskRefs
-} from "../internal.js"
+} from "../../internal.js"
 
 /** How long a step that is not urgent waits for the rack of its data, or a tightly coupled gang for a single rack. */
 const RACK_WAIT_MS = 2000
--- a/src/utils/queues.ts
+++ b/src/utils/domain/queues.ts
@@ -7,7 +7,7 @@
 	type WorkflowEntry,
 	type WorkspaceAccess,
 	computeObjective
-} from "../internal.js"
+} from "../../internal.js"
 
 /** The queue with the longest path prefix among those of the host, and the rest of the path. */
 export function findQueue(
--- a/src/utils/ready-steps.ts
+++ b/src/utils/domain/ready-steps.ts
@@ -10,7 +10,7 @@
 	computePunctuality,
 	findRank,
 	isStepDone
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Steps with waiting tasks whose dependencies are done. */
 export function listReadySteps(
--- a/src/utils/reported-ends.ts
+++ b/src/utils/domain/reported-ends.ts
@@ -3,7 +3,7 @@
  * successor needs the end no more. Nothing follows from an end before its run is released or its task is done; until then
  * the end stays open, and is looked at again with each report that lists it.
  */
-import {type TaskRef, isSaved} from "../internal.js"
+import {type TaskRef, isSaved} from "../../internal.js"
 
 interface OpenEnd {
 	readonly ref: TaskRef
--- a/src/utils/rooms.ts
+++ b/src/utils/domain/rooms.ts
@@ -15,7 +15,7 @@
 	findClosedWorkers,
 	findNodeGate,
 	isFinal
-} from "../internal.js"
+} from "../../internal.js"
 
 /** A run that ends this soon is waited for instead of stopped: stopping takes about as long. */
 const ENDS_SOON_MS = 500
--- a/src/utils/runs.ts
+++ b/src/utils/domain/runs.ts
@@ -23,7 +23,7 @@
 	isFinal,
 	isOccurrenceDone,
 	listTaskRefs
-} from "../internal.js"
+} from "../../internal.js"
 
 const RUNNING = "running"
 /** How a worker shows a run. */
--- a/src/utils/start-gates.ts
+++ b/src/utils/domain/start-gates.ts
@@ -16,7 +16,7 @@
 	isSaved,
 	isStepDone,
 	isTermConfirmed
-} from "../internal.js"
+} from "../../internal.js"
 
 /** What holds all of placement; undefined if rounds may be held. */
 export function findRoundGate(board: Board, now: number): StartGate | undefined {
--- a/src/utils/workflow-adoption.ts
+++ b/src/utils/domain/workflow-adoption.ts
@@ -26,7 +26,7 @@
 	parseWorkflowKey,
 	recordMalformedRow,
 	restoreOccurrence
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Size of the rows that are adopted at a time, each with an allowance for what doesn't grow with its value. */
 const PART_CHARACTERS = 1_500_000
--- a/src/utils/workflow-load.ts
+++ b/src/utils/domain/workflow-load.ts
@@ -2,7 +2,7 @@
  * The reads that load a domain's workflows at the start of a term, and what they have returned so far. A read that fails is
  * repeated by itself, so that a table which refuses some of its calls delays the load and doesn't prevent it.
  */
-import {type TableChanges, type TableRow} from "../internal.js"
+import {type TableChanges, type TableRow} from "../../internal.js"
 
 /** Issues one of the reads and returns the command's id. */
 export type LoadRead = (now: number) => string
--- a/src/utils/workflow-rows.ts
+++ b/src/utils/domain/workflow-rows.ts
@@ -30,7 +30,7 @@
 	formatProgressKey,
 	isFinal,
 	recordFailedWorker
-} from "../internal.js"
+} from "../../internal.js"
 
 const countSchema = z.int().min(0)
 const amountSchema = z.number().min(0)
--- a/src/utils/workflows.ts
+++ b/src/utils/domain/workflows.ts
@@ -13,7 +13,7 @@
 	WorkflowState,
 	computeCriticalPaths,
 	isFinal
-} from "../internal.js"
+} from "../../internal.js"
 
 export const WORKFLOW_PREFIX = "workflow/"
 export const PROGRESS_PREFIX = "progress/"
--- a/src/utils/bundle-check.ts
+++ b/src/utils/zone/bundle-check.ts
@@ -1,6 +1,6 @@
 /** Checks a bundle beyond the shape of its fields: names must be known or unique. */
 import {err, ok, type Result} from "neverthrow"
-import {type BundleContent, type Policies, MalformedError} from "../internal.js"
+import {type BundleContent, type Policies, MalformedError} from "../../internal.js"
 
 /** Checks a bundle for contradictions; the error names every invalid path. */
 export function checkBundleContent(
--- a/src/utils/fleet-blocks.ts
+++ b/src/utils/zone/fleet-blocks.ts
@@ -2,7 +2,7 @@
  * Aligned blocks of accelerators. A worker's accelerators are split like memory in a buddy allocator: a block of
  * 2^k accelerators begins at a multiple of 2^k, and a free block that no larger free block contains is maximal.
  */
-import {type FleetWorker, type GangShape} from "../internal.js"
+import {type FleetWorker, type GangShape} from "../../internal.js"
 
 /** Size of the aligned block that holds `count` accelerators: the next power of two. */
 export function computeBlockSize(count: number): number {
--- a/src/utils/fleet-index.ts
+++ b/src/utils/zone/fleet-index.ts
@@ -9,7 +9,7 @@
 	computeFreeOrders,
 	computeOrder,
 	countFree
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Usable workers that are equivalent for best fit. */
 export interface FleetBucket {
--- a/src/utils/fleet-tracker.ts
+++ b/src/utils/zone/fleet-tracker.ts
@@ -13,7 +13,7 @@
 	buildFleetWorker,
 	isSettled,
 	isWorkerUsable
-} from "../internal.js"
+} from "../../internal.js"
 
 interface WorkerHolding {
 	readonly workerId: string
--- a/src/utils/fleet.ts
+++ b/src/utils/zone/fleet.ts
@@ -8,7 +8,7 @@
 	PriorityClass,
 	TaskState,
 	WORKER_LOST_MS
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Resources that one task holds on a worker. */
 export interface Holding {
--- a/src/utils/gang-calls.ts
+++ b/src/utils/zone/gang-calls.ts
@@ -9,7 +9,7 @@
 	CommandKind,
 	RESERVATION_TTL_MS,
 	WORKER_TIMEOUT_MS
-} from "../internal.js"
+} from "../../internal.js"
 
 export function issueReserve(
 	board: Board,
--- a/src/utils/gangs.ts
+++ b/src/utils/zone/gangs.ts
@@ -20,7 +20,7 @@
 	WORKER_LOST_MS,
 	computeSteadyTime,
 	formatTaskId
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Creates a gang that is about to reserve; `tryId` distinguishes its task ids from those of earlier tries. */
 export function createGang(
--- a/src/utils/ledger.ts
+++ b/src/utils/zone/ledger.ts
@@ -14,7 +14,7 @@
 	formatHolderKey,
 	formatJobKey,
 	isHolderTransition
-} from "../internal.js"
+} from "../../internal.js"
 
 /** A transition that is being written to the table. */
 export interface LedgerWork {
--- a/src/utils/limits.ts
+++ b/src/utils/zone/limits.ts
@@ -9,7 +9,7 @@
 	Adjacency,
 	PRIORITY_RANKS,
 	groupBy
-} from "../internal.js"
+} from "../../internal.js"
 
 export function countAccelerators({members, accelerators}: GangShape): number {
 	return members * accelerators
--- a/src/utils/loss.ts
+++ b/src/utils/zone/loss.ts
@@ -1,5 +1,5 @@
 /** Estimates the work lost by stopping a task, so that the tasks with the least loss are stopped first. */
-import {type FleetTask, PriorityClass} from "../internal.js"
+import {type FleetTask, PriorityClass} from "../../internal.js"
 
 /** Time that a stopped job needs to restart, even if it lost no work. */
 const RESTART_COST_MS = 5000
--- a/src/utils/peers.ts
+++ b/src/utils/zone/peers.ts
@@ -8,7 +8,7 @@
 	Lifecycle,
 	PEER_FANOUT_OTHERS,
 	PEER_FANOUT_OWN_ZONE
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Every other daemon that has a peer address, in a stable order. */
 export function listPeers(board: Board): HostRecord[] {
--- a/src/utils/permit.ts
+++ b/src/utils/zone/permit.ts
@@ -1,4 +1,4 @@
-import {type Board, START_PERMIT_MS, computeSteadyTime} from "../internal.js"
+import {type Board, START_PERMIT_MS, computeSteadyTime} from "../../internal.js"
 
 /** A reading of another process's clock, and the steady time at which it arrived at this host. */
 export interface ClockReading {
--- a/src/utils/placement-queue.ts
+++ b/src/utils/zone/placement-queue.ts
@@ -5,7 +5,7 @@
 	JobKind,
 	JobState,
 	PLACEMENT_RETRY_DELAY_MS
-} from "../internal.js"
+} from "../../internal.js"
 
 interface Watches {
 	readonly jobs: Set<string>
--- a/src/utils/queueing.ts
+++ b/src/utils/zone/queueing.ts
@@ -8,7 +8,7 @@
 	JobKind,
 	PriorityClass,
 	countAccelerators
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Rank of each class in the queue, the lowest first. */
 export const PRIORITY_RANKS: Readonly<Record<PriorityClass, number>> = {
--- a/src/utils/rows.ts
+++ b/src/utils/zone/rows.ts
@@ -1,5 +1,5 @@
 /** Keys of the rows that the hosts keep in the platform's table. */
-import {type JobRecord, hashText} from "../internal.js"
+import {type JobRecord, hashText} from "../../internal.js"
 
 export const BUNDLE_KEY = "bundle/current"
 
--- a/src/utils/run-times.ts
+++ b/src/utils/zone/run-times.ts
@@ -9,7 +9,7 @@
 	RUN_TIME_WEIGHT,
 	findFreeBlock,
 	formatRunTimeKey
-} from "../internal.js"
+} from "../../internal.js"
 
 /** Returns the entry with one more observation; `known` is undefined for the first. */
 export function updateRunTime(
--- a/src/utils/transitions.ts
+++ b/src/utils/zone/transitions.ts
@@ -11,7 +11,7 @@
 	ReasonCode,
 	RefusalError,
 	TransitionKind
-} from "../internal.js"
+} from "../../internal.js"
 
 /** True for transitions that only the zone's holder may make. */
 export function isHolderTransition(transition: Transition): boolean {
--- a/src/utils/write-window.ts
+++ b/src/utils/zone/write-window.ts
@@ -9,7 +9,7 @@
 	WRITE_WINDOW_MAX,
 	WRITE_WINDOW_MIN,
 	isHolderTransition
-} from "../internal.js"
+} from "../../internal.js"
 
 export class WriteWindow {
 	#size = WRITE_WINDOW_MAX
