--- a/src/controllers/domain/run-report.ts
+++ b/src/controllers/domain/run-report.ts
@@ -30,6 +30,7 @@
 	computeSteadyTime,
 	endWorkflow,
 	findAbsenceProof,
+	findExpectedRunMs,
 	findListedEndProof,
 	findLossProof,
 	findRestartProof,
@@ -324,7 +325,7 @@
 			// A gang member at 100 percent waits for the other members.
 			const mayStall = !spec.longRunning && task.percent < PERCENT_DONE
 			if (task.phase !== TaskPhase.running || !mayStall) continue
-			const stallMs = Math.max(RUN_STALL_MS, spec.estimateMs * RUN_STALL_SHARE)
+			const stallMs = Math.max(RUN_STALL_MS, findExpectedRunMs(ref) * RUN_STALL_SHARE)
 			if (receivedAt - task.progressAt < stallMs) continue
 			recordFailedWorker(task, node.registration.id)
 			this.#markSuspect(board, node.registration.id, workflow.record.id, now)
--- a/src/policies/domain/run-queue.ts
+++ b/src/policies/domain/run-queue.ts
@@ -50,7 +50,7 @@
 const OVERDUE_FACTOR = 3
 
 /**
- * Uses the callers' estimates; without an objective everything is on time. `criticalPathsMs` gives for each step the
+ * Without an objective everything is on time. `criticalPathsMs` gives for each step the
  * time from its start to the end of the last step that depends on it.
  */
 export function computePunctuality(
@@ -73,16 +73,3 @@
 ): number {
 	return stretch * Math.max(...criticalPathsMs) + targetLatencyMs
 }
-
-/** Estimated time from the start of each step to the end of the last one that depends on it. */
-export function computeCriticalPaths(specs: readonly StepSpec[]): readonly number[] {
-	const criticalPathsMs = specs.map(({estimateMs}) => estimateMs)
-	// Steps depend only on earlier steps, so all dependents of a step are computed before it.
-	for (let index = specs.length - 1; index >= 0; index--)
-		for (const earlier of specs[index]?.after ?? [])
-			criticalPathsMs[earlier] = Math.max(
-				criticalPathsMs[earlier] ?? 0,
-				(specs[earlier]?.estimateMs ?? 0) + (criticalPathsMs[index] ?? 0)
-			)
-	return criticalPathsMs
-}
--- a/src/types/catalog.ts
+++ b/src/types/catalog.ts
@@ -23,6 +23,10 @@
 	readonly keys: readonly string[]
 	/** Accelerators guaranteed to the workspace's work of priority 0. */
 	readonly guaranteedAccelerators: number
+	/** Share relative to other workspaces while all is full; undefined if the configuration gives none. */
+	readonly weight: number | undefined
+	/** Most that it may have running at a time, on all workers together; infinite where there is no limit. */
+	readonly cap: ResourceDemand
 }
 
 export interface Catalog {
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -2,7 +2,12 @@
  * Work of several steps. A workflow is accepted as a whole. Each of its occurrences runs every step once, a step
  * consists of tasks, and each attempt of a task is a run. A job of the caller API is the special case of one step.
  */
-import {type IndexRanges, type ReleasedRun, type WorkerRegistration} from "../internal.js"
+import {
+	type IndexRanges,
+	type ReleasedRun,
+	type WorkerRegistration,
+	type WorkflowForecast
+} from "../internal.js"
 
 /** Resources of a worker that one task uses while it runs. */
 export interface ResourceDemand {
@@ -14,7 +19,7 @@
 export interface StepSpec {
 	readonly tasks: number
 	readonly demand: ResourceDemand
-	/** The caller's estimate of the run time of one task; often inaccurate. */
+	/** The caller's estimate of the run time of one task; often off by factors. Decisions read the workflow's forecast. */
 	readonly estimateMs: number
 	/** Indices, from 0, of the earlier steps that must be done first. */
 	readonly after: readonly number[]
@@ -155,8 +160,8 @@
 	readonly occurrences: Map<number, Occurrence>
 	/** Size of its record in the table. */
 	readonly recordBytes: number
-	/** For each step, the estimated time from its start to the end of the last step that depends on it. */
-	readonly criticalPathsMs: readonly number[]
+	/** What its steps are expected to take. */
+	forecast: WorkflowForecast
 	state: WorkflowState
 	savedState: WorkflowState
 	stateVersion: number
--- a/src/utils/domain/placement-units.ts
+++ b/src/utils/domain/placement-units.ts
@@ -97,10 +97,15 @@
 }
 
 /** Core-seconds that a longer run in a remote rack costs; urgent work would also be late because of it. */
-function computeRemoteCost(board: Board, {spec, workflow}: ReadyStep, waitedMs: number): number {
+function computeRemoteCost(
+	board: Board,
+	{spec, workflow, stepIndex}: ReadyStep,
+	waitedMs: number
+): number {
 	if (spec.dataRack === undefined && !spec.tightlyCoupled) return 0
 	if (workflow.record.priority === 0) return URGENT_LOSS_MAX
 	if (waitedMs < RACK_WAIT_MS) return Infinity
 	const factor = board.settings.domain?.remoteFactor ?? 1
-	return (computeCores(spec) * spec.tasks * (factor - 1) * spec.estimateMs) / MS_PER_S
+	const expectedMs = workflow.forecast.steps[stepIndex]?.medianMs ?? 0
+	return (computeCores(spec) * spec.tasks * (factor - 1) * expectedMs) / MS_PER_S
 }
--- a/src/utils/domain/queues.ts
+++ b/src/utils/domain/queues.ts
@@ -36,11 +36,10 @@
 }
 
 /** Time from acceptance in which a workflow should complete; undefined if its queue is no longer configured. */
-export function findObjective(
-	board: Board,
-	{record, criticalPathsMs}: WorkflowEntry
-): number | undefined {
+export function findObjective(board: Board, {record, forecast}: WorkflowEntry): number | undefined {
 	const queues = board.catalog.get("current")?.catalog.queues ?? []
 	const queue = queues.find(({name}) => name === record.queue)
-	return queue === undefined ? undefined : Math.round(computeObjective(criticalPathsMs, queue))
+	return queue === undefined
+		? undefined
+		: Math.round(computeObjective(forecast.criticalPathsMs, queue))
 }
--- a/src/utils/domain/ready-steps.ts
+++ b/src/utils/domain/ready-steps.ts
@@ -23,7 +23,7 @@
 	const queues = new Map(catalog.queues.map(queue => [queue.name, queue]))
 	const ready: ReadyStep[] = []
 	for (const workflow of active) {
-		const {record, acceptedAt, criticalPathsMs} = workflow
+		const {record, acceptedAt, forecast} = workflow
 		const rank = findRank(workflow, guaranteed)
 		const queue = queues.get(record.queue)
 		for (const occurrence of workflow.occurrences.values()) {
@@ -32,7 +32,7 @@
 			for (const [stepIndex, spec] of record.spec.steps.entries()) {
 				const step = occurrence.steps[stepIndex]
 				if (step === undefined || !isStepReady(spec, step, occurrence)) continue
-				const punctuality = computePunctuality(criticalPathsMs, stepIndex, queue, ageMs)
+				const punctuality = computePunctuality(forecast.criticalPathsMs, stepIndex, queue, ageMs)
 				ready.push({workflow, occurrence, stepIndex, spec, step, rank, punctuality})
 			}
 		}
--- a/src/utils/domain/workflows.ts
+++ b/src/utils/domain/workflows.ts
@@ -11,7 +11,7 @@
 	IndexRanges,
 	TaskPhase,
 	WorkflowState,
-	computeCriticalPaths,
+	createForecast,
 	isFinal
 } from "../../internal.js"
 
@@ -130,7 +130,7 @@
 		record,
 		recordBytes,
 		occurrences: new Map(),
-		criticalPathsMs: computeCriticalPaths(record.spec.steps),
+		forecast: createForecast(record.spec.steps),
 		state: WorkflowState.queued,
 		savedState: WorkflowState.queued,
 		stateVersion: 0,
