Keep what a workspace has running within its cap

Cause: nothing reads the cap of a workspace.

Change: a unit of placement starts only if its workspace stays within its cap, where everything counts that may still run: what board.runs holds, now summed by workspace as well, runs that a worker shows and the holder has released, and units for which capacity is held. The first unit of a workspace that the cap blocks reserves what becomes free; other workspaces are not concerned. Work that may preempt stops work of its own workspace at the cap. A plan that has not been started is given up if the cap is lowered meanwhile. A submission that the cap never allows is refused at once.

--- /dev/null
+++ b/__tests__/caps.test.ts
@@ -0,0 +1,120 @@
+/** Workspaces at their cap: what they have running never exceeds it, whatever they hand in and whoever schedules. */
+import {expect} from "chai"
+import {ReplyKind, WorkflowAction} from "../src/internal.js"
+import {decodeWorkflow} from "../platform/records.js"
+import {
+	type CatalogOptions,
+	BATCH,
+	OTHER_KEY,
+	URGENT,
+	createCatalogRecord,
+	createJob,
+	createServingDomain
+} from "./fixtures/domain.js"
+
+const ID_A = "00000000000000aa"
+const ID_B = "00000000000000bb"
+const ID_C = "00000000000000cc"
+
+type Domain = Awaited<ReturnType<typeof createServingDomain>>
+
+/** Configures the domain anew, and waits until its hosts follow. */
+async function configure({fleet, advance}: Domain, version: number, options: CatalogOptions) {
+	fleet.store.putRow("op", "config", createCatalogRecord(version, options))
+	await advance(300)
+}
+
+async function createCappedDomain(options: CatalogOptions, hosts = 1) {
+	const domain = await createServingDomain({hosts, workers: 4})
+	await configure(domain, 2, options)
+	const countRunning = (prefix = "") =>
+		[...domain.fleet.workers.values()]
+			.flatMap(({running}) => running)
+			.filter(task => task.startsWith(prefix)).length
+	/** Lets time pass, and returns the highest number of tasks running at a time. */
+	const observe = async (ms: number, prefix = "") => {
+		let highest = 0
+		for (let passed = 0; passed < ms; passed += 20) {
+			await domain.advance(20)
+			highest = Math.max(highest, countRunning(prefix))
+		}
+		return highest
+	}
+	return {...domain, countRunning, observe}
+}
+
+describe("the cap of a workspace", () => {
+	it("is used up and never exceeded, while work starts, is cancelled and fails", async () => {
+		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 6}}})
+		const {first, submit, observe} = domain
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 20, workMs: 700}))
+		await submit(first, `${BATCH}${ID_B}`, createJob({count: 10, workMs: 300}, {fails: true}))
+		expect(await observe(4000)).to.equal(6)
+	})
+
+	it("holds up no other workspace", async () => {
+		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 2}}})
+		const {first, submit, ask, observe} = domain
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 40, workMs: 5000}))
+		const spec = decodeWorkflow(createJob({count: 30, workMs: 5000}))
+		await ask(first, {
+			action: WorkflowAction.submit,
+			path: `${BATCH}${ID_B}`,
+			key: OTHER_KEY,
+			spec
+		})
+		expect(await observe(1000, ID_B)).to.equal(30)
+		expect(await observe(100, ID_A)).to.equal(2)
+	})
+
+	it("makes way for the workspace's own guaranteed work", async () => {
+		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 8}}})
+		const {first, submit, fleet, advance, observe, countRunning} = domain
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 20, workMs: 60000}))
+		await advance(1000)
+		expect(countRunning(ID_A)).to.equal(8)
+		await submit(first, `${URGENT}${ID_B}`, createJob({count: 3, gpu: 1, gang: true, workMs: 3000}))
+		expect(await observe(1500)).to.equal(8)
+		expect(fleet.monitor.starts.filter(({task}) => task.startsWith(ID_B))).to.have.length(3)
+		expect(countRunning(ID_A)).to.equal(5)
+	})
+
+	it("refuses at once what it never allows", async () => {
+		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 6}}})
+		const {first, submit} = domain
+		const gang = await submit(first, `${BATCH}${ID_A}`, createJob({count: 7, gang: true}))
+		expect(gang.kind === ReplyKind.refused && gang.refusal).to.include({
+			reason: "over-quota",
+			ran: "no",
+			askAgain: false
+		})
+		const waves = await submit(first, `${BATCH}${ID_B}`, createJob({count: 7}))
+		expect(waves.kind).to.equal(ReplyKind.workflow)
+	})
+
+	it("that is lowered below an accepted gang holds up only that gang", async () => {
+		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 8}}})
+		const {first, submit, advance, fleet, observe} = domain
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 8, workMs: 1000}))
+		await submit(first, `${BATCH}${ID_B}`, createJob({count: 8, gang: true, workMs: 1000}))
+		await configure(domain, 3, {office: {cap: {cpu: 0, mem_mb: 0, gpu: 4}}})
+		await submit(first, `${BATCH}${ID_C}`, createJob({count: 8, workMs: 500}))
+		await advance(1500)
+		expect(await observe(3000)).to.be.at.most(4)
+		expect(fleet.monitor.starts.some(({task}) => task.startsWith(ID_B))).to.equal(false)
+		expect([...fleet.monitor.done].filter(task => task.startsWith(ID_C))).to.have.length(8)
+		await configure(domain, 4, {office: {cap: {cpu: 0, mem_mb: 0, gpu: 8}}})
+		await advance(1500)
+		expect(fleet.monitor.starts.filter(({task}) => task.startsWith(ID_B))).to.have.length(8)
+	})
+
+	it("counts what an earlier holder has started", async () => {
+		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 6}}}, 2)
+		const {first, hosts, submit, advanceUntil, observe} = domain
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 30, workMs: 6000}))
+		await observe(500)
+		first.stop()
+		await advanceUntil(() => hosts[1]!.board.terms.has("loaded"))
+		expect(await observe(8000)).to.equal(6)
+	})
+})
--- a/src/controllers/domain/run-placement.ts
+++ b/src/controllers/domain/run-placement.ts
@@ -25,14 +25,17 @@
 	ReasonCode,
 	SectionName,
 	TaskPhase,
+	WorkspaceCaps,
 	addDemand,
 	computeNextRun,
 	buildPlacementUnit,
 	buildPlannedRun,
+	chooseCapVictims,
 	computeCores,
 	findGuaranteed,
 	findRoundGate,
 	formatUnitKey,
+	isEverAllowed,
 	isFitting,
 	isSchedulable,
 	listReadySteps,
@@ -94,6 +97,9 @@
 	#roundAt = 0
 	/** Groups of tasks for which capacity was withheld in this round. */
 	#withheldGroups = 0
+	#guaranteed: ReadonlySet<string> = new Set()
+	/** What workspaces may still have running, in this round. */
+	#caps: WorkspaceCaps | undefined
 	/** What was withheld in this round. */
 	#withheld: {readonly node: NodeCapacity; readonly spec: StepSpec}[] = []
 	/** Units that found no capacity in this round, by what the policy decides on, and those of them that never will. */
@@ -144,6 +150,10 @@
 	#placeAll(board: Board, catalog: CatalogEntry, now: number): number {
 		const active = [...board.workflows.values()].filter(isSchedulable)
 		const guaranteed = findGuaranteed(catalog.catalog, active)
+		this.#guaranteed = guaranteed
+		const caps = new WorkspaceCaps(board, catalog.catalog)
+		this.#caps = caps
+		releaseBeyondCaps(board, catalog, caps, now)
 		const wallNow = this.#clock.readWallClock()
 		this.#nextDueWallMs = openDueOccurrences(active, wallNow)
 		const steps = listReadySteps(catalog, active, guaranteed, now, wallNow)
@@ -210,12 +220,18 @@
 				this.#holds.delete(key)
 				continue
 			}
+			const workspace = unit.refs[0]?.workflow.record.workspace ?? ""
+			if (this.#caps?.isWithin(workspace, unit.spec, unit.refs.length) === false) {
+				this.#holds.delete(key)
+				continue
+			}
 			let isFree = true
 			for (const node of held) {
 				isFree &&= isFitting(node.free, unit.spec)
 				addDemand(node.free, unit.spec, -1)
 			}
 			if (!isFree) {
+				this.#caps?.reserve(workspace, unit.spec, unit.refs.length)
 				recordPlannedRuns(unit, held)
 				continue
 			}
@@ -256,6 +272,7 @@
 		waitedMs: number,
 		now: number
 	): boolean {
+		if (!this.#isWithinCap(board, unit, nodes, waitedMs, now)) return false
 		const key = formatUnitKey(unit, service)
 		const slots = this.#misfits.has(key) ? undefined : this.#policy.choose(unit, nodes)
 		if (slots !== undefined) {
@@ -263,11 +280,35 @@
 			return true
 		}
 		this.#misfits.add(key)
-		this.#recordWaiting(board, unit, nodes, waitedMs, now)
+		this.#recordWaiting(board, unit, nodes, {waitedMs, reason: ReasonCode.noRoom}, now)
 		if (!this.#hopeless.has(key) && !this.#withhold(unit, nodes)) this.#hopeless.add(key)
 		return false
 	}
 
+	/**
+	 * False if the unit's workspace may not have it running beside what runs. Then the workspace's own work makes way for it if
+	 * the unit may preempt, and later units of the workspace don't take what becomes free; those of others are not concerned.
+	 */
+	#isWithinCap(
+		board: Board,
+		unit: PlacementUnit,
+		nodes: readonly NodeCapacity[],
+		waitedMs: number,
+		now: number
+	): boolean {
+		const {refs, spec} = unit
+		const caps = this.#caps
+		const workspace = refs[0]?.workflow.record.workspace ?? ""
+		if (caps === undefined || caps.isWithin(workspace, spec, refs.length)) return true
+		for (const victim of chooseCapVictims(board, caps, unit, this.#guaranteed, now))
+			stopRun(board, victim, ReasonCode.preempted, now)
+		// Work that the cap never allows waits for a change of the cap, and the rest of its workspace doesn't wait for it.
+		if (!caps.hasReserved(workspace) && isEverAllowed(spec, caps.findCap(workspace)))
+			caps.reserve(workspace, spec, refs.length)
+		this.#recordWaiting(board, unit, nodes, {waitedMs, reason: ReasonCode.overQuota}, now)
+		return false
+	}
+
 	/**
 	 * Withholds from all later steps the capacity where a waiting group is forecast to fit soonest. Returns false if it
 	 * never fits.
@@ -294,7 +335,7 @@
 		board: Board,
 		{refs, rank, lossMax}: PlacementUnit,
 		nodes: readonly NodeCapacity[],
-		waitedMs: number,
+		{waitedMs, reason}: {readonly waitedMs: number; readonly reason: ReasonCode},
 		now: number
 	): void {
 		const [first] = refs
@@ -312,7 +353,7 @@
 			workers: nodes.length,
 			freeAccelerators: nodes.reduce((sum, {free}) => sum + Math.max(0, free.accelerators), 0)
 		}
-		board.record(EventLevel.info, "run-waiting", fields, ReasonCode.noRoom)
+		board.record(EventLevel.info, "run-waiting", fields, reason)
 	}
 
 	/** Plans the runs, or stops the victims first and holds their capacity. */
@@ -329,6 +370,7 @@
 		const [first] = refs
 		if (first === undefined) return
 		const workerIds = nodes.map(({id}) => id)
+		this.#caps?.reserve(first.workflow.record.workspace, spec, refs.length)
 		this.#holds.set(first.taskId, {unit, workerIds, since: now})
 		const fields = {
 			task: first.taskId,
@@ -342,6 +384,20 @@
 	}
 }
 
+/** Gives up plans that have not been started of workspaces whose cap has become lower than what they have running. */
+function releaseBeyondCaps(
+	board: Board,
+	{catalog}: CatalogEntry,
+	caps: WorkspaceCaps,
+	now: number
+): void {
+	for (const {name} of catalog.workspaces) {
+		if (caps.isKept(name)) continue
+		for (const ref of [...board.runs.listOf(name).values()])
+			if (ref.task.phase === TaskPhase.planned) stopRun(board, ref, ReasonCode.overQuota, now)
+	}
+}
+
 /** True if less than half of the workers' capacity is in use. */
 function isMostlyIdle(nodes: readonly NodeCapacity[]): boolean {
 	const sumUsed = (read: (demand: ResourceDemand) => number) =>
--- a/src/controllers/domain/workflow-intake.ts
+++ b/src/controllers/domain/workflow-intake.ts
@@ -36,6 +36,7 @@
 	buildRefusal,
 	checkAccess,
 	decodeWorkflowState,
+	describeExcess,
 	findQueue,
 	findRecordOwner,
 	findWorkspace,
@@ -140,7 +141,8 @@
 			request.action === WorkflowAction.get && rest === ""
 				? WorkflowAction.countPending
 				: request.action
-		const workspace = findWorkspace(catalog, key)?.name ?? ""
+		const access = findWorkspace(catalog, key)
+		const workspace = access?.name ?? ""
 		if (action === WorkflowAction.countPending) {
 			board.countRequests.set(request.id, {queue: queue.name, arrivedAt: request.arrivedAt})
 			return
@@ -165,6 +167,11 @@
 			return
 		}
 		if (action === WorkflowAction.submit && spec?.isOk() === true) {
+			const excess = access === undefined ? undefined : describeExcess(spec.value, access)
+			if (excess !== undefined) {
+				this.#refuse(board, request, ReasonCode.overQuota, excess, now)
+				return
+			}
 			const record = buildRecord(rest, workspace, queue, spec.value, this.#readWallClock())
 			const bytes = Buffer.byteLength(JSON.stringify(record))
 			if (bytes > ROW_BYTES_MAX) {
--- a/src/core/run-section.ts
+++ b/src/core/run-section.ts
@@ -1,6 +1,6 @@
 /**
- * The runs that a domain's holder has placed and that may still run, by task id. The section also keeps each worker's
- * runs and their total demand, so that decisions need not compute them.
+ * The runs that a domain's holder has placed and that may still run, by task id. The section also keeps the runs of
+ * each worker and of each workspace with their total demand, so that decisions need not compute them.
  */
 import {
 	type Occurrence,
@@ -23,7 +23,7 @@
 	readonly task: TaskProgress
 }
 
-interface WorkerRuns {
+interface RunGroup {
 	readonly runs: Map<string, TaskRef>
 	cpuMillis: number
 	memoryMb: number
@@ -33,14 +33,70 @@
 const NO_DEMAND: ResourceDemand = {cpuMillis: 0, memoryMb: 0, accelerators: 0}
 const NO_RUNS: ReadonlyMap<string, TaskRef> = new Map()
 
+/** Runs by what they have in common, with their total demand. */
+class RunGroups {
+	readonly #groups = new Map<string, RunGroup>()
+	/** Group that each task was added to. */
+	readonly #nameOfTask = new Map<string, string>()
+	readonly #countsIdleCpu: boolean
+
+	/** With `countsIdleCpu`, CPU that other tasks leave idle counts like any other. */
+	constructor(countsIdleCpu: boolean) {
+		this.#countsIdleCpu = countsIdleCpu
+	}
+
+	add(name: string, ref: TaskRef): void {
+		const group = this.#groups.get(name) ?? {
+			runs: new Map<string, TaskRef>(),
+			cpuMillis: 0,
+			memoryMb: 0,
+			accelerators: 0
+		}
+		this.#groups.set(name, group)
+		this.#nameOfTask.set(ref.taskId, name)
+		group.runs.set(ref.taskId, ref)
+		this.#adjust(group, ref.spec, 1)
+	}
+
+	remove(taskId: string): void {
+		const name = this.#nameOfTask.get(taskId)
+		if (name === undefined) return
+		this.#nameOfTask.delete(taskId)
+		const group = this.#groups.get(name)
+		const ref = group?.runs.get(taskId)
+		if (group === undefined || ref === undefined) return
+		group.runs.delete(taskId)
+		this.#adjust(group, ref.spec, -1)
+		if (group.runs.size === 0) this.#groups.delete(name)
+	}
+
+	list(name: string): ReadonlyMap<string, TaskRef> {
+		return this.#groups.get(name)?.runs ?? NO_RUNS
+	}
+
+	sumDemand(name: string): ResourceDemand {
+		return this.#groups.get(name) ?? NO_DEMAND
+	}
+
+	listNames(): IterableIterator<string> {
+		return this.#groups.keys()
+	}
+
+	#adjust(group: RunGroup, {demand, usesIdleCpu}: StepSpec, sign: 1 | -1): void {
+		if (this.#countsIdleCpu || !usesIdleCpu) group.cpuMillis += sign * demand.cpuMillis
+		group.memoryMb += sign * demand.memoryMb
+		group.accelerators += sign * demand.accelerators
+	}
+}
+
 export class RunSection extends Section<string, TaskRef> {
-	readonly #byWorker = new Map<string, WorkerRuns>()
-	/** Worker to whose total each task was added. */
-	readonly #workerOfTask = new Map<string, string>()
+	readonly #byWorker = new RunGroups(false)
+	readonly #byWorkspace = new RunGroups(true)
 
 	override set(taskId: string, ref: TaskRef): void {
 		this.#remove(taskId)
-		this.#add(taskId, ref)
+		this.#byWorker.add(ref.task.workerId, ref)
+		this.#byWorkspace.add(ref.workflow.record.workspace, ref)
 		super.set(taskId, ref)
 	}
 
@@ -56,48 +112,31 @@
 
 	/** Runs on one worker, of any incarnation. */
 	listOn(workerId: string): ReadonlyMap<string, TaskRef> {
-		return this.#byWorker.get(workerId)?.runs ?? NO_RUNS
+		return this.#byWorker.list(workerId)
 	}
 
-	/** Total demand of the runs on one worker. */
+	/** Total demand of the runs on one worker, without CPU that they take only while others leave it idle. */
 	sumDemandOn(workerId: string): ResourceDemand {
-		return this.#byWorker.get(workerId) ?? NO_DEMAND
+		return this.#byWorker.sumDemand(workerId)
 	}
 
 	/** Workers that have runs. */
 	listWorkers(): IterableIterator<string> {
-		return this.#byWorker.keys()
+		return this.#byWorker.listNames()
 	}
 
-	#add(taskId: string, ref: TaskRef): void {
-		const {workerId} = ref.task
-		const entry = this.#byWorker.get(workerId) ?? {
-			runs: new Map<string, TaskRef>(),
-			cpuMillis: 0,
-			memoryMb: 0,
-			accelerators: 0
-		}
-		this.#byWorker.set(workerId, entry)
-		this.#workerOfTask.set(taskId, workerId)
-		entry.runs.set(taskId, ref)
-		adjustDemand(entry, ref.spec, 1)
+	/** Runs of one workspace. */
+	listOf(workspace: string): ReadonlyMap<string, TaskRef> {
+		return this.#byWorkspace.list(workspace)
 	}
 
-	#remove(taskId: string): void {
-		const workerId = this.#workerOfTask.get(taskId)
-		if (workerId === undefined) return
-		this.#workerOfTask.delete(taskId)
-		const entry = this.#byWorker.get(workerId)
-		const ref = entry?.runs.get(taskId)
-		if (entry === undefined || ref === undefined) return
-		entry.runs.delete(taskId)
-		adjustDemand(entry, ref.spec, -1)
-		if (entry.runs.size === 0) this.#byWorker.delete(workerId)
+	/** Total demand of the runs of one workspace. */
+	sumDemandOf(workspace: string): ResourceDemand {
+		return this.#byWorkspace.sumDemand(workspace)
 	}
-}
 
-function adjustDemand(entry: WorkerRuns, {demand, usesIdleCpu}: StepSpec, sign: 1 | -1): void {
-	if (!usesIdleCpu) entry.cpuMillis += sign * demand.cpuMillis
-	entry.memoryMb += sign * demand.memoryMb
-	entry.accelerators += sign * demand.accelerators
+	#remove(taskId: string): void {
+		this.#byWorker.remove(taskId)
+		this.#byWorkspace.remove(taskId)
+	}
 }
--- a/src/utils/domain/rooms.ts
+++ b/src/utils/domain/rooms.ts
@@ -79,7 +79,8 @@
 	}
 }
 
-function buildNodeRun(ref: TaskRef, guaranteed: ReadonlySet<string>, now: number): NodeRun {
+/** `guaranteed` has the workflows that a guarantee covers. */
+export function buildNodeRun(ref: TaskRef, guaranteed: ReadonlySet<string>, now: number): NodeRun {
 	const {workflow, task, spec} = ref
 	const rank = isFinal(workflow.state) ? Infinity : findRank(workflow, guaranteed)
 	return {
