Forget the runs that a worker showed once its leases have expired

Cause: runs that a worker shows and the holder has released count against the cap of their workspace. They were removed only by the worker's next report, so those of a worker that never reports again counted until the end of the term.

Change: they count until the process or every lease of the worker is over, by the rule that proves the end of runs.

--- a/__tests__/caps.test.ts
+++ b/__tests__/caps.test.ts
@@ -1,48 +1,13 @@
 /** Workspaces at their cap: what they have running never exceeds it, whatever they hand in and whoever schedules. */
 import {expect} from "chai"
-import {ReplyKind, WorkflowAction} from "../src/internal.js"
-import {decodeWorkflow} from "../platform/records.js"
-import {
-	type CatalogOptions,
-	BATCH,
-	OTHER_KEY,
-	URGENT,
-	createCatalogRecord,
-	createJob,
-	createServingDomain
-} from "./fixtures/domain.js"
+import {ReplyKind} from "../src/internal.js"
+import {configure, createCappedDomain} from "./fixtures/caps.js"
+import {BATCH, URGENT, createJob} from "./fixtures/domain.js"
 
 const ID_A = "00000000000000aa"
 const ID_B = "00000000000000bb"
 const ID_C = "00000000000000cc"
 
-type Domain = Awaited<ReturnType<typeof createServingDomain>>
-
-/** Configures the domain anew, and waits until its hosts follow. */
-async function configure({fleet, advance}: Domain, version: number, options: CatalogOptions) {
-	fleet.store.putRow("op", "config", createCatalogRecord(version, options))
-	await advance(300)
-}
-
-async function createCappedDomain(options: CatalogOptions, hosts = 1) {
-	const domain = await createServingDomain({hosts, workers: 4})
-	await configure(domain, 2, options)
-	const countRunning = (prefix = "") =>
-		[...domain.fleet.workers.values()]
-			.flatMap(({running}) => running)
-			.filter(task => task.startsWith(prefix)).length
-	/** Lets time pass, and returns the highest number of tasks running at a time. */
-	const observe = async (ms: number, prefix = "") => {
-		let highest = 0
-		for (let passed = 0; passed < ms; passed += 20) {
-			await domain.advance(20)
-			highest = Math.max(highest, countRunning(prefix))
-		}
-		return highest
-	}
-	return {...domain, countRunning, observe}
-}
-
 describe("the cap of a workspace", () => {
 	it("is used up and never exceeded, while work starts, is cancelled and fails", async () => {
 		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 6}}})
@@ -54,15 +19,9 @@
 
 	it("holds up no other workspace", async () => {
 		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 2}}})
-		const {first, submit, ask, observe} = domain
+		const {first, submit, submitOther, observe} = domain
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 40, workMs: 5000}))
-		const spec = decodeWorkflow(createJob({count: 30, workMs: 5000}))
-		await ask(first, {
-			action: WorkflowAction.submit,
-			path: `${BATCH}${ID_B}`,
-			key: OTHER_KEY,
-			spec
-		})
+		await submitOther(ID_B, createJob({count: 30, workMs: 5000}))
 		expect(await observe(1000, ID_B)).to.equal(30)
 		expect(await observe(100, ID_A)).to.equal(2)
 	})
--- a/src/controllers/domain/run-placement.ts
+++ b/src/controllers/domain/run-placement.ts
@@ -151,7 +151,7 @@
 		const active = [...board.workflows.values()].filter(isSchedulable)
 		const guaranteed = findGuaranteed(catalog.catalog, active)
 		this.#guaranteed = guaranteed
-		const caps = new WorkspaceCaps(board, catalog.catalog)
+		const caps = new WorkspaceCaps(board, catalog.catalog, now)
 		this.#caps = caps
 		releaseBeyondCaps(board, catalog, caps, now)
 		const wallNow = this.#clock.readWallClock()
--- a/src/shares/caps.ts
+++ b/src/shares/caps.ts
@@ -9,7 +9,8 @@
 	type StepSpec,
 	type WorkflowSpec,
 	type WorkspaceAccess,
-	findTaskRef
+	findTaskRef,
+	mayHaveLostRuns
 } from "../internal.js"
 
 const NO_CAP: ResourceDemand = {
@@ -27,10 +28,10 @@
 	/** What is kept for work that waits, by workspace. */
 	readonly #reserved = new Map<string, ResourceDemand>()
 
-	constructor(board: Board, {workspaces}: Catalog) {
+	constructor(board: Board, {workspaces}: Catalog, now: number) {
 		this.#board = board
 		this.#caps = new Map(workspaces.map(({name, cap}) => [name, cap]))
-		this.#foreign = sumForeignRuns(board)
+		this.#foreign = sumForeignRuns(board, now)
 	}
 
 	/** True if `tasks` more tasks of the step may run beside what may run already. */
@@ -89,15 +90,18 @@
 	return `step ${index} needs ${needed}, more than the cap of workspace "${name}" allows`
 }
 
-function sumForeignRuns(board: Board): Map<string, ResourceDemand> {
+/** A worker whose process or leases are over runs none of what it has shown. */
+function sumForeignRuns(board: Board, now: number): Map<string, ResourceDemand> {
 	const sums = new Map<string, ResourceDemand>()
-	for (const {foreignRuns} of board.health.values())
+	for (const [workerId, {foreignRuns}] of board.health.entries()) {
+		if (foreignRuns.length === 0 || mayHaveLostRuns(board, workerId, now)) continue
 		for (const {taskId} of foreignRuns) {
 			const ref = findTaskRef(board, taskId)
 			if (ref === undefined) continue
 			const {workspace} = ref.workflow.record
 			sums.set(workspace, addUse(sums.get(workspace) ?? NOTHING, ref.spec.demand))
 		}
+	}
 	return sums
 }
 
