Answer a repeated submission as accepted though its workspace's cap was lowered since

What callers saw: a submission that was accepted, its answer lost, was refused with "not run" when repeated after the cap had been lowered below one of its steps, and ran all the same.

Cause: the cap was checked before the table was asked whether the workflow is there.

Change: a submission that the cap never allows takes the path of one to a closed queue: it is answered from the table, and refused only if it isn't there.

--- a/__tests__/cap-failures.test.ts
+++ b/__tests__/cap-failures.test.ts
@@ -1,7 +1,7 @@
 /** Workspaces at their cap while something fails, one failure a test: they never have more running than it allows. */
 import {expect} from "chai"
 import {TaskPhase} from "../src/internal.js"
-import {configure, createCap, createCappedDomain, createId} from "./fixtures/caps.js"
+import {configure, createCap, createCappedDomain, createId, findRefusal} from "./fixtures/caps.js"
 import {BATCH, URGENT, createJob} from "./fixtures/domain.js"
 import {STORE_TARGET, type FleetCall} from "../standins/fleet/fleet.js"
 
@@ -164,6 +164,16 @@
 		expect(await observe(4000, createId(1))).to.be.at.most(CAP)
 	})
 
+	it("doesn't refuse a repeated submission that was accepted before it was lowered", async () => {
+		const domain = await createCappedDomain({office: {cap: createCap(8)}})
+		const {first, submit} = domain
+		const gang = createJob({count: 8, gang: true, workMs: 60000})
+		expect(findRefusal(await submit(first, JOB_A, gang))).to.equal(undefined)
+		await configure(domain, 3, OFFICE)
+		expect(findRefusal(await submit(first, JOB_A, gang))).to.equal(undefined)
+		expect(findRefusal(await submit(first, JOB_B, gang))).to.equal("over-quota")
+	})
+
 	it("counts a run that a worker shows and the holder has released, until its lease ends", async () => {
 		const domain = await createCappedDomain(OFFICE)
 		const {first, fleet, plan, submit, advance, observe} = domain
--- a/src/controllers/domain/workflow-intake.ts
+++ b/src/controllers/domain/workflow-intake.ts
@@ -15,6 +15,7 @@
 	type WorkflowRecord,
 	type WorkflowRequest,
 	type WorkflowSpec,
+	type WorkspaceAccess,
 	CommandKind,
 	EventLevel,
 	FULL_RETRY_AFTER_MS,
@@ -54,6 +55,11 @@
 
 const ID_PATTERN = /^[0-9a-f]{16}$/
 
+interface NewWorkRefusal {
+	readonly reason: ReasonCode
+	readonly detail: string
+}
+
 /** A caller's request while calls to the platform's table are made for it. */
 interface IntakeOperation {
 	readonly request: WorkflowRequest
@@ -64,8 +70,8 @@
 	readonly workflowId: string
 	readonly catalogVersion: number
 	readonly evidenceAgeMs: number
-	/** The queue is closed to the workspace for now: the submission is only answered if it was accepted before. */
-	readonly isClosed: boolean
+	/** Why the submission is refused unless it was accepted before; undefined if it may be accepted. */
+	readonly refusalIfNew: NewWorkRefusal | undefined
 	/** True once a commit was sent that may still take effect. */
 	mayHaveTakenEffect: boolean
 	refusals: number
@@ -167,11 +173,6 @@
 			return
 		}
 		if (action === WorkflowAction.submit && spec?.isOk() === true) {
-			const excess = access === undefined ? undefined : describeExcess(spec.value, access)
-			if (excess !== undefined) {
-				this.#refuse(board, request, ReasonCode.overQuota, excess, now)
-				return
-			}
 			const record = buildRecord(rest, workspace, queue, spec.value, this.#readWallClock())
 			const bytes = Buffer.byteLength(JSON.stringify(record))
 			if (bytes > ROW_BYTES_MAX) {
@@ -188,7 +189,7 @@
 			workflowId: rest,
 			catalogVersion: catalog.version,
 			evidenceAgeMs: Math.round(now - evidenceAt),
-			isClosed: isClosedTo(board, workspace, queue),
+			refusalIfNew: findNewWorkRefusal(board, request, access, queue),
 			mayHaveTakenEffect: false,
 			refusals: 0,
 			retries: 0,
@@ -204,7 +205,7 @@
 		const remainingMs = computeGiveUpAt(operation) - now
 		const timeoutMs = Math.max(1, Math.min(INTAKE_CALL_TIMEOUT_MS, remainingMs))
 		const {id} = operation.request
-		if (operation.action === WorkflowAction.submit && !operation.isClosed) {
+		if (operation.action === WorkflowAction.submit && operation.refusalIfNew === undefined) {
 			const writes = this.#buildRows(operation)
 			if (writes === undefined) return
 			operation.commandId = issueTableCommit(board, this.name, id, writes, now, timeoutMs)
@@ -301,7 +302,9 @@
 		const rows = new Map(result.value.map(row => [parseWorkflowKey(row.key).kind, row]))
 		const record = rows.get(WorkflowRowKind.record)
 		if (operation.action === WorkflowAction.submit) {
-			if (record === undefined) this.#refuseClosed(board, operation, now)
+			const {refusalIfNew} = operation
+			if (record === undefined && refusalIfNew !== undefined)
+				this.#finish(board, operation, refusalIfNew.reason, RanState.no, refusalIfNew.detail, now)
 			else this.#replyAccepted(board, operation, record, now)
 			return
 		}
@@ -332,13 +335,6 @@
 		)
 	}
 
-	/** The caller's workspace waits for its own work, so a repetition is of use only once some of it has ended. */
-	#refuseClosed(board: Board, operation: IntakeOperation, now: number): void {
-		const {workspace, queue} = operation
-		const detail = `the unfinished work of workspace "${workspace}" in queue "${queue.name}" takes all of its share`
-		this.#finish(board, operation, ReasonCode.queueFull, RanState.no, detail, now)
-	}
-
 	#replyState(board: Board, operation: IntakeOperation, state: WorkflowState, now: number): void {
 		this.#operations.delete(operation.request.id)
 		board.replies.set(operation.request.id, {kind: ReplyKind.workflow, state})
@@ -430,14 +426,31 @@
 	return action === WorkflowAction.get ? 0 : PLATFORM_RETRY_AFTER_MS
 }
 
-/** True if the workspace may hand in no more work to the queue for now. */
-function isClosedTo({intakeLimits}: Board, workspace: string, queue: QueueConfig): boolean {
-	return intakeLimits.get("current")?.closed.has(formatIntakePair(workspace, queue.name)) === true
+/**
+ * Why the workspace may not hand in this work: it never fits into its cap, or the queue is closed to it for now, since it waits
+ * for its own work, so that a repetition is of use only once some of it has ended.
+ */
+function findNewWorkRefusal(
+	{intakeLimits}: Board,
+	{action, spec}: WorkflowRequest,
+	access: WorkspaceAccess | undefined,
+	{name}: QueueConfig
+): NewWorkRefusal | undefined {
+	if (action !== WorkflowAction.submit) return undefined
+	const excess =
+		access === undefined || spec?.isOk() !== true ? undefined : describeExcess(spec.value, access)
+	if (excess !== undefined) return {reason: ReasonCode.overQuota, detail: excess}
+	const workspace = access?.name ?? ""
+	const isClosed = intakeLimits.get("current")?.closed.has(formatIntakePair(workspace, name))
+	if (isClosed !== true) return undefined
+	const detail = `the unfinished work of workspace "${workspace}" in queue "${name}" takes all of its share`
+	return {reason: ReasonCode.queueFull, detail}
 }
 
 /** True if its calls to the table may have an effect. */
-function mayWrite({action, isClosed}: IntakeOperation): boolean {
-	return action === WorkflowAction.cancel || (action === WorkflowAction.submit && !isClosed)
+function mayWrite({action, refusalIfNew}: IntakeOperation): boolean {
+	const isAccepting = action === WorkflowAction.submit && refusalIfNew === undefined
+	return action === WorkflowAction.cancel || isAccepting
 }
 
 /** On a public queue anybody may use what was submitted without a key, so no workflow of a queue that needs one. */
