Let a workspace's work make way at its cap for all urgent tasks at once

What callers saw: guaranteed work of twelve tasks, on a workspace at its cap, began one task after the other: all after 3.7 s, where stops take 0.4 s.

Cause: a step was left for the round at its first task that the cap blocked, and the next one chose its victims once that one had started. In the pass over withheld capacity, a blocked unit's own share of the cap counted as taken, so it stopped twice what it needed.

Change: CapVictims chooses for all units of a round, from one list of the workspace's runs; a unit that runs make way for keeps its share of the cap, and the round goes on with the next. What no victims were found for isn't tried again in that round, so a round looks at a workspace's runs once. What is kept for work that waits is apart from what is kept for work that will start.

--- a/__tests__/caps.test.ts
+++ b/__tests__/caps.test.ts
@@ -1,7 +1,7 @@
 /** Workspaces at their cap: what they have running never exceeds it, whatever they hand in and whoever schedules. */
 import {expect} from "chai"
-import {ReplyKind} from "../src/internal.js"
-import {configure, createCappedDomain} from "./fixtures/caps.js"
+import {ReplyKind, TaskPhase} from "../src/internal.js"
+import {configure, createCap, createCappedDomain} from "./fixtures/caps.js"
 import {BATCH, URGENT, createJob} from "./fixtures/domain.js"
 
 const ID_A = "00000000000000aa"
@@ -10,7 +10,7 @@
 
 describe("the cap of a workspace", () => {
 	it("is used up and never exceeded, while work starts, is cancelled and fails", async () => {
-		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 6}}})
+		const domain = await createCappedDomain({office: {cap: createCap(6)}})
 		const {first, submit, observe} = domain
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 20, workMs: 700}))
 		await submit(first, `${BATCH}${ID_B}`, createJob({count: 10, workMs: 300}, {fails: true}))
@@ -18,7 +18,7 @@
 	})
 
 	it("holds up no other workspace", async () => {
-		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 2}}})
+		const domain = await createCappedDomain({office: {cap: createCap(2)}})
 		const {first, submit, submitOther, observe} = domain
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 40, workMs: 5000}))
 		await submitOther(ID_B, createJob({count: 30, workMs: 5000}))
@@ -27,7 +27,7 @@
 	})
 
 	it("makes way for the workspace's own guaranteed work", async () => {
-		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 8}}})
+		const domain = await createCappedDomain({office: {cap: createCap(8)}})
 		const {first, submit, fleet, advance, observe, countRunning} = domain
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 20, workMs: 60000}))
 		await advance(1000)
@@ -39,7 +39,7 @@
 	})
 
 	it("refuses at once what it never allows", async () => {
-		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 6}}})
+		const domain = await createCappedDomain({office: {cap: createCap(6)}})
 		const {first, submit} = domain
 		const gang = await submit(first, `${BATCH}${ID_A}`, createJob({count: 7, gang: true}))
 		expect(gang.kind === ReplyKind.refused && gang.refusal).to.include({
@@ -52,23 +52,23 @@
 	})
 
 	it("that is lowered below an accepted gang holds up only that gang", async () => {
-		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 8}}})
+		const domain = await createCappedDomain({office: {cap: createCap(8)}})
 		const {first, submit, advance, fleet, observe} = domain
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 8, workMs: 1000}))
 		await submit(first, `${BATCH}${ID_B}`, createJob({count: 8, gang: true, workMs: 1000}))
-		await configure(domain, 3, {office: {cap: {cpu: 0, mem_mb: 0, gpu: 4}}})
+		await configure(domain, 3, {office: {cap: createCap(4)}})
 		await submit(first, `${BATCH}${ID_C}`, createJob({count: 8, workMs: 500}))
 		await advance(1500)
 		expect(await observe(3000)).to.be.at.most(4)
 		expect(fleet.monitor.starts.some(({task}) => task.startsWith(ID_B))).to.equal(false)
 		expect([...fleet.monitor.done].filter(task => task.startsWith(ID_C))).to.have.length(8)
-		await configure(domain, 4, {office: {cap: {cpu: 0, mem_mb: 0, gpu: 8}}})
+		await configure(domain, 4, {office: {cap: createCap(8)}})
 		await advance(1500)
 		expect(fleet.monitor.starts.filter(({task}) => task.startsWith(ID_B))).to.have.length(8)
 	})
 
 	it("counts what an earlier holder has started", async () => {
-		const domain = await createCappedDomain({office: {cap: {cpu: 0, mem_mb: 0, gpu: 6}}}, 2)
+		const domain = await createCappedDomain({office: {cap: createCap(6)}}, 2)
 		const {first, hosts, submit, advanceUntil, observe} = domain
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 30, workMs: 6000}))
 		await observe(500)
@@ -76,4 +76,41 @@
 		await advanceUntil(() => hosts[1]!.board.terms.has("loaded"))
 		expect(await observe(8000)).to.equal(6)
 	})
+
+	it("makes way for all tasks of guaranteed work at the same time", async () => {
+		const domain = await createCappedDomain({office: {cap: createCap(12)}})
+		const {first, submit, advance, advanceUntil, countRunning, fleet} = domain
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 20, workMs: 60000}))
+		await advance(1500)
+		for (const worker of fleet.workers.values()) worker.stopMs = 400
+		await submit(first, `${URGENT}${ID_B}`, createJob({count: 12, workMs: 60000}))
+		expect(await advanceUntil(() => countRunning(ID_B) === 12)).to.be.below(1500)
+		expect(countRunning()).to.equal(12)
+	})
+
+	it("stops no more for work that waits for room under it than that needs", async () => {
+		const domain = await createCappedDomain({office: {cap: createCap(10)}})
+		const {first, submit, advance, fleet} = domain
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 10, workMs: 60000}))
+		await advance(500)
+		// The workers stop nothing for a while, so that the work waits beside a service that is mostly idle.
+		for (const worker of fleet.workers.values()) worker.stopMs = 4000
+		await submit(first, `${URGENT}${ID_B}`, createJob({count: 3, gang: true, workMs: 60000}))
+		await advance(3500)
+		const stopping = [...first.board.runs.values()].filter(
+			({task}) => task.phase === TaskPhase.stopping
+		)
+		expect(stopping).to.have.length(3)
+	})
+
+	it("is left to a gang that waits for it, while half of it is in use", async () => {
+		const domain = await createCappedDomain({office: {cap: createCap(20)}})
+		const {first, submit, advance, advanceUntil, countRunning} = domain
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 12, workMs: 4000}))
+		await advance(500)
+		await submit(first, `${BATCH}${ID_B}`, createJob({count: 18, gang: true, workMs: 1000}))
+		await submit(first, `${BATCH}${ID_C}`, createJob({count: 100, workMs: 4000}))
+		await advanceUntil(() => countRunning(ID_B) === 18, 6000)
+		expect(countRunning()).to.be.within(18, 20)
+	})
 })
--- a/src/controllers/domain/run-placement.ts
+++ b/src/controllers/domain/run-placement.ts
@@ -25,12 +25,12 @@
 	ReasonCode,
 	SectionName,
 	TaskPhase,
+	CapVictims,
 	WorkspaceCaps,
 	addDemand,
 	computeNextRun,
 	buildPlacementUnit,
 	buildPlannedRun,
-	chooseCapVictims,
 	computeCores,
 	findGuaranteed,
 	findRoundGate,
@@ -76,6 +76,17 @@
 	readonly since: number
 }
 
+/** What came of a group of tasks in one round. */
+const UnitOutcome = {
+	/** It has capacity, or some is held for it. */
+	placed: "placed",
+	/** Runs of its workspace make way for it. */
+	freeing: "freeing",
+	/** There was none. Then another group like it finds none in this round either. */
+	blocked: "blocked"
+} as const
+type UnitOutcome = (typeof UnitOutcome)[keyof typeof UnitOutcome]
+
 export class RunPlacementController implements Controller {
 	readonly name = "run-placement"
 	readonly reads = [
@@ -97,9 +108,10 @@
 	#roundAt = 0
 	/** Groups of tasks for which capacity was withheld in this round. */
 	#withheldGroups = 0
-	#guaranteed: ReadonlySet<string> = new Set()
-	/** What workspaces may still have running, in this round. */
-	#caps: WorkspaceCaps | undefined
+	/** What workspaces may still have running, and what makes way for their urgent work, in this round. */
+	#caps: {readonly caps: WorkspaceCaps; readonly victims: CapVictims} | undefined
+	/** Units for which runs of their own workspace are stopped, by the first task's id, in this round. */
+	readonly #makingWay = new Set<string>()
 	/** What was withheld in this round. */
 	#withheld: {readonly node: NodeCapacity; readonly spec: StepSpec}[] = []
 	/** Units that found no capacity in this round, by what the policy decides on, and those of them that never will. */
@@ -150,10 +162,10 @@
 	#placeAll(board: Board, catalog: CatalogEntry, now: number): number {
 		const active = [...board.workflows.values()].filter(isSchedulable)
 		const guaranteed = findGuaranteed(catalog.catalog, active)
-		this.#guaranteed = guaranteed
 		const caps = new WorkspaceCaps(board, catalog.catalog, now)
-		this.#caps = caps
-		releaseBeyondCaps(board, catalog, caps, now)
+		this.#caps = {caps, victims: new CapVictims(board, caps, guaranteed, now)}
+		this.#makingWay.clear()
+		releaseBeyondCaps(board, caps, now)
 		const wallNow = this.#clock.readWallClock()
 		this.#nextDueWallMs = openDueOccurrences(active, wallNow)
 		const steps = listReadySteps(catalog, active, guaranteed, now, wallNow)
@@ -221,7 +233,7 @@
 				continue
 			}
 			const workspace = unit.refs[0]?.workflow.record.workspace ?? ""
-			if (this.#caps?.isWithin(workspace, unit.spec, unit.refs.length) === false) {
+			if (this.#caps?.caps.isWithin(workspace, unit.spec, unit.refs.length) === false) {
 				this.#holds.delete(key)
 				continue
 			}
@@ -231,7 +243,7 @@
 				addDemand(node.free, unit.spec, -1)
 			}
 			if (!isFree) {
-				this.#caps?.reserve(workspace, unit.spec, unit.refs.length)
+				this.#caps?.caps.reserve(workspace, unit.spec, unit.refs.length)
 				recordPlannedRuns(unit, held)
 				continue
 			}
@@ -241,7 +253,7 @@
 		}
 	}
 
-	/** Places the step's waiting groups that hold no capacity yet. Returns false if one of them found none. */
+	/** Places the step's waiting groups that hold no capacity yet. Returns false if one of them waits. */
 	#placeStep(
 		board: Board,
 		ready: ReadyStep,
@@ -253,17 +265,20 @@
 		const service = findService(catalog, workflow)
 		const nodes = capacityByService.get(service) ?? []
 		const readyAt = this.#readyAt.get(`${occurrence.key}.${stepIndex}`) ?? now
+		let isPlaced = true
 		for (const group of listWaitingGroups(ready)) {
 			const [first] = group
 			if (first === undefined || this.#holds.has(first.taskId)) continue
+			if (this.#makingWay.has(first.taskId)) continue
 			const mayWait = !this.#overdue.has(first.taskId)
 			const unit = buildPlacementUnit(board, ready, group, {mayWait, waitedMs: now - readyAt}, now)
-			if (!this.#placeUnit(board, unit, service, nodes, now - readyAt, now)) return false
+			const outcome = this.#placeUnit(board, unit, service, nodes, now - readyAt, now)
+			if (outcome === UnitOutcome.blocked) return false
+			isPlaced &&= outcome === UnitOutcome.placed
 		}
-		return true
+		return isPlaced
 	}
 
-	/** Returns false if the unit found no capacity. Then another one like it finds none in this round either. */
 	#placeUnit(
 		board: Board,
 		unit: PlacementUnit,
@@ -271,42 +286,45 @@
 		nodes: readonly NodeCapacity[],
 		waitedMs: number,
 		now: number
-	): boolean {
-		if (!this.#isWithinCap(board, unit, nodes, waitedMs, now)) return false
+	): UnitOutcome {
+		const capOutcome = this.#checkCap(board, unit, now)
+		if (capOutcome !== undefined) {
+			this.#recordWaiting(board, unit, nodes, {waitedMs, reason: ReasonCode.overQuota}, now)
+			return capOutcome
+		}
 		const key = formatUnitKey(unit, service)
 		const slots = this.#misfits.has(key) ? undefined : this.#policy.choose(unit, nodes)
 		if (slots !== undefined) {
 			this.#commitSlots(board, unit, slots, now)
-			return true
+			return UnitOutcome.placed
 		}
 		this.#misfits.add(key)
 		this.#recordWaiting(board, unit, nodes, {waitedMs, reason: ReasonCode.noRoom}, now)
 		if (!this.#hopeless.has(key) && !this.#withhold(unit, nodes)) this.#hopeless.add(key)
-		return false
+		return UnitOutcome.blocked
 	}
 
 	/**
-	 * False if the unit's workspace may not have it running beside what runs. Then the workspace's own work makes way for it if
-	 * the unit may preempt, and later units of the workspace don't take what becomes free; those of others are not concerned.
+	 * Undefined if the unit is within its workspace's cap. Otherwise the workspace's own work makes way for it if it may preempt,
+	 * or later units of the workspace leave it what becomes free. Those of other workspaces are not concerned.
 	 */
-	#isWithinCap(
-		board: Board,
-		unit: PlacementUnit,
-		nodes: readonly NodeCapacity[],
-		waitedMs: number,
-		now: number
-	): boolean {
+	#checkCap(board: Board, unit: PlacementUnit, now: number): UnitOutcome | undefined {
 		const {refs, spec} = unit
-		const caps = this.#caps
-		const workspace = refs[0]?.workflow.record.workspace ?? ""
-		if (caps === undefined || caps.isWithin(workspace, spec, refs.length)) return true
-		for (const victim of chooseCapVictims(board, caps, unit, this.#guaranteed, now))
-			stopRun(board, victim, ReasonCode.preempted, now)
-		// Work that the cap never allows waits for a change of the cap, and the rest of its workspace doesn't wait for it.
-		if (!caps.hasReserved(workspace) && isEverAllowed(spec, caps.findCap(workspace)))
+		const [first] = refs
+		if (first === undefined || this.#caps === undefined) return undefined
+		const {caps, victims} = this.#caps
+		const {workspace} = first.workflow.record
+		if (caps.isWithin(workspace, spec, refs.length)) return undefined
+		const chosen = victims.choose(unit)
+		if (chosen !== undefined) {
 			caps.reserve(workspace, spec, refs.length)
-		this.#recordWaiting(board, unit, nodes, {waitedMs, reason: ReasonCode.overQuota}, now)
-		return false
+			this.#makingWay.add(first.taskId)
+			for (const victim of chosen) stopRun(board, victim, ReasonCode.preempted, now)
+			return UnitOutcome.freeing
+		}
+		// What the cap never allows waits for a change of the cap, and the rest of its workspace doesn't wait for it.
+		if (isEverAllowed(spec, caps.findCap(workspace))) caps.withhold(workspace, spec, refs.length)
+		return UnitOutcome.blocked
 	}
 
 	/**
@@ -370,7 +388,7 @@
 		const [first] = refs
 		if (first === undefined) return
 		const workerIds = nodes.map(({id}) => id)
-		this.#caps?.reserve(first.workflow.record.workspace, spec, refs.length)
+		this.#caps?.caps.reserve(first.workflow.record.workspace, spec, refs.length)
 		this.#holds.set(first.taskId, {unit, workerIds, since: now})
 		const fields = {
 			task: first.taskId,
@@ -385,15 +403,10 @@
 }
 
 /** Gives up plans that have not been started of workspaces whose cap has become lower than what they have running. */
-function releaseBeyondCaps(
-	board: Board,
-	{catalog}: CatalogEntry,
-	caps: WorkspaceCaps,
-	now: number
-): void {
-	for (const {name} of catalog.workspaces) {
-		if (caps.isKept(name)) continue
-		for (const ref of [...board.runs.listOf(name).values()])
+function releaseBeyondCaps(board: Board, caps: WorkspaceCaps, now: number): void {
+	for (const workspace of caps.listNames()) {
+		if (caps.isKept(workspace)) continue
+		for (const ref of [...board.runs.listOf(workspace).values()])
 			if (ref.task.phase === TaskPhase.planned) stopRun(board, ref, ReasonCode.overQuota, now)
 	}
 }
--- a/src/core/run-section.ts
+++ b/src/core/run-section.ts
@@ -30,7 +30,7 @@
 	accelerators: number
 }
 
-const NO_DEMAND: ResourceDemand = {cpuMillis: 0, memoryMb: 0, accelerators: 0}
+export const NO_DEMAND: ResourceDemand = {cpuMillis: 0, memoryMb: 0, accelerators: 0}
 const NO_RUNS: ReadonlyMap<string, TaskRef> = new Map()
 
 /** Runs by what they have in common, with their total demand. */
--- a/src/shares/cap-victims.ts
+++ b/src/shares/cap-victims.ts
@@ -4,66 +4,108 @@
  */
 import {
 	type Board,
-	type NodeRun,
 	type PlacementUnit,
 	type ResourceDemand,
 	type TaskRef,
 	type WorkspaceCaps,
+	NO_DEMAND,
 	TaskPhase,
 	addUse,
-	buildNodeRun
+	buildNodeRun,
+	scaleUse
 } from "../internal.js"
 
 interface Candidate {
 	/** One run, or all of a gang, which stops as a whole. */
 	readonly refs: TaskRef[]
+	readonly rank: number
 	readonly loss: number
 }
 
-/** The runs to stop, with the least loss first; none if stopping doesn't help, costs too much or is under way. */
-export function chooseCapVictims(
-	board: Board,
-	caps: WorkspaceCaps,
-	{refs, spec, rank, lossMax}: PlacementUnit,
-	guaranteed: ReadonlySet<string>,
-	now: number
-): readonly TaskRef[] {
-	const workspace = refs[0]?.workflow.record.workspace
-	if (workspace === undefined || lossMax < 0) return []
-	const runs = [...board.runs.listOf(workspace).values()].map(ref =>
-		buildNodeRun(ref, guaranteed, now)
-	)
-	const isEnough = (freed: ResourceDemand) => caps.isWithinOnce(freed, workspace, spec, refs.length)
-	let freed = sumDemand(runs.filter(({isStopping}) => isStopping).map(({ref}) => ref))
-	let loss = 0
-	const victims: TaskRef[] = []
-	for (const candidate of listCandidates(runs, rank)) {
-		if (isEnough(freed)) break
-		victims.push(...candidate.refs)
-		freed = addUse(freed, sumDemand(candidate.refs))
-		loss += candidate.loss
-	}
-	return isEnough(freed) && loss <= lossMax ? victims : []
+/** What a workspace may free in this round. */
+interface Supply {
+	/** What its runs that are being stopped use. */
+	freed: ResourceDemand
+	/** Its other runs, those with the least loss first. */
+	candidates: readonly Candidate[]
 }
 
-function listCandidates(runs: readonly NodeRun[], rank: number): Candidate[] {
-	const candidates = new Map<string, Candidate>()
-	for (const {ref, loss, rank: runRank, isProtected} of runs) {
-		const isActive = ref.task.phase === TaskPhase.running || ref.task.phase === TaskPhase.starting
-		if (runRank <= rank || isProtected || !isActive) continue
-		const {spec, occurrence, stepIndex, taskId} = ref
-		const key = spec.gang ? `${occurrence.key}.${stepIndex}` : taskId
-		const known = candidates.get(key)
-		if (known === undefined) candidates.set(key, {refs: [ref], loss})
-		else known.refs.push(ref)
+/** Chooses victims for the units of one round. */
+export class CapVictims {
+	readonly #board: Board
+	readonly #caps: WorkspaceCaps
+	readonly #guaranteed: ReadonlySet<string>
+	readonly #now: number
+	readonly #supplies = new Map<string, Supply>()
+	/** Units for which there were none, by what the choice depends on. */
+	readonly #hopeless = new Set<string>()
+
+	/** `guaranteed` has the workflows that a guarantee covers. */
+	constructor(board: Board, caps: WorkspaceCaps, guaranteed: ReadonlySet<string>, now: number) {
+		this.#board = board
+		this.#caps = caps
+		this.#guaranteed = guaranteed
+		this.#now = now
+	}
+
+	/**
+	 * The runs to stop so that the unit is within its cap, none of them if enough is being stopped; undefined if stopping doesn't
+	 * help or costs too much. The caller keeps the unit's share of the cap.
+	 */
+	choose({refs, spec, rank, lossMax}: PlacementUnit): readonly TaskRef[] | undefined {
+		const workspace = refs[0]?.workflow.record.workspace
+		if (workspace === undefined || lossMax < 0) return undefined
+		const {cpuMillis, memoryMb, accelerators} = scaleUse(spec.demand, refs.length)
+		const key = JSON.stringify([workspace, cpuMillis, memoryMb, accelerators, rank, `${lossMax}`])
+		if (this.#hopeless.has(key)) return undefined
+		const supply = this.#findSupply(workspace)
+		const chosen = new Set<Candidate>()
+		let {freed} = supply
+		let loss = 0
+		const isEnough = () => this.#caps.isWithinOnce(freed, workspace, spec, refs.length)
+		for (const candidate of supply.candidates) {
+			if (isEnough()) break
+			if (candidate.rank <= rank) continue
+			chosen.add(candidate)
+			freed = addUse(freed, sumDemand(candidate.refs))
+			loss += candidate.loss
+		}
+		if (!isEnough() || loss > lossMax) {
+			this.#hopeless.add(key)
+			return undefined
+		}
+		supply.freed = freed
+		if (chosen.size > 0)
+			supply.candidates = supply.candidates.filter(candidate => !chosen.has(candidate))
+		return [...chosen].flatMap(candidate => candidate.refs)
+	}
+
+	#findSupply(workspace: string): Supply {
+		const known = this.#supplies.get(workspace)
+		if (known !== undefined) return known
+		const refs = [...this.#board.runs.listOf(workspace).values()]
+		const stopping = refs.filter(({task}) => task.phase === TaskPhase.stopping)
+		const supply = {freed: sumDemand(stopping), candidates: this.#listCandidates(refs)}
+		this.#supplies.set(workspace, supply)
+		return supply
+	}
+
+	#listCandidates(refs: readonly TaskRef[]): Candidate[] {
+		const candidates = new Map<string, Candidate>()
+		for (const ref of refs) {
+			const {spec, occurrence, stepIndex, taskId, task} = ref
+			if (task.phase !== TaskPhase.running && task.phase !== TaskPhase.starting) continue
+			const {rank, loss, isProtected} = buildNodeRun(ref, this.#guaranteed, this.#now)
+			if (isProtected) continue
+			const key = spec.gang ? `${occurrence.key}.${stepIndex}` : taskId
+			const known = candidates.get(key)
+			if (known === undefined) candidates.set(key, {refs: [ref], rank, loss})
+			else known.refs.push(ref)
+		}
+		return [...candidates.values()].sort((a, b) => a.loss - b.loss)
 	}
-	return [...candidates.values()].sort((a, b) => a.loss - b.loss)
 }
 
 function sumDemand(refs: readonly TaskRef[]): ResourceDemand {
-	return refs.reduce<ResourceDemand>((sum, {spec}) => addUse(sum, spec.demand), {
-		cpuMillis: 0,
-		memoryMb: 0,
-		accelerators: 0
-	})
+	return refs.reduce<ResourceDemand>((sum, {spec}) => addUse(sum, spec.demand), NO_DEMAND)
 }
--- a/src/shares/caps.ts
+++ b/src/shares/caps.ts
@@ -9,6 +9,7 @@
 	type StepSpec,
 	type WorkflowSpec,
 	type WorkspaceAccess,
+	NO_DEMAND,
 	findTaskRef,
 	mayHaveLostRuns
 } from "../internal.js"
@@ -18,57 +19,72 @@
 	memoryMb: Infinity,
 	accelerators: Infinity
 }
-const NOTHING: ResourceDemand = {cpuMillis: 0, memoryMb: 0, accelerators: 0}
 
+/** What workspaces with a cap may still have running, in one round of placement. */
 export class WorkspaceCaps {
 	readonly #board: Board
+	/** Caps of the workspaces that have one. */
 	readonly #caps: ReadonlyMap<string, ResourceDemand>
 	/** Use of runs that are not among those of the board, by workspace. */
 	readonly #foreign: ReadonlyMap<string, ResourceDemand>
-	/** What is kept for work that waits, by workspace. */
+	/** What is kept for work that will start once others have stopped, by workspace. */
 	readonly #reserved = new Map<string, ResourceDemand>()
+	/** What is kept from later work for work that waits until others have ended, by workspace. */
+	readonly #withheld = new Map<string, ResourceDemand>()
 
 	constructor(board: Board, {workspaces}: Catalog, now: number) {
 		this.#board = board
-		this.#caps = new Map(workspaces.map(({name, cap}) => [name, cap]))
+		this.#caps = new Map(
+			workspaces.flatMap(({name, cap}) => (isBelow(NO_CAP, cap) ? [] : [[name, cap]]))
+		)
 		this.#foreign = sumForeignRuns(board, now)
 	}
 
-	/** True if `tasks` more tasks of the step may run beside what may run already. */
-	isWithin(workspace: string, spec: StepSpec, tasks: number): boolean {
-		const used = addUse(this.#computeUse(workspace), scaleUse(spec.demand, tasks))
-		return isBelow(used, this.findCap(workspace))
+	/** Workspaces that have a cap. */
+	listNames(): IterableIterator<string> {
+		return this.#caps.keys()
 	}
 
-	/** True if what may run is within the cap. */
-	isKept(workspace: string): boolean {
-		return isBelow(this.#computeUse(workspace), this.findCap(workspace))
+	/** True if `tasks` more tasks of the step may run beside what may run already. */
+	isWithin(workspace: string, spec: StepSpec, tasks: number): boolean {
+		return this.isWithinOnce(NO_DEMAND, workspace, spec, tasks)
 	}
 
 	/** True if they may run once what `freed` sums up has stopped. */
 	isWithinOnce(freed: ResourceDemand, workspace: string, spec: StepSpec, tasks: number): boolean {
-		const used = addUse(this.#computeUse(workspace), scaleUse(spec.demand, tasks))
-		return isBelow(addUse(used, scaleUse(freed, -1)), this.findCap(workspace))
+		const cap = this.#caps.get(workspace)
+		if (cap === undefined) return true
+		const reserved = this.#reserved.get(workspace) ?? NO_DEMAND
+		const withheld = this.#withheld.get(workspace) ?? NO_DEMAND
+		const kept = addUse(addUse(reserved, withheld), scaleUse(freed, -1))
+		const used = addUse(addUse(this.findUse(workspace), kept), scaleUse(spec.demand, tasks))
+		return isBelow(used, cap)
 	}
 
-	/** Keeps room under the cap for tasks that will start later. */
+	/** True if what may run is within the cap. */
+	isKept(workspace: string): boolean {
+		return isBelow(this.findUse(workspace), this.findCap(workspace))
+	}
+
+	/** Keeps a part of the cap for tasks that will start later in any case. */
 	reserve(workspace: string, spec: StepSpec, tasks: number): void {
-		const reserved = this.#reserved.get(workspace) ?? NOTHING
-		this.#reserved.set(workspace, addUse(reserved, scaleUse(spec.demand, tasks)))
+		addTo(this.#reserved, workspace, scaleUse(spec.demand, tasks))
 	}
 
-	hasReserved(workspace: string): boolean {
-		return this.#reserved.has(workspace)
+	/** Keeps a part of the cap from later units for the first one that waits; other units wait without it. */
+	withhold(workspace: string, spec: StepSpec, tasks: number): void {
+		if (!this.#withheld.has(workspace)) this.#withheld.set(workspace, scaleUse(spec.demand, tasks))
 	}
 
 	findCap(workspace: string): ResourceDemand {
 		return this.#caps.get(workspace) ?? NO_CAP
 	}
 
-	#computeUse(workspace: string): ResourceDemand {
+	/** What may run of the workspace. */
+	findUse(workspace: string): ResourceDemand {
+		const foreign = this.#foreign.get(workspace)
 		const own = this.#board.runs.sumDemandOf(workspace)
-		const foreign = this.#foreign.get(workspace) ?? NOTHING
-		return addUse(addUse(own, foreign), this.#reserved.get(workspace) ?? NOTHING)
+		return foreign === undefined ? own : addUse(own, foreign)
 	}
 }
 
@@ -99,12 +115,16 @@
 			const ref = findTaskRef(board, taskId)
 			if (ref === undefined) continue
 			const {workspace} = ref.workflow.record
-			sums.set(workspace, addUse(sums.get(workspace) ?? NOTHING, ref.spec.demand))
+			addTo(sums, workspace, ref.spec.demand)
 		}
 	}
 	return sums
 }
 
+function addTo(sums: Map<string, ResourceDemand>, name: string, demand: ResourceDemand): void {
+	sums.set(name, addUse(sums.get(name) ?? NO_DEMAND, demand))
+}
+
 export function addUse(a: ResourceDemand, b: ResourceDemand): ResourceDemand {
 	return {
 		cpuMillis: a.cpuMillis + b.cpuMillis,
@@ -113,7 +133,7 @@
 	}
 }
 
-function scaleUse({cpuMillis, memoryMb, accelerators}: ResourceDemand, factor: number) {
+export function scaleUse({cpuMillis, memoryMb, accelerators}: ResourceDemand, factor: number) {
 	return {
 		cpuMillis: cpuMillis * factor,
 		memoryMb: memoryMb * factor,
