Let work pass a gang that waits under its workspace's cap, while that cap and the service are mostly unused

What operators would see (LOST): a job of which nothing runs for over 3 s, while its workspace uses under half of its cap and its service under half of its capacity.

Cause: the first unit that a cap blocks withholds its share of the cap from all later ones of the workspace until it fits. One gang that needs more than half of the cap so held up single tasks for as long as earlier work ran.

Change: the pass that lifts what is withheld on workers after 2 s of waiting, while most of a service is idle, lifts this too, for workspaces below half of their cap.

Result: a task that waited for longer than 30 s starts within 3 s (test, fails without the change). Beyond half of the cap the gang goes first as before (test).

--- a/__tests__/caps.test.ts
+++ b/__tests__/caps.test.ts
@@ -103,6 +103,16 @@
 		expect(stopping).to.have.length(3)
 	})
 
+	it("lets work pass a gang that waits for it, while less than half of it and of the service is in use", async () => {
+		const domain = await createCappedDomain({office: {cap: createCap(20)}})
+		const {first, submit, advance, advanceUntil, countRunning} = domain
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, workMs: 60000}))
+		await advance(500)
+		await submit(first, `${BATCH}${ID_B}`, createJob({count: 18, gang: true, workMs: 1000}))
+		await submit(first, `${BATCH}${ID_C}`, createJob({count: 1, workMs: 1000}))
+		expect(await advanceUntil(() => countRunning(ID_C) === 1)).to.be.below(3000)
+	})
+
 	it("is left to a gang that waits for it, while half of it is in use", async () => {
 		const domain = await createCappedDomain({office: {cap: createCap(20)}})
 		const {first, submit, advance, advanceUntil, countRunning} = domain
--- a/src/controllers/domain/run-placement.ts
+++ b/src/controllers/domain/run-placement.ts
@@ -197,6 +197,7 @@
 	): void {
 		for (const {node, spec} of this.#withheld) addDemand(node.free, spec, 1)
 		this.#withheld = []
+		this.#caps?.caps.releaseWithheld()
 		this.#misfits.clear()
 		this.#withheldGroups = WITHHELD_GROUPS_MAX
 		for (const step of waiting) {
--- a/src/shares/caps.ts
+++ b/src/shares/caps.ts
@@ -76,6 +76,14 @@
 		if (!this.#withheld.has(workspace)) this.#withheld.set(workspace, scaleUse(spec.demand, tasks))
 	}
 
+	/** Ends the withholding of this round for workspaces that use less than half of their cap. */
+	releaseWithheld(): void {
+		for (const workspace of [...this.#withheld.keys()]) {
+			const doubled = scaleUse(this.findUse(workspace), 2)
+			if (isBelow(doubled, this.findCap(workspace))) this.#withheld.set(workspace, NO_DEMAND)
+		}
+	}
+
 	findCap(workspace: string): ResourceDemand {
 		return this.#caps.get(workspace) ?? NO_CAP
 	}
