Let work that has been late for long go first in its rank

Cause: within a rank, work that looks late goes after all that looks punctual, by an estimate that may be a thousand times too short. While punctual work keeps coming, it waited without end.

Change: work that has been late for 300 s, or for ten of its objectives if that is longer, goes first in its rank.

--- a/src/policies/domain/run-queue.ts
+++ b/src/policies/domain/run-queue.ts
@@ -1,6 +1,7 @@
 /**
  * Orders the steps that are ready. Within one rank, steps are ordered by acceptance, but those that can still complete
- * within their queue's objective go before those that no longer can.
+ * within their queue's objective go before those that no longer can. The latter don't wait for ever: work that has been
+ * late for long goes first, so a wrong forecast, of its own or of others, holds nobody up for longer than that.
  *
  * This matters when, for some seconds, more urgent work arrives than the workers can run. Ordered strictly by age, each
  * workflow would start just too late, and all would miss the objective until the queue has drained.
@@ -14,7 +15,7 @@
 } from "../../internal.js"
 
 /** Whether a workflow that starts now is expected to complete within its queue's objective. */
-export const Punctuality = {onTime: 0, late: 1, overdue: 2} as const
+export const Punctuality = {longLate: 0, onTime: 1, late: 2, overdue: 3} as const
 export type Punctuality = (typeof Punctuality)[keyof typeof Punctuality]
 
 /** A step with waiting tasks whose dependencies are done. */
@@ -49,6 +50,10 @@
 /** Multiple of the objective up to which the platform's operators still count a late workflow as served. */
 const OVERDUE_FACTOR = 3
 
+/** Age from which late work goes first in its rank: this time, or a multiple of the objective if that is longer. */
+export const LATE_WAIT_MAX_MS = 300000
+const LATE_WAIT_FACTOR = 10
+
 /**
  * Without an objective everything is on time. `criticalPathsMs` gives for each step the
  * time from its start to the end of the last step that depends on it.
@@ -63,6 +68,8 @@
 	const objectiveMs = computeObjective(criticalPathsMs, queue)
 	const expectedMs = ageMs + RUN_OVERHEAD_MS + (criticalPathsMs[stepIndex] ?? 0)
 	if (expectedMs <= objectiveMs) return Punctuality.onTime
+	if (ageMs > Math.max(LATE_WAIT_MAX_MS, LATE_WAIT_FACTOR * objectiveMs))
+		return Punctuality.longLate
 	return expectedMs <= OVERDUE_FACTOR * objectiveMs ? Punctuality.late : Punctuality.overdue
 }
 
