Learn from finished runs what the steps of workflows take

Cause: order, punctuality, remaining time and losses rest on the callers' estimates, which are off by factors.

Change: the holder keeps quantiles of durations, and of the ratio of duration to estimate, by queue, workspace and step, and uses the way to estimate that has been off least; the caller's estimate is one of them. Runs that failed, went on from a checkpoint or ran on a suspect worker are left out; pace, remote racks and runs begun under an earlier holder are corrected. It is written to one row for each queue, at most each 5 s, and read by the next holder beside its load. domain.learnRunTimes (default true) switches it off. Metric cardamomhook_run_time_error, events run-times-moved, -loaded, -lost, -regained.

--- a/__tests__/platform.test.ts
+++ b/__tests__/platform.test.ts
@@ -33,6 +33,7 @@
 			remoteFactor: 3,
 			workerLeaseMaxMs: 10000,
 			cores: 1,
+			learnRunTimes: true,
 			coreShare: 1
 		}
 	})
--- a/src/adapters/telemetry.ts
+++ b/src/adapters/telemetry.ts
@@ -29,6 +29,9 @@
 	"run-placed": {field: "waitedMs", label: "rank"}
 }
 
+/** Queues with series of their own. */
+const QUEUES_SHOWN_MAX = 50
+
 type LogOutput = ReturnType<typeof destination>
 
 /** Creates a stream that writes whole lines in the background, several at a time up to the maximum of one write. */
@@ -49,6 +52,7 @@
 	readonly #problems: Counter<"reason">
 	readonly #jobs: Gauge<"state">
 	readonly #standstills: Gauge<"gate">
+	readonly #runTimeErrors: Gauge<"queue" | "of">
 	readonly #durations: Histogram<"event" | "of">
 	readonly #calls: Histogram<"kind" | "result">
 	readonly #droppedLines: Counter
@@ -83,6 +87,12 @@
 			labelNames: ["gate"],
 			registers: [this.#registry]
 		})
+		this.#runTimeErrors = new Gauge({
+			name: "cardamomhook_run_time_error",
+			help: "How far expected run times have been off by queue, as the logarithm of the factor",
+			labelNames: ["queue", "of"],
+			registers: [this.#registry]
+		})
 		this.#durations = new Histogram({
 			name: "cardamomhook_event_seconds",
 			help: "Durations reported by events, such as of a caller's request or the wait for placement",
@@ -155,6 +165,12 @@
 		for (const [state, count] of counts) this.#jobs.set({state}, count)
 		this.#standstills.reset()
 		for (const {held} of this.#board.standstills.values()) this.#standstills.inc({gate: held.gate})
+		this.#runTimeErrors.reset()
+		const errors = this.#board.stepTimes.get("current")?.listErrors() ?? []
+		for (const {queue, caller, chosen} of errors.slice(0, QUEUES_SHOWN_MAX)) {
+			this.#runTimeErrors.set({queue, of: "caller"}, caller)
+			this.#runTimeErrors.set({queue, of: "forecast"}, chosen)
+		}
 		return this.#registry.metrics()
 	}
 }
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -14,6 +14,7 @@
 	type CountRequest,
 	type EndAcknowledgement,
 	type EndpointEntry,
+	type FinishedRun,
 	type FleetIndex,
 	type GangEntry,
 	type GuaranteePlacement,
@@ -40,6 +41,7 @@
 	RunSection,
 	Section,
 	type StandstillEntry,
+	type StepTimes,
 	type StopEntry,
 	type TermEntry,
 	type Transition,
@@ -85,6 +87,8 @@
 	workflows: "workflows",
 	terms: "terms",
 	runs: "runs",
+	finishedRuns: "finishedRuns",
+	stepTimes: "stepTimes",
 	health: "health",
 	standstills: "standstills",
 	countRequests: "countRequests",
@@ -177,6 +181,10 @@
 	readonly terms = new Section<"loaded", TermEntry>()
 	/** Runs that may be on a worker, by task id. */
 	readonly runs = new RunSection()
+	/** Runs whose durations are to be learned from, by task, or by step for a gang. */
+	readonly finishedRuns = new Section<string, FinishedRun>()
+	/** What finished runs say about the steps of workflows, while this host holds the domain; keyed `current`. */
+	readonly stepTimes = new Section<"current", StepTimes>()
 	/** Failures on a worker and the resulting restrictions, by its id. */
 	readonly health = new Section<string, NodeHealth>()
 	/** Workflows of which nothing runs though a step's turn has come, by id. */
--- a/src/run-times/forecast.ts
+++ b/src/run-times/forecast.ts
@@ -21,6 +21,8 @@
 	readonly source: RunTimeSource
 	/** Number of finished runs that it is based on. */
 	readonly samples: number
+	/** Wall time of the latest of them; undefined if there are none. */
+	readonly updatedWallMs?: number | undefined
 }
 
 export interface WorkflowForecast {
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -47,7 +47,8 @@
 	stateKeptMs: z.number().min(DURATION_MIN_MS),
 	remoteFactor: z.number().min(1),
 	cores: z.number().positive().default(1),
-	coreShare: z.number().positive().max(1).default(1)
+	coreShare: z.number().positive().max(1).default(1),
+	learnRunTimes: z.boolean().default(true)
 })
 const LOG_LEVELS = ["trace", "debug", "info", "warn", "error", "silent"] as const
 
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -22,6 +22,8 @@
 	/** CPU cores of this host, and the share of each that this process may use. */
 	readonly cores: number
 	readonly coreShare: number
+	/** Whether what steps are expected to take is learned from finished runs, or is what callers estimate. */
+	readonly learnRunTimes: boolean
 }
 
 /** The settings of a process, read from its settings file. */
--- a/src/utils/domain/runs.ts
+++ b/src/utils/domain/runs.ts
@@ -22,7 +22,9 @@
 	findUnsentProof,
 	isFinal,
 	isOccurrenceDone,
-	listTaskRefs
+	listTaskRefs,
+	recordFinishedRun,
+	recordLongRun
 } from "../../internal.js"
 
 const RUNNING = "running"
@@ -191,6 +193,7 @@
 		return
 	}
 	if (task.phase !== TaskPhase.starting && task.phase !== TaskPhase.running) return
+	recordLongRun(board, ref, reason, now)
 	task.phase = TaskPhase.stopping
 	task.acknowledgedAt = undefined
 	task.orderedAt = -Infinity
@@ -216,6 +219,7 @@
 export function completeTask(board: Board, ref: TaskRef, now: number): void {
 	const {workflow, occurrence, spec, stepIndex} = ref
 	const refs = spec.gang ? listTaskRefs(workflow, occurrence, stepIndex) : [ref]
+	recordFinishedRun(board, refs, now)
 	for (const {task, taskId} of refs) {
 		if (task.phase === TaskPhase.done) continue
 		task.phase = TaskPhase.done
