--- a/src/run-times/step-times.ts
+++ b/src/run-times/step-times.ts
@@ -4,7 +4,7 @@
  * estimate, the one that has been off least so far is used, the caller's estimate among them: callers whose estimates are
  * good keep them.
  */
-import {type Result, ok} from "neverthrow"
+import {type Result} from "neverthrow"
 import {z} from "zod"
 import {
 	type MalformedError,
@@ -149,18 +149,13 @@
 
 	/** Adds the row of an earlier holder; returns an error, and adds nothing, if any of it can't be read. */
 	adopt(value: string): Result<void, MalformedError> {
-		return decodeJson("run times", rowSchema, value).andThen(({queue, histories}) => {
-			const decoded: [string, RunTimeHistory][] = []
+		return decodeJson("run times", rowSchema, value).map(({queue, histories}) => {
 			for (const {workspace, stepIndex, isGang, ...encoded} of [...histories].reverse()) {
-				const history = RunTimeHistory.decode(encoded)
-				if (history.isErr()) return history.map(() => undefined)
 				const step = {queue, workspace: "", stepIndex, isGang}
-				decoded.push([formatKey(step, workspace ?? undefined), history.value])
+				const key = formatKey(step, workspace ?? undefined)
+				this.#open(key, encoded.updatedWallMs).addEarlier(encoded)
 			}
-			for (const [key, history] of decoded)
-				this.#open(key, history.updatedWallMs).addEarlier(history)
 			this.#forgetOldest()
-			return ok()
 		})
 	}
 
