Test that the metric of run times shows what learning is worth

Cause: the figures of cardamomhook_run_time_error had no test.

Change: a step with estimates three times off shows that error for callers, and less than half of it for forecasts.

--- a/__tests__/step-times.test.ts
+++ b/__tests__/step-times.test.ts
@@ -101,6 +101,13 @@
 		expect(times.expect(createStep(), 1e7).medianMs).to.be.at.most(4 * 31000)
 	})
 
+	it("shows by queue how far estimates and forecasts have been off lately", () => {
+		const [errors] = createTimes([...STEADY, ...STEADY, ...STEADY]).listErrors()
+		expect(errors?.queue).to.equal("batch")
+		expect(errors?.caller).to.be.within(Math.log(2.8), Math.log(3.2))
+		expect(errors?.chosen).to.be.below(errors!.caller / 2)
+	})
+
 	it("is kept of few steps and in a row that the table takes, whatever names there are", () => {
 		const times = new StepTimes()
 		for (let index = 0; index < 2000; index++) {
