Share the workers between workspaces by weight

What callers saw: where a workspace sent a hundred jobs of a second, another one's job that came after them began 9.0 s later, though the configuration gave both the same weight.

Cause: within a rank, steps went by punctuality and acceptance only; nothing read the weight of a workspace.

Change: WeightedRunQueue, a RunQueuePolicy, chooses the workspace with the smallest dominant share by weight, anew after each unit that is placed; within a workspace the order is as before. RunQueuePolicy now opens a round, which names the step in turn until it is closed, in place of one order for all steps. Guaranteed work keeps its order.

--- a/src/controllers/domain/run-placement.ts
+++ b/src/controllers/domain/run-placement.ts
@@ -15,18 +15,21 @@
 	type RunPlacementPolicy,
 	type ResourceDemand,
 	type RunQueuePolicy,
+	type RunQueueRound,
 	type Slot,
 	type StepSpec,
+	type TaskRef,
 	type WorkflowEntry,
 	EventLevel,
 	Lifecycle,
 	PackedRunPlacement,
-	PunctualRunQueue,
 	ReasonCode,
 	SectionName,
 	TaskPhase,
 	CapVictims,
+	WeightedRunQueue,
 	WorkspaceCaps,
+	WorkspaceShares,
 	addDemand,
 	computeNextRun,
 	buildPlacementUnit,
@@ -70,6 +73,9 @@
 /** Time beyond `stopMs` for which capacity is held for tasks before they are placed again. */
 const HOLD_MARGIN_MS = 400
 
+/** Digits of a share in log entries. */
+const SHARE_DIGITS = 6
+
 interface CapacityHold {
 	readonly unit: PlacementUnit
 	readonly workerIds: readonly string[]
@@ -87,6 +93,21 @@
 } as const
 type UnitOutcome = (typeof UnitOutcome)[keyof typeof UnitOutcome]
 
+/** Whether the step's other groups are tried in this round. */
+function isGoingOn(outcome: UnitOutcome | undefined): boolean {
+	return outcome === UnitOutcome.placed || outcome === UnitOutcome.freeing
+}
+
+/** A step whose tasks are being placed, in one round. */
+interface StepAttempt {
+	readonly ready: ReadyStep
+	readonly service: string
+	readonly nodes: readonly NodeCapacity[]
+	readonly readyAt: number
+	/** The groups that have not been tried. */
+	readonly groups: Generator<readonly TaskRef[], void>
+}
+
 export class RunPlacementController implements Controller {
 	readonly name = "run-placement"
 	readonly reads = [
@@ -110,6 +131,7 @@
 	#withheldGroups = 0
 	/** What workspaces may still have running, and what makes way for their urgent work, in this round. */
 	#caps: {readonly caps: WorkspaceCaps; readonly victims: CapVictims} | undefined
+	#shares: WorkspaceShares | undefined
 	/** Units for which runs of their own workspace are stopped, by the first task's id, in this round. */
 	readonly #makingWay = new Set<string>()
 	/** What was withheld in this round. */
@@ -130,7 +152,7 @@
 	constructor(
 		clock: Clock,
 		policy: RunPlacementPolicy = new PackedRunPlacement(),
-		queue: RunQueuePolicy = new PunctualRunQueue()
+		queue: RunQueuePolicy = new WeightedRunQueue()
 	) {
 		this.#clock = clock
 		this.#queue = queue
@@ -169,20 +191,22 @@
 		const wallNow = this.#clock.readWallClock()
 		this.#nextDueWallMs = openDueOccurrences(active, wallNow)
 		const steps = listReadySteps(catalog, active, guaranteed, now, wallNow)
-		const ready = this.#queue.order(steps.filter(({step}) => step.notBefore <= now))
+		const ready = steps.filter(({step}) => step.notBefore <= now)
 		this.#delayedUntil = findDelayEnd(steps, now)
 		this.#recordReadySteps(ready, now)
 		if (ready.length === 0) return 0
 		const capacityByService = listNodeCapacities(board, catalog, guaranteed, now)
+		const capacities = [...capacityByService.values()].flat().map(({capacity}) => capacity)
+		const shares = new WorkspaceShares(board, catalog.catalog, capacities)
+		this.#shares = shares
 		this.#applyHolds(board, capacityByService, now)
 		this.#withheldGroups = 0
 		this.#withheld = []
 		this.#misfits.clear()
 		this.#hopeless.clear()
 		this.#resetWaitingLines(now)
-		const waiting = ready.filter(
-			step => !this.#placeStep(board, step, catalog, capacityByService, now)
-		)
+		const queue = this.#queue.open(ready, shares)
+		const waiting = this.#placeInTurn(board, queue, catalog, capacityByService, now)
 		if (waiting.length > 0) this.#placeOnWithheld(board, waiting, catalog, capacityByService, now)
 		return waiting.length
 	}
@@ -203,8 +227,9 @@
 		for (const step of waiting) {
 			const readyAt = this.#readyAt.get(`${step.occurrence.key}.${step.stepIndex}`) ?? now
 			const nodes = capacityByService.get(findService(catalog, step.workflow)) ?? []
-			if (now - readyAt >= WITHHELD_MAX_MS && isMostlyIdle(nodes))
-				this.#placeStep(board, step, catalog, capacityByService, now)
+			if (now - readyAt < WITHHELD_MAX_MS || !isMostlyIdle(nodes)) continue
+			const attempt = this.#beginStep(step, catalog, capacityByService, now)
+			while (isGoingOn(this.#placeNext(board, attempt, now)));
 		}
 	}
 
@@ -244,40 +269,66 @@
 				addDemand(node.free, unit.spec, -1)
 			}
 			if (!isFree) {
-				this.#caps?.caps.reserve(workspace, unit.spec, unit.refs.length)
+				this.#reserve(unit)
 				recordPlannedRuns(unit, held)
 				continue
 			}
 			this.#holds.delete(key)
 			this.#overdue.delete(key)
-			planUnit(board, unit, held, now)
+			this.#plan(board, unit, held, now)
 		}
 	}
 
-	/** Places the step's waiting groups that hold no capacity yet. Returns false if one of them waits. */
-	#placeStep(
+	/** Places the steps' tasks as they are in turn, and returns the steps of which a group waits. */
+	#placeInTurn(
 		board: Board,
+		queue: RunQueueRound,
+		catalog: CatalogEntry,
+		capacityByService: CapacityByService,
+		now: number
+	): readonly ReadyStep[] {
+		const attempts = new Map<ReadyStep, StepAttempt>()
+		const waiting = new Set<ReadyStep>()
+		for (let ready = queue.next(); ready !== undefined; ready = queue.next()) {
+			const attempt = attempts.get(ready) ?? this.#beginStep(ready, catalog, capacityByService, now)
+			attempts.set(ready, attempt)
+			const outcome = this.#placeNext(board, attempt, now)
+			if (outcome === UnitOutcome.freeing || outcome === UnitOutcome.blocked) waiting.add(ready)
+			if (!isGoingOn(outcome)) queue.close()
+		}
+		return [...waiting]
+	}
+
+	#beginStep(
 		ready: ReadyStep,
 		catalog: CatalogEntry,
 		capacityByService: CapacityByService,
 		now: number
-	): boolean {
-		const {workflow, occurrence, stepIndex} = ready
-		const service = findService(catalog, workflow)
-		const nodes = capacityByService.get(service) ?? []
-		const readyAt = this.#readyAt.get(`${occurrence.key}.${stepIndex}`) ?? now
-		let isPlaced = true
-		for (const group of listWaitingGroups(ready)) {
+	): StepAttempt {
+		const service = findService(catalog, ready.workflow)
+		return {
+			ready,
+			service,
+			nodes: capacityByService.get(service) ?? [],
+			readyAt: this.#readyAt.get(`${ready.occurrence.key}.${ready.stepIndex}`) ?? now,
+			groups: listWaitingGroups(ready)
+		}
+	}
+
+	/** Places the step's next waiting group that holds no capacity yet; undefined if none is left. */
+	#placeNext(board: Board, attempt: StepAttempt, now: number): UnitOutcome | undefined {
+		const {ready, service, nodes, readyAt, groups} = attempt
+		for (let next = groups.next(); next.done !== true; next = groups.next()) {
+			const group = next.value
 			const [first] = group
 			if (first === undefined || this.#holds.has(first.taskId)) continue
 			if (this.#makingWay.has(first.taskId)) continue
+			const waitedMs = now - readyAt
 			const mayWait = !this.#overdue.has(first.taskId)
-			const unit = buildPlacementUnit(board, ready, group, {mayWait, waitedMs: now - readyAt}, now)
-			const outcome = this.#placeUnit(board, unit, service, nodes, now - readyAt, now)
-			if (outcome === UnitOutcome.blocked) return false
-			isPlaced &&= outcome === UnitOutcome.placed
+			const unit = buildPlacementUnit(board, ready, group, {mayWait, waitedMs}, now)
+			return this.#placeUnit(board, unit, service, nodes, waitedMs, now)
 		}
-		return isPlaced
+		return undefined
 	}
 
 	#placeUnit(
@@ -318,7 +369,7 @@
 		if (caps.isWithin(workspace, spec, refs.length)) return undefined
 		const chosen = victims.choose(unit)
 		if (chosen !== undefined) {
-			caps.reserve(workspace, spec, refs.length)
+			this.#reserve(unit)
 			this.#makingWay.add(first.taskId)
 			for (const victim of chosen) stopRun(board, victim, ReasonCode.preempted, now)
 			return UnitOutcome.freeing
@@ -341,9 +392,18 @@
 			addDemand(node.free, unit.spec, -1)
 			this.#withheld.push({node, spec: unit.spec})
 		}
+		const workspace = unit.refs[0]?.workflow.record.workspace ?? ""
+		this.#shares?.reserve(workspace, unit.spec, unit.refs.length)
 		return true
 	}
 
+	/** Counts the unit among what its workspace has, though it has yet to start. */
+	#reserve({refs, spec}: PlacementUnit): void {
+		const workspace = refs[0]?.workflow.record.workspace ?? ""
+		this.#caps?.caps.reserve(workspace, spec, refs.length)
+		this.#shares?.reserve(workspace, spec, refs.length)
+	}
+
 	#resetWaitingLines(now: number): void {
 		this.#waitingLines = 0
 		for (const [taskId, loggedAt] of this.#waitingLoggedAt)
@@ -352,11 +412,12 @@
 
 	#recordWaiting(
 		board: Board,
-		{refs, rank, lossMax}: PlacementUnit,
+		unit: PlacementUnit,
 		nodes: readonly NodeCapacity[],
 		{waitedMs, reason}: {readonly waitedMs: number; readonly reason: ReasonCode},
 		now: number
 	): void {
+		const {refs, rank, lossMax} = unit
 		const [first] = refs
 		if (first === undefined || this.#waitingLines >= WAITING_LINES_MAX) return
 		if (now - (this.#waitingLoggedAt.get(first.taskId) ?? -Infinity) < WAITING_LOG_INTERVAL_MS)
@@ -367,6 +428,7 @@
 			task: first.taskId,
 			tasks: refs.length,
 			rank,
+			...this.#describeShare(unit),
 			lossMax,
 			waitedMs: Math.round(waitedMs),
 			workers: nodes.length,
@@ -382,14 +444,14 @@
 		for (const node of nodes) addDemand(node.free, spec, -1)
 		recordPlannedRuns(unit, nodes)
 		if (slots.every(slot => slot.isFree)) {
-			planUnit(board, unit, nodes, now)
+			this.#plan(board, unit, nodes, now)
 			return
 		}
 		const victims = slots.flatMap(slot => slot.victims)
 		const [first] = refs
 		if (first === undefined) return
 		const workerIds = nodes.map(({id}) => id)
-		this.#caps?.caps.reserve(first.workflow.record.workspace, spec, refs.length)
+		this.#reserve(unit)
 		this.#holds.set(first.taskId, {unit, workerIds, since: now})
 		const fields = {
 			task: first.taskId,
@@ -401,6 +463,37 @@
 		board.record(EventLevel.info, "run-room-held", fields)
 		for (const victim of victims) stopRun(board, victim, ReasonCode.preempted, now)
 	}
+
+	#plan(board: Board, unit: PlacementUnit, nodes: readonly NodeCapacity[], now: number): void {
+		const {refs, rank, spec} = unit
+		const [first] = refs
+		if (first === undefined) return
+		const run = computeNextRun(first)
+		const share = this.#describeShare(unit)
+		for (const [index, ref] of refs.entries()) {
+			const node = nodes[index]
+			if (node !== undefined) planRun(board, ref, node.id, node.incarnation, run, now)
+		}
+		const fields = {
+			task: first.taskId,
+			run,
+			tasks: refs.length,
+			rank,
+			...share,
+			cores: computeCores(spec),
+			checkpoints: spec.checkpoints,
+			workers: nodes.map(({id}) => id).join(" "),
+			waitedMs: Math.round(now - first.workflow.acceptedAt)
+		}
+		board.record(EventLevel.info, "run-placed", fields)
+	}
+
+	/** Log fields with the workspace and, where weights are given, what it has before the unit. */
+	#describeShare({refs}: PlacementUnit) {
+		const workspace = refs[0]?.workflow.record.workspace ?? ""
+		if (this.#shares?.hasWeights !== true) return {workspace}
+		return {workspace, share: Number(this.#shares.compute(workspace).toFixed(SHARE_DIGITS))}
+	}
 }
 
 /** Gives up plans that have not been started of workspaces whose cap has become lower than what they have running. */
@@ -443,29 +536,3 @@
 function findService({catalog}: CatalogEntry, {record}: WorkflowEntry): string {
 	return catalog.queues.find(({name}) => name === record.queue)?.service ?? record.service
 }
-
-function planUnit(
-	board: Board,
-	{refs, rank, spec}: PlacementUnit,
-	nodes: readonly NodeCapacity[],
-	now: number
-): void {
-	const first = refs[0]
-	if (first === undefined) return
-	const run = computeNextRun(first)
-	for (const [index, ref] of refs.entries()) {
-		const node = nodes[index]
-		if (node !== undefined) planRun(board, ref, node.id, node.incarnation, run, now)
-	}
-	const fields = {
-		task: first.taskId,
-		run,
-		tasks: refs.length,
-		rank,
-		cores: computeCores(spec),
-		checkpoints: spec.checkpoints,
-		workers: nodes.map(({id}) => id).join(" "),
-		waitedMs: Math.round(now - first.workflow.acceptedAt)
-	}
-	board.record(EventLevel.info, "run-placed", fields)
-}
--- a/src/policies/domain/run-queue.ts
+++ b/src/policies/domain/run-queue.ts
@@ -1,5 +1,5 @@
 /**
- * Orders the steps that are ready. Within one rank, steps are ordered by acceptance, but those that can still complete
+ * The order in which steps that are ready are served. Within one rank, steps go by acceptance, but those that can still complete
  * within their queue's objective go before those that no longer can. The latter don't wait for ever: work that has been
  * late for long goes first, so a wrong forecast, of its own or of others, holds nobody up for longer than that.
  *
@@ -11,7 +11,8 @@
 	type QueueConfig,
 	type StepProgress,
 	type StepSpec,
-	type WorkflowEntry
+	type WorkflowEntry,
+	type WorkspaceShares
 } from "../../internal.js"
 
 /** Whether a workflow that starts now is expected to complete within its queue's objective. */
@@ -29,19 +30,48 @@
 	readonly punctuality: Punctuality
 }
 
+/** The order in which one round of placement serves the steps that are ready. */
+export interface RunQueueRound {
+	/** The step whose next tasks are in turn; undefined once no step is left. */
+	next(): ReadyStep | undefined
+	/** Leaves the step in turn out of the rest of the round. */
+	close(): void
+}
+
 export interface RunQueuePolicy {
-	order(steps: readonly ReadyStep[]): readonly ReadyStep[]
+	/** `shares` changes with each task that is placed. */
+	open(steps: readonly ReadyStep[], shares: WorkspaceShares): RunQueueRound
 }
 
 export class PunctualRunQueue implements RunQueuePolicy {
-	order(steps: readonly ReadyStep[]): readonly ReadyStep[] {
-		return [...steps].sort(
-			(a, b) =>
-				a.rank - b.rank ||
-				a.punctuality - b.punctuality ||
-				a.workflow.acceptedAt - b.workflow.acceptedAt
-		)
+	open(steps: readonly ReadyStep[]): RunQueueRound {
+		return new OrderedRound([...steps].sort(comparePunctual))
+	}
+}
+
+class OrderedRound implements RunQueueRound {
+	readonly #steps: readonly ReadyStep[]
+	#index = 0
+
+	constructor(steps: readonly ReadyStep[]) {
+		this.#steps = steps
 	}
+
+	next(): ReadyStep | undefined {
+		return this.#steps[this.#index]
+	}
+
+	close(): void {
+		this.#index++
+	}
+}
+
+export function comparePunctual(a: ReadyStep, b: ReadyStep): number {
+	return (
+		a.rank - b.rank ||
+		a.punctuality - b.punctuality ||
+		a.workflow.acceptedAt - b.workflow.acceptedAt
+	)
 }
 
 /** Overhead of a run besides its work: the commit of the plan, the start, the report of the end and its commit. */
--- a/src/shares/caps.ts
+++ b/src/shares/caps.ts
@@ -14,7 +14,7 @@
 	mayHaveLostRuns
 } from "../internal.js"
 
-const NO_CAP: ResourceDemand = {
+export const NO_CAP: ResourceDemand = {
 	cpuMillis: Infinity,
 	memoryMb: Infinity,
 	accelerators: Infinity
--- a/src/utils/domain/placement-units.ts
+++ b/src/utils/domain/placement-units.ts
@@ -28,7 +28,7 @@
 const MS_PER_S = 1000
 
 /** The step's tasks that wait: a gang together, other tasks one by one, as they are asked for. */
-export function* listWaitingGroups(ready: ReadyStep): Generator<readonly TaskRef[]> {
+export function* listWaitingGroups(ready: ReadyStep): Generator<readonly TaskRef[], void> {
 	const {workflow, occurrence, stepIndex, spec, step} = ready
 	const isWaiting = ({task}: TaskRef) => task.phase === TaskPhase.waiting
 	if (spec.gang) {
