Show what workspaces use of their caps and shares as gauges

Cause: an operator could see that a task waits at a cap, but not how near the other workspaces are to theirs.

--- a/__tests__/shares.test.ts
+++ b/__tests__/shares.test.ts
@@ -9,7 +9,9 @@
 	WeightedRunQueue,
 	WorkspaceShares,
 	createOccurrence,
-	createWorkflowEntry
+	createWorkflowEntry,
+	listCapUse,
+	listWeightedShares
 } from "../src/internal.js"
 import {decodeWorkflow} from "../platform/records.js"
 import {createSettings} from "./fixtures/board.js"
@@ -138,6 +140,35 @@
 	}).timeout(60000)
 })
 
+describe("the figures of workspaces", () => {
+	it("show what each uses of its cap and of the workers by its weight", async () => {
+		const domain = await createCappedDomain({
+			office: {weight: 2, cap: createCap(16)},
+			other: {weight: 1}
+		})
+		await domain.submit(domain.first, `${BATCH}${createId(1)}`, createJob({count: 4}))
+		await domain.advance(300)
+		const {board} = domain.first
+		expect(listCapUse(board)).to.deep.equal([{workspace: "office", value: 0.25}])
+		expect(listWeightedShares(board)).to.deep.equal([
+			{workspace: "office", value: 0.0625},
+			{workspace: "other", value: 0}
+		])
+	})
+
+	it("have few series however many workspaces there are", async () => {
+		const others = Array.from({length: 200}, (_, index) => ({
+			name: `team-${index}`,
+			api_keys: [`key-${index}`],
+			weight: 1,
+			cap: createCap(1)
+		}))
+		const {first} = await createCappedDomain({...EVEN, others})
+		expect(listCapUse(first.board)).to.have.length(50)
+		expect(listWeightedShares(first.board)).to.have.length(50)
+	})
+})
+
 const THIRD_KEY = "key-of-the-third"
 const KEYS = [CALLER_KEY, OTHER_KEY, THIRD_KEY]
 const ACCELERATORS = 32
--- a/src/adapters/telemetry.ts
+++ b/src/adapters/telemetry.ts
@@ -10,7 +10,9 @@
 	type CommandKind,
 	JobState,
 	ReasonCode,
-	findAuthorityScope
+	findAuthorityScope,
+	listCapUse,
+	listWeightedShares
 } from "../internal.js"
 
 const STDOUT_FD = 1
@@ -53,6 +55,8 @@
 	readonly #jobs: Gauge<"state">
 	readonly #standstills: Gauge<"gate">
 	readonly #runTimeErrors: Gauge<"queue" | "of">
+	readonly #capUse: Gauge<"workspace">
+	readonly #weightedShares: Gauge<"workspace">
 	readonly #durations: Histogram<"event" | "of">
 	readonly #calls: Histogram<"kind" | "result">
 	readonly #droppedLines: Counter
@@ -93,6 +97,18 @@
 			labelNames: ["queue", "of"],
 			registers: [this.#registry]
 		})
+		this.#capUse = new Gauge({
+			name: "cardamomhook_workspace_cap_used_ratio",
+			help: "Part of its cap that a workspace of the domain uses, of the resource that it uses most of",
+			labelNames: ["workspace"],
+			registers: [this.#registry]
+		})
+		this.#weightedShares = new Gauge({
+			name: "cardamomhook_workspace_weighted_share",
+			help: "Largest share of a resource of the domain that a workspace uses, divided by its weight",
+			labelNames: ["workspace"],
+			registers: [this.#registry]
+		})
 		this.#durations = new Histogram({
 			name: "cardamomhook_event_seconds",
 			help: "Durations reported by events, such as of a caller's request or the wait for placement",
@@ -171,6 +187,11 @@
 			this.#runTimeErrors.set({queue, of: "caller"}, caller)
 			this.#runTimeErrors.set({queue, of: "forecast"}, chosen)
 		}
+		this.#capUse.reset()
+		for (const {workspace, value} of listCapUse(this.#board)) this.#capUse.set({workspace}, value)
+		this.#weightedShares.reset()
+		for (const {workspace, value} of listWeightedShares(this.#board))
+			this.#weightedShares.set({workspace}, value)
 		return this.#registry.metrics()
 	}
 }
