Stop at a cap only runs that use the resource that is short

What callers would see: urgent work at a cap of accelerators stopped the workspace's tasks that use none, as the cheapest, before any that helped.

Change: a run is chosen only if it uses some of what exceeds the cap.

Result: three tasks without accelerators go on beside it, where all three were stopped (test).

--- a/__tests__/caps.test.ts
+++ b/__tests__/caps.test.ts
@@ -103,6 +103,19 @@
 		expect(stopping).to.have.length(3)
 	})
 
+	it("stops for urgent work only what uses the resource that is short", async () => {
+		const domain = await createCappedDomain({office: {cap: createCap(4)}})
+		const {first, submit, advance, countRunning} = domain
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 4, workMs: 60000}))
+		await advance(2000)
+		await submit(first, `${BATCH}${ID_C}`, createJob({count: 3, gpu: 0, workMs: 60000}))
+		await advance(500)
+		await submit(first, `${URGENT}${ID_B}`, createJob({count: 2, workMs: 60000}))
+		await advance(1500)
+		expect(countRunning(ID_B)).to.equal(2)
+		expect(countRunning(ID_C)).to.equal(3)
+	})
+
 	it("lets work pass a gang that waits for it, while less than half of it and of the service is in use", async () => {
 		const domain = await createCappedDomain({office: {cap: createCap(20)}})
 		const {first, submit, advance, advanceUntil, countRunning} = domain
--- a/src/shares/cap-victims.ts
+++ b/src/shares/cap-victims.ts
@@ -12,6 +12,7 @@
 	TaskPhase,
 	addUse,
 	buildNodeRun,
+	isBelow,
 	scaleUse
 } from "../internal.js"
 
@@ -62,15 +63,17 @@
 		const chosen = new Set<Candidate>()
 		let {freed} = supply
 		let loss = 0
-		const isEnough = () => this.#caps.isWithinOnce(freed, workspace, spec, refs.length)
+		const findExcess = () => this.#caps.findExcess(freed, workspace, spec, refs.length)
 		for (const candidate of supply.candidates) {
-			if (isEnough()) break
-			if (candidate.rank <= rank) continue
+			const excess = findExcess()
+			if (isBelow(excess, NO_DEMAND)) break
+			const demand = sumDemand(candidate.refs)
+			if (candidate.rank <= rank || !isOfUse(demand, excess)) continue
 			chosen.add(candidate)
-			freed = addUse(freed, sumDemand(candidate.refs))
+			freed = addUse(freed, demand)
 			loss += candidate.loss
 		}
-		if (!isEnough() || loss > lossMax) {
+		if (!isBelow(findExcess(), NO_DEMAND) || loss > lossMax) {
 			this.#hopeless.add(key)
 			return undefined
 		}
@@ -106,6 +109,15 @@
 	}
 }
 
+/** True if stopping runs with this demand frees some of what exceeds the cap. */
+function isOfUse(demand: ResourceDemand, excess: ResourceDemand): boolean {
+	return (
+		(excess.cpuMillis > 0 && demand.cpuMillis > 0) ||
+		(excess.memoryMb > 0 && demand.memoryMb > 0) ||
+		(excess.accelerators > 0 && demand.accelerators > 0)
+	)
+}
+
 function sumDemand(refs: readonly TaskRef[]): ResourceDemand {
 	return refs.reduce<ResourceDemand>((sum, {spec}) => addUse(sum, spec.demand), NO_DEMAND)
 }
--- a/src/shares/caps.ts
+++ b/src/shares/caps.ts
@@ -47,18 +47,22 @@
 
 	/** True if `tasks` more tasks of the step may run beside what may run already. */
 	isWithin(workspace: string, spec: StepSpec, tasks: number): boolean {
-		return this.isWithinOnce(NO_DEMAND, workspace, spec, tasks)
+		if (!this.#caps.has(workspace)) return true
+		return isBelow(this.findExcess(NO_DEMAND, workspace, spec, tasks), NO_DEMAND)
 	}
 
-	/** True if they may run once what `freed` sums up has stopped. */
-	isWithinOnce(freed: ResourceDemand, workspace: string, spec: StepSpec, tasks: number): boolean {
-		const cap = this.#caps.get(workspace)
-		if (cap === undefined) return true
+	/** What they would use beyond the cap once what `freed` sums up has stopped; negative where some of the cap is left. */
+	findExcess(
+		freed: ResourceDemand,
+		workspace: string,
+		spec: StepSpec,
+		tasks: number
+	): ResourceDemand {
 		const reserved = this.#reserved.get(workspace) ?? NO_DEMAND
 		const withheld = this.#withheld.get(workspace) ?? NO_DEMAND
-		const kept = addUse(addUse(reserved, withheld), scaleUse(freed, -1))
-		const used = addUse(addUse(this.findUse(workspace), kept), scaleUse(spec.demand, tasks))
-		return isBelow(used, cap)
+		const used = addUse(addUse(this.findUse(workspace), reserved), withheld)
+		const wanted = addUse(used, scaleUse(spec.demand, tasks))
+		return addUse(wanted, scaleUse(addUse(freed, this.findCap(workspace)), -1))
 	}
 
 	/** True if what may run is within the cap. */
@@ -149,7 +153,7 @@
 	}
 }
 
-function isBelow(used: ResourceDemand, cap: ResourceDemand): boolean {
+export function isBelow(used: ResourceDemand, cap: ResourceDemand): boolean {
 	return (
 		used.cpuMillis <= cap.cpuMillis &&
 		used.memoryMb <= cap.memoryMb &&
