Leave the cap to a waiting gang only if the gang can start

What callers would see: a gang that no worker can hold, or that never fits beside tasks that run until they are cancelled, kept all that became free under the cap of its workspace, for good, while more than half of the cap was in use: nothing else of it started.

Change: a unit keeps a part of the cap only if workers could hold it, and if the cap allows it beside what runs until it is cancelled.

Result: 40 tasks end beside each of the two gangs within 4.5 s, where none started (tests, each fails without its part).

--- a/__tests__/caps.test.ts
+++ b/__tests__/caps.test.ts
@@ -126,6 +126,22 @@
 		expect(await advanceUntil(() => countRunning(ID_C) === 1)).to.be.below(3000)
 	})
 
+	const NEVER = {
+		"no workers could hold": [{workMs: 60000}, {requires: "kind-of-no-worker"}],
+		"never fits beside what runs until it is cancelled": [{long_running: true, workMs: 60000}, {}]
+	} as const
+	for (const [what, [others, gang]] of Object.entries(NEVER))
+		it(`is not left to a gang that ${what}`, async () => {
+			const domain = await createCappedDomain({office: {cap: createCap(20)}})
+			const {first, submit, advance, fleet} = domain
+			await submit(first, `${BATCH}${ID_A}`, createJob({count: 12, ...others}))
+			await advance(300)
+			await submit(first, `${BATCH}${ID_B}`, createJob({count: 16, gang: true, ...gang}))
+			await submit(first, `${BATCH}${ID_C}`, createJob({count: 40, workMs: 500}))
+			await advance(4500)
+			expect([...fleet.monitor.done].filter(task => task.startsWith(ID_C))).to.have.length(40)
+		})
+
 	it("is left to a gang that waits for it, while half of it is in use", async () => {
 		const domain = await createCappedDomain({office: {cap: createCap(20)}})
 		const {first, submit, advance, advanceUntil, countRunning} = domain
--- a/src/controllers/domain/run-placement.ts
+++ b/src/controllers/domain/run-placement.ts
@@ -38,7 +38,7 @@
 	findGuaranteed,
 	findRoundGate,
 	formatUnitKey,
-	isEverAllowed,
+	isEverPlaceable,
 	isFitting,
 	isSchedulable,
 	listReadySteps,
@@ -339,7 +339,7 @@
 		waitedMs: number,
 		now: number
 	): UnitOutcome {
-		const capOutcome = this.#checkCap(board, unit, now)
+		const capOutcome = this.#checkCap(board, unit, nodes, now)
 		if (capOutcome !== undefined) {
 			this.#recordWaiting(board, unit, nodes, {waitedMs, reason: ReasonCode.overQuota}, now)
 			return capOutcome
@@ -360,7 +360,12 @@
 	 * Undefined if the unit is within its workspace's cap. Otherwise the workspace's own work makes way for it if it may preempt,
 	 * or later units of the workspace leave it what becomes free. Those of other workspaces are not concerned.
 	 */
-	#checkCap(board: Board, unit: PlacementUnit, now: number): UnitOutcome | undefined {
+	#checkCap(
+		board: Board,
+		unit: PlacementUnit,
+		nodes: readonly NodeCapacity[],
+		now: number
+	): UnitOutcome | undefined {
 		const {refs, spec} = unit
 		const [first] = refs
 		if (first === undefined || this.#caps === undefined) return undefined
@@ -374,8 +379,12 @@
 			for (const victim of chosen) stopRun(board, victim, ReasonCode.preempted, now)
 			return UnitOutcome.freeing
 		}
-		// What the cap never allows waits for a change of the cap, and the rest of its workspace doesn't wait for it.
-		if (isEverAllowed(spec, caps.findCap(workspace))) caps.withhold(workspace, spec, refs.length)
+		// The rest of the workspace doesn't wait for what can't start while the cap and the workers are as they are.
+		const mayPass =
+			!caps.hasWithheld(workspace) &&
+			caps.isEverWithin(workspace, spec, refs.length) &&
+			isEverPlaceable(nodes, unit)
+		if (mayPass) caps.withhold(workspace, spec, refs.length)
 		return UnitOutcome.blocked
 	}
 
--- a/src/policies/domain/run-placement.ts
+++ b/src/policies/domain/run-placement.ts
@@ -158,6 +158,14 @@
 	return isSuspect && !spec.longRunning && (isLastAttempt || failedOn.has(id))
 }
 
+/** True if the unit may run on these workers, and they could hold all its tasks while nothing else ran on them. */
+export function isEverPlaceable(nodes: readonly NodeCapacity[], unit: PlacementUnit): boolean {
+	return canEverHold(
+		nodes.filter(node => isEligible(node, unit.spec)),
+		unit
+	)
+}
+
 /** True if the workers could hold all tasks of the unit while nothing else ran on them. */
 function canEverHold(nodes: readonly NodeCapacity[], {refs, spec}: PlacementUnit): boolean {
 	let missing = refs.length
--- a/src/shares/cap-victims.ts
+++ b/src/shares/cap-victims.ts
@@ -12,7 +12,7 @@
 	TaskPhase,
 	addUse,
 	buildNodeRun,
-	isBelow,
+	isAtMost,
 	scaleUse
 } from "../internal.js"
 
@@ -66,14 +66,14 @@
 		const findExcess = () => this.#caps.findExcess(freed, workspace, spec, refs.length)
 		for (const candidate of supply.candidates) {
 			const excess = findExcess()
-			if (isBelow(excess, NO_DEMAND)) break
+			if (isAtMost(excess, NO_DEMAND)) break
 			const demand = sumDemand(candidate.refs)
 			if (candidate.rank <= rank || !isOfUse(demand, excess)) continue
 			chosen.add(candidate)
 			freed = addUse(freed, demand)
 			loss += candidate.loss
 		}
-		if (!isBelow(findExcess(), NO_DEMAND) || loss > lossMax) {
+		if (!isAtMost(findExcess(), NO_DEMAND) || loss > lossMax) {
 			this.#hopeless.add(key)
 			return undefined
 		}
--- a/src/shares/caps.ts
+++ b/src/shares/caps.ts
@@ -35,7 +35,7 @@
 	constructor(board: Board, {workspaces}: Catalog, now: number) {
 		this.#board = board
 		this.#caps = new Map(
-			workspaces.flatMap(({name, cap}) => (isBelow(NO_CAP, cap) ? [] : [[name, cap]]))
+			workspaces.flatMap(({name, cap}) => (isAtMost(NO_CAP, cap) ? [] : [[name, cap]]))
 		)
 		this.#foreign = sumForeignRuns(board, now)
 	}
@@ -48,7 +48,7 @@
 	/** True if `tasks` more tasks of the step may run beside what may run already. */
 	isWithin(workspace: string, spec: StepSpec, tasks: number): boolean {
 		if (!this.#caps.has(workspace)) return true
-		return isBelow(this.findExcess(NO_DEMAND, workspace, spec, tasks), NO_DEMAND)
+		return isAtMost(this.findExcess(NO_DEMAND, workspace, spec, tasks), NO_DEMAND)
 	}
 
 	/** What they would use beyond the cap once what `freed` sums up has stopped; negative where some of the cap is left. */
@@ -65,9 +65,17 @@
 		return addUse(wanted, scaleUse(addUse(freed, this.findCap(workspace)), -1))
 	}
 
+	/** True if they may run once all has ended that ends by itself. */
+	isEverWithin(workspace: string, spec: StepSpec, tasks: number): boolean {
+		let wanted = scaleUse(spec.demand, tasks)
+		for (const ref of this.#board.runs.listOf(workspace).values())
+			if (ref.spec.longRunning) wanted = addUse(wanted, ref.spec.demand)
+		return isAtMost(wanted, this.findCap(workspace))
+	}
+
 	/** True if what may run is within the cap. */
 	isKept(workspace: string): boolean {
-		return isBelow(this.findUse(workspace), this.findCap(workspace))
+		return isAtMost(this.findUse(workspace), this.findCap(workspace))
 	}
 
 	/** Keeps a part of the cap for tasks that will start later in any case. */
@@ -75,16 +83,21 @@
 		addTo(this.#reserved, workspace, scaleUse(spec.demand, tasks))
 	}
 
-	/** Keeps a part of the cap from later units for the first one that waits; other units wait without it. */
+	/** Keeps a part of the cap from later units for one that waits. */
 	withhold(workspace: string, spec: StepSpec, tasks: number): void {
-		if (!this.#withheld.has(workspace)) this.#withheld.set(workspace, scaleUse(spec.demand, tasks))
+		this.#withheld.set(workspace, scaleUse(spec.demand, tasks))
+	}
+
+	/** True if a unit of the workspace has had a part of the cap kept for it in this round. */
+	hasWithheld(workspace: string): boolean {
+		return this.#withheld.has(workspace)
 	}
 
 	/** Ends the withholding of this round for workspaces that use less than half of their cap. */
 	releaseWithheld(): void {
 		for (const workspace of [...this.#withheld.keys()]) {
 			const doubled = scaleUse(this.findUse(workspace), 2)
-			if (isBelow(doubled, this.findCap(workspace))) this.#withheld.set(workspace, NO_DEMAND)
+			if (isAtMost(doubled, this.findCap(workspace))) this.#withheld.set(workspace, NO_DEMAND)
 		}
 	}
 
@@ -102,7 +115,7 @@
 
 /** True if the cap allows the step at all: one task, or a whole gang. */
 export function isEverAllowed({demand, gang, tasks}: StepSpec, cap: ResourceDemand): boolean {
-	return isBelow(scaleUse(demand, gang ? tasks : 1), cap)
+	return isAtMost(scaleUse(demand, gang ? tasks : 1), cap)
 }
 
 /** Names the first step that the workspace's cap never allows; undefined if there is none. */
@@ -153,7 +166,7 @@
 	}
 }
 
-export function isBelow(used: ResourceDemand, cap: ResourceDemand): boolean {
+export function isAtMost(used: ResourceDemand, cap: ResourceDemand): boolean {
 	return (
 		used.cpuMillis <= cap.cpuMillis &&
 		used.memoryMb <= cap.memoryMb &&
