--- a/__tests__/cap-failures.test.ts
+++ b/__tests__/cap-failures.test.ts
@@ -1,7 +1,7 @@
 /** Workspaces at their cap while something fails, one failure a test: they never have more running than it allows. */
 import {expect} from "chai"
 import {TaskPhase} from "../src/internal.js"
-import {configure, createCap, createCappedDomain, createId, findRefusal} from "./fixtures/caps.js"
+import {setCatalog, createCap, createCappedDomain, createId, findRefusal} from "./fixtures/caps.js"
 import {BATCH, URGENT, createJob} from "./fixtures/domain.js"
 import {STORE_TARGET, type FleetCall} from "../standins/fleet/fleet.js"
 
@@ -99,7 +99,7 @@
 		const domain = await createCappedDomain(OFFICE)
 		await domain.submit(domain.first, JOB_A, createJob({count: 30, workMs: 60000}))
 		expect(await domain.observe(1000)).to.equal(CAP)
-		await configure(domain, 3, {office: {cap: createCap(20)}})
+		await setCatalog(domain, 3, {office: {cap: createCap(20)}})
 		expect(await domain.observe(500)).to.equal(20)
 	})
 
@@ -107,7 +107,7 @@
 		const domain = await createCappedDomain({office: {cap: createCap(20)}})
 		await domain.submit(domain.first, JOB_A, createJob({count: 40, workMs: 3000}))
 		await domain.observe(500)
-		await configure(domain, 3, OFFICE)
+		await setCatalog(domain, 3, OFFICE)
 		await domain.advance(1500)
 		expect(domain.countRunning()).to.equal(20)
 		await domain.advanceUntil(() => domain.countRunning() < 20)
@@ -119,7 +119,7 @@
 		const domain = await createCappedDomain(OFFICE)
 		await domain.submit(domain.first, JOB_A, createJob({count: 20, workMs: 60000}))
 		await domain.observe(500)
-		await configure(domain, 3, {office: {name: "renamed"}})
+		await setCatalog(domain, 3, {office: {name: "renamed"}})
 		expect(await domain.observe(500)).to.equal(20)
 	})
 
@@ -169,7 +169,7 @@
 		const {first, submit} = domain
 		const gang = createJob({count: 8, gang: true, workMs: 60000})
 		expect(findRefusal(await submit(first, JOB_A, gang))).to.equal(undefined)
-		await configure(domain, 3, OFFICE)
+		await setCatalog(domain, 3, OFFICE)
 		expect(findRefusal(await submit(first, JOB_A, gang))).to.equal(undefined)
 		expect(findRefusal(await submit(first, JOB_B, gang))).to.equal("over-quota")
 	})
@@ -193,7 +193,7 @@
 		plan.isLost = (_, {target}) => target === "w4"
 		expect(first.board.health.get("w4")!.foreignRuns).to.have.length(1)
 		await submit(first, JOB_B, createJob({count: 12, workMs: 60000}))
-		await configure(domain, 3, {office: {cap: createCap(CAP + 1)}})
+		await setCatalog(domain, 3, {office: {cap: createCap(CAP + 1)}})
 		expect(await observe(1000)).to.equal(CAP + 1)
 		expect(await observe(20000)).to.equal(CAP + 1)
 		expect(worker.running).to.have.length(0)
--- a/__tests__/caps.test.ts
+++ b/__tests__/caps.test.ts
@@ -1,7 +1,7 @@
 /** Workspaces at their cap: what they have running never exceeds it, whatever they hand in and whoever schedules. */
 import {expect} from "chai"
 import {ReplyKind, TaskPhase} from "../src/internal.js"
-import {configure, createCap, createCappedDomain} from "./fixtures/caps.js"
+import {setCatalog, createCap, createCappedDomain} from "./fixtures/caps.js"
 import {BATCH, URGENT, createJob} from "./fixtures/domain.js"
 
 const ID_A = "00000000000000aa"
@@ -56,13 +56,13 @@
 		const {first, submit, advance, fleet, observe} = domain
 		await submit(first, `${BATCH}${ID_A}`, createJob({count: 8, workMs: 1000}))
 		await submit(first, `${BATCH}${ID_B}`, createJob({count: 8, gang: true, workMs: 1000}))
-		await configure(domain, 3, {office: {cap: createCap(4)}})
+		await setCatalog(domain, 3, {office: {cap: createCap(4)}})
 		await submit(first, `${BATCH}${ID_C}`, createJob({count: 8, workMs: 500}))
 		await advance(1500)
 		expect(await observe(3000)).to.be.at.most(4)
 		expect(fleet.monitor.starts.some(({task}) => task.startsWith(ID_B))).to.equal(false)
 		expect([...fleet.monitor.done].filter(task => task.startsWith(ID_C))).to.have.length(8)
-		await configure(domain, 4, {office: {cap: createCap(8)}})
+		await setCatalog(domain, 4, {office: {cap: createCap(8)}})
 		await advance(1500)
 		expect(fleet.monitor.starts.filter(({task}) => task.startsWith(ID_B))).to.have.length(8)
 	})
