Log a moved expectation once, not at each change of the estimator

Change: the event is recorded when a step goes from the caller's estimate to a learned one or back, or when the median of its durations moves by a quarter.

--- a/src/controllers/domain/run-times.ts
+++ b/src/controllers/domain/run-times.ts
@@ -18,10 +18,10 @@
 	type WorkflowEntry,
 	type WorkflowRecord,
 	ANY_VERSION,
-	Estimator,
 	EventLevel,
 	Outage,
 	RUN_TIMES_PREFIX,
+	RunTimeSource,
 	SectionName,
 	StepTimes,
 	buildForecast,
@@ -62,6 +62,11 @@
 	readonly durationsMs: number[]
 }
 
+interface LoggedStep {
+	readonly source: RunTimeSource
+	readonly durationMs: number
+}
+
 interface LoggedLesson extends Lesson {
 	readonly workspace: string
 	readonly runs: number
@@ -93,7 +98,7 @@
 	/** Queues in the commit that is in flight. */
 	#inFlight: readonly string[] = []
 	/** What was last logged of a step, by queue and step. */
-	readonly #logged = new Map<string, Pick<Lesson, "estimator" | "durationMs">>()
+	readonly #logged = new Map<string, LoggedStep>()
 	#isRead = false
 	#isCallInFlight = false
 	#nextCallAt = 0
@@ -183,12 +188,12 @@
 		{expectation, estimator, durationMs, callerError, chosenError, workspace, runs}: LoggedLesson
 	): void {
 		const key = JSON.stringify([queue, stepIndex, isGang])
-		const {medianMs, highMs, samples} = expectation
+		const {medianMs, highMs, samples, source} = expectation
 		const logged = this.#logged.get(key)
 		const isSame =
-			logged?.estimator === estimator && !isMoved(logged.durationMs, durationMs, MOVED_FACTOR)
-		if (isSame || (logged === undefined && estimator === Estimator.caller)) return
-		this.#logged.set(key, {estimator, durationMs})
+			logged?.source === source && !isMoved(logged.durationMs, durationMs, MOVED_FACTOR)
+		if (isSame || (logged === undefined && source === RunTimeSource.caller)) return
+		this.#logged.set(key, {source, durationMs})
 		board.record(EventLevel.info, "run-times-moved", {
 			queue,
 			step: stepIndex,
