Count the work that runs lose, by cause

Cause: operators could see core-seconds lost only by reading all logs, and the stop of a gang named "gang-stopped" for every member, never what had begun it. The time at which an earlier run started also stood until the next one ran.

Change: a released run carries its cause, which members of a gang take over from the first that stopped, and the work since its start or latest checkpoint; cardamomhook_lost_core_seconds_total sums it by cause. A plan resets the start of the run.

--- a/src/adapters/telemetry.ts
+++ b/src/adapters/telemetry.ts
@@ -58,6 +58,7 @@
 	readonly #capUse: Gauge<"workspace">
 	readonly #weightedShares: Gauge<"workspace">
 	readonly #durations: Histogram<"event" | "of">
+	readonly #lostWork: Counter<"cause">
 	readonly #calls: Histogram<"kind" | "result">
 	readonly #droppedLines: Counter
 	readonly #output = createLogOutput(STDOUT_FD)
@@ -116,6 +117,12 @@
 			buckets: LATENCY_BUCKETS_S,
 			registers: [this.#registry]
 		})
+		this.#lostWork = new Counter({
+			name: "cardamomhook_lost_core_seconds_total",
+			help: "Work of runs that were released before they were done, since their start or latest checkpoint, by cause",
+			labelNames: ["cause"],
+			registers: [this.#registry]
+		})
 		this.#calls = new Histogram({
 			name: "cardamomhook_call_seconds",
 			help: "Durations of calls to the platform, workers, endpoints and peers by kind and result",
@@ -142,6 +149,7 @@
 			this.#board.events.take(id)
 			this.#events.inc({event: event.name, reason: event.reason ?? ""})
 			this.#observeDuration(event)
+			this.#countLostWork(event)
 			const {zone} = this.#board.settings
 			const catalog = this.#board.catalog.get("current")?.catalog
 			const generation =
@@ -170,6 +178,11 @@
 		this.#durations.observe({event: name, of: `${fields[timed.label] ?? ""}`}, tookMs / MS_PER_S)
 	}
 
+	#countLostWork({name, fields: {cause, lost}}: BoardEvent): void {
+		if (name !== "run-released" || typeof lost !== "number") return
+		this.#lostWork.inc({cause: String(cause)}, lost)
+	}
+
 	countProblem(reason: string): void {
 		this.#problems.inc({reason})
 	}
--- a/src/controllers/domain/run-report.ts
+++ b/src/controllers/domain/run-report.ts
@@ -37,8 +37,8 @@
 	findTaskRef,
 	isCurrentRun,
 	isOlderThanStart,
-	listTaskRefs,
 	mayHaveLostRuns,
+	recordCheckpoint,
 	recordContradiction,
 	recordFailedWorker,
 	recordIncarnation,
@@ -128,7 +128,7 @@
 			present.add(running.taskId)
 			recordIncarnation(ref, node.incarnation)
 			recordRunning(board, ref, running.percent, now)
-			updateCheckpoint(ref, running.checkpoint)
+			recordCheckpoint(ref, running.checkpoint, now)
 			if (running.percent !== ref.task.percent) {
 				ref.task.percent = running.percent
 				ref.task.progressAt = now
@@ -208,7 +208,7 @@
 			stopRun(board, ref, ReasonCode.workerLost, now)
 			return false
 		}
-		updateCheckpoint(ref, end.checkpoint)
+		recordCheckpoint(ref, end.checkpoint, now)
 		const isLastFailure = end.end === RunEnd.failed && this.#recordFailure(board, node, ref, now)
 		releaseRun(board, ref, end.end, proof, now)
 		if (isLastFailure) endWorkflow(board, ref.workflow, WorkflowState.failed, now)
@@ -368,14 +368,3 @@
 		}
 	}
 }
-
-/** A member's checkpoint is valid for its whole gang, and all members must resume from the same one. */
-function updateCheckpoint(
-	{spec, task, workflow, occurrence, stepIndex}: TaskRef,
-	value: string
-): void {
-	if (value === "" || value === task.checkpoint) return
-	const refs = spec.gang ? listTaskRefs(workflow, occurrence, stepIndex) : []
-	for (const member of refs) member.task.checkpoint = value
-	task.checkpoint = value
-}
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -125,6 +125,12 @@
 	/** Monotonic time at which this holder first saw the run as running, and its progress then: 0 if it had just begun. */
 	startedAt: number
 	startPercent: number
+	/** Monotonic time at which this holder first saw its latest checkpoint; 0 without one of this term. */
+	savedAt: number
+	/** Core-seconds of work that earlier runs of the task have lost in this holder's term. */
+	lostWork: number
+	/** Why the scheduler stopped this run or, for a member of a gang, the run that it had to stop with. */
+	stopCause: string | undefined
 	/** The latest workers that this task failed on, oldest first. */
 	readonly failedOn: string[]
 	/** The run before the current one; undefined if there is none. */
--- a/src/utils/domain/runs.ts
+++ b/src/utils/domain/runs.ts
@@ -16,6 +16,7 @@
 	STEP_RETRY_DELAY_MS,
 	TaskPhase,
 	WorkflowState,
+	computeLostWork,
 	countOccurrences,
 	createTaskRef,
 	findTerm,
@@ -73,6 +74,9 @@
 	task.openStarts = 0
 	task.percent = 0
 	task.progressAt = now
+	task.startedAt = now
+	task.startPercent = 0
+	task.stopCause = undefined
 	task.acknowledgedAt = undefined
 	task.orderedAt = now
 	task.plannedRevision = occurrence.revision + 1
@@ -130,14 +134,18 @@
 	const {task, step, taskId, workflow, occurrence} = ref
 	const {run, workerId, phase} = task
 	const epoch = findTerm(board)?.epoch ?? 0
-	const fields = {task: taskId, run, worker: workerId, phase, ...describeProof(proof), epoch}
-	board.record(EventLevel.info, "run-released", fields, reason)
+	const cause = task.stopCause ?? reason
+	const lost = computeLostWork(ref, now)
+	const loss = {cause, lost: Math.round(lost)}
+	task.lostWork += lost
+	const fields = {task: taskId, run, worker: workerId, phase, ...loss, ...describeProof(proof)}
+	board.record(EventLevel.info, "run-released", {...fields, epoch}, reason)
 	task.released = {run, workerId, epoch, proof, releasedAt: now, isContradicted: false}
 	task.phase = TaskPhase.waiting
 	step.notBefore = Math.max(step.notBefore, now + STEP_RETRY_DELAY_MS)
 	board.runs.delete(taskId)
 	recordProgress(board, workflow, occurrence)
-	stopGangMembers(board, ref, now)
+	stopGangMembers(board, ref, cause, now)
 }
 
 function describeProof({place, evidence, ageMs}: EndProof) {
@@ -184,8 +192,17 @@
 	board.record(EventLevel.warn, "release-contradicted", {...fields, sinceReleaseMs, currentRun})
 }
 
-/** Requests that the run stop; a run that was never sent is released at once. */
-export function stopRun(board: Board, ref: TaskRef, reason: ReasonCode, now: number): void {
+/**
+ * Requests that the run stop; a run that was never sent is released at once. The cause of a gang's stop is what stopped
+ * the first of its members.
+ */
+export function stopRun(
+	board: Board,
+	ref: TaskRef,
+	reason: ReasonCode,
+	now: number,
+	cause: string = reason
+): void {
 	const {task, taskId} = ref
 	const proof = findUnsentProof("stop", ref)
 	if (proof !== undefined) {
@@ -195,23 +212,25 @@
 	if (task.phase !== TaskPhase.starting && task.phase !== TaskPhase.running) return
 	recordLongRun(board, ref, reason, now)
 	task.phase = TaskPhase.stopping
+	task.stopCause = cause
 	task.acknowledgedAt = undefined
 	task.orderedAt = -Infinity
 	board.runs.set(taskId, ref)
-	const fields = {task: taskId, run: task.run, worker: task.workerId, percent: task.percent}
+	const {run, workerId, percent} = task
+	const fields = {task: taskId, run, worker: workerId, percent, cause}
 	board.record(EventLevel.info, "stop-asked", fields, reason)
-	stopGangMembers(board, ref, now)
+	stopGangMembers(board, ref, cause, now)
 }
 
 /** Stops all members of a gang once one is stopped or released, since no part of it runs without the rest. */
-function stopGangMembers(board: Board, ref: TaskRef, now: number): void {
+function stopGangMembers(board: Board, ref: TaskRef, cause: string, now: number): void {
 	if (!ref.spec.gang) return
 	const index = ref.stepIndex
 	for (const member of listTaskRefs(ref.workflow, ref.occurrence, index)) {
 		const {phase} = member.task
 		const isActive =
 			phase === TaskPhase.planned || phase === TaskPhase.starting || phase === TaskPhase.running
-		if (isActive) stopRun(board, member, ReasonCode.gangStopped, now)
+		if (isActive) stopRun(board, member, ReasonCode.gangStopped, now, cause)
 	}
 }
 
--- a/src/utils/domain/workflows.ts
+++ b/src/utils/domain/workflows.ts
@@ -83,6 +83,9 @@
 		progressAt: 0,
 		startedAt: 0,
 		startPercent: 0,
+		savedAt: 0,
+		lostWork: 0,
+		stopCause: undefined,
 		failedOn: [],
 		released: undefined
 	}
