Wait for a run that stands still as long as it takes to do its work again

Cause: a run without progress was stopped after 2.6 s, whatever it had done. A member that waited for a late start of another one was blamed as well, and its worker closed.

Change: findStall gives the time without progress and the patience: the time of the work that would be done again, at least the old bound and at most 10 s; the old bound for runs with checkpoints. The worker is suspect once the old bound has passed. A gang's progress counts from when its last member runs. Event run-stalled.

Ruled out: a longer bound for all, since runs that have done little lose little by moving.

Two of the three tests fail without the part; the third one guards the old bound.

--- a/__tests__/losses.test.ts
+++ b/__tests__/losses.test.ts
@@ -1,6 +1,6 @@
 /** What stopping a run loses, which stalls are waited for, and which workers are left alone, without a network. */
 import {expect} from "chai"
-import {TaskPhase, computeLostWork, recordCheckpoint} from "../src/internal.js"
+import {TaskPhase, computeLostWork, findStall, recordCheckpoint} from "../src/internal.js"
 import {BATCH, URGENT, createJob, createServingDomain} from "./fixtures/domain.js"
 import {createRuns} from "./fixtures/runs.js"
 
@@ -31,3 +31,33 @@
 		for (const {fields} of released) expect(fields.lost).to.be.greaterThan(64)
 	})
 })
+
+describe("a run without progress", () => {
+	function findStallAfter(ranMs: number, stalledMs: number, step: Record<string, unknown> = {}) {
+		const [run] = createRuns("stalled", {count: 1, estimate_ms: 8000, ...step})
+		Object.assign(run!.task, {percent: 80, progressAt: ranMs})
+		return findStall(run!, ranMs + stalledMs)
+	}
+
+	// Failure pattern: workers stand still for 6 s and go on. Gangs that were nearly done were stopped after 2.6 s.
+	it("is waited for as long as it takes to do its work again", () => {
+		expect(findStallAfter(7000, 2700)).to.deep.equal({stalledMs: 2700, patienceMs: 7000})
+		expect(findStallAfter(60000, 2700)?.patienceMs).to.equal(10000)
+	})
+
+	it("is given up at once if it has done little or has a checkpoint", () => {
+		expect(findStallAfter(500, 2700)?.patienceMs).to.equal(2600)
+		expect(findStallAfter(7000, 2700, {checkpointing: true})?.patienceMs).to.equal(2600)
+		expect(findStallAfter(7000, 2500)).to.equal(undefined)
+	})
+
+	// Failure pattern: workers carry starts out late. The members that waited for them were taken for stalled.
+	it("is not the fault of its worker while a member of its gang is missing", () => {
+		const [first, second] = createRuns("gang", {count: 2, gang: true})
+		second!.task.phase = TaskPhase.starting
+		expect(findStall(first!, 5000)).to.equal(undefined)
+		Object.assign(second!.task, {phase: TaskPhase.running, startedAt: 4000})
+		expect(findStall(first!, 6000)).to.equal(undefined)
+		expect(findStall(first!, 7000)?.stalledMs).to.equal(3000)
+	})
+})
--- a/src/controllers/domain/run-report.ts
+++ b/src/controllers/domain/run-report.ts
@@ -17,23 +17,20 @@
 	NODE_FAILURES_MAX,
 	NODE_QUARANTINE_MS,
 	ProgressRates,
-	RUN_STALL_MS,
-	RUN_STALL_SHARE,
 	ReasonCode,
 	ReportedEnds,
 	RunEnd,
 	SectionName,
-	TaskPhase,
 	WorkerPaces,
 	WorkflowState,
 	completeTask,
 	computeSteadyTime,
 	endWorkflow,
 	findAbsenceProof,
-	findExpectedRunMs,
 	findListedEndProof,
 	findLossProof,
 	findRestartProof,
+	findStall,
 	findTaskRef,
 	isCurrentRun,
 	isOlderThanStart,
@@ -53,8 +50,6 @@
 /** Interval at which the runs of each step are compared. */
 const PACE_INTERVAL_MS = 1500
 
-const PERCENT_DONE = 100
-
 const INITIAL_HEALTH: NodeHealth = {
 	failedWorkflows: [],
 	failedAt: 0,
@@ -318,18 +313,23 @@
 		stopRun(board, ref, ReasonCode.workerLost, now)
 	}
 
-	/** Stops runs that make no progress on a worker that answers; they are started elsewhere. */
+	/** Runs that make no progress on a worker that answers make it suspect; those given up are started elsewhere. */
 	#stopStalled(board: Board, node: NodeEntry, {receivedAt}: NodeReport, now: number): void {
-		for (const ref of [...board.runs.listOn(node.registration.id).values()]) {
-			const {task, spec, workflow} = ref
-			// A gang member at 100 percent waits for the other members.
-			const mayStall = !spec.longRunning && task.percent < PERCENT_DONE
-			if (task.phase !== TaskPhase.running || !mayStall) continue
-			const stallMs = Math.max(RUN_STALL_MS, findExpectedRunMs(ref) * RUN_STALL_SHARE)
-			if (receivedAt - task.progressAt < stallMs) continue
-			recordFailedWorker(task, node.registration.id)
-			this.#markSuspect(board, node.registration.id, workflow.record.id, now)
-			stopRun(board, ref, ReasonCode.taskFailed, now)
+		const {id} = node.registration
+		for (const ref of [...board.runs.listOn(id).values()]) {
+			const {task, taskId, workflow} = ref
+			const stall = findStall(ref, receivedAt)
+			if (stall === undefined) continue
+			const {stalledMs, patienceMs} = stall
+			const isGivenUp = stalledMs >= patienceMs
+			// A run that is waited for counts once.
+			if (!isGivenUp && task.failedOn.at(-1) === id) continue
+			recordFailedWorker(task, id)
+			this.#markSuspect(board, id, workflow.record.id, now)
+			const fields = {task: taskId, run: task.run, worker: id, percent: task.percent}
+			const times = {stalledMs: Math.round(stalledMs), patienceMs: Math.round(patienceMs)}
+			board.record(EventLevel.info, "run-stalled", {...fields, ...times, isGivenUp})
+			if (isGivenUp) stopRun(board, ref, ReasonCode.taskFailed, now)
 		}
 	}
 
