Weigh victims by what stopping them loses, with gangs and restarts

A gang with several members among the victims counted once for each of them.

Change: the loss of a run with checkpoints is the time to restore it (setting restoreMs) for all of its gang; what earlier runs have lost, and a stop and a restore for each of the last three, counts again. The policy counts a gang once and, for work of several tasks, also tries the two gangs with the least loss for each member. Runs that end within the time of a stop are waited for.

Each test fails without its part.

--- a/__tests__/losses.test.ts
+++ b/__tests__/losses.test.ts
@@ -1,14 +1,91 @@
-/** What stopping a run loses, which stalls are waited for, and which workers are left alone, without a network. */
+/** What stopping a run loses, which stalls are waited for, without a network. */
 import {expect} from "chai"
-import {TaskPhase, computeLostWork, findStall, recordCheckpoint} from "../src/internal.js"
+import {
+	type NodeCapacity,
+	type PlacementUnit,
+	type TaskRef,
+	PackedRunPlacement,
+	TaskPhase,
+	buildNodeRun,
+	computeLostWork,
+	computeRunLoss,
+	findStall,
+	recordCheckpoint
+} from "../src/internal.js"
+import {DEFAULT_CAPACITY} from "../standins/fleet/fleet.js"
 import {BATCH, URGENT, createJob, createServingDomain} from "./fixtures/domain.js"
 import {createRuns} from "./fixtures/runs.js"
 
+const STOP_TIMES = {stopMs: 900, restoreMs: 250}
 const NOW = 10000
+const NOBODY: ReadonlySet<string> = new Set()
 /** Eight accelerators and no cores count as 64 cores. */
 const WHOLE = {cpu: 0, gpu: 8}
 
+/** A worker that the run fills, or an empty one. */
+function createNode(
+	id: string,
+	run?: TaskRef,
+	overrides: Partial<NodeCapacity> = {}
+): NodeCapacity {
+	const free = run === undefined ? {...DEFAULT_CAPACITY} : {...DEFAULT_CAPACITY, accelerators: 0}
+	const runs = run === undefined ? [] : [buildNodeRun(run, NOBODY, STOP_TIMES, NOW)]
+	return {
+		id,
+		incarnation: "1",
+		rack: "a",
+		labels: [],
+		isSuspect: false,
+		pace: 1,
+		capacity: DEFAULT_CAPACITY,
+		free,
+		listRuns: () => runs,
+		...overrides
+	}
+}
+
+function createUnit(step: Record<string, unknown>, overrides: Partial<PlacementUnit> = {}) {
+	const refs = createRuns("urgent", step)
+	return {
+		refs,
+		spec: refs[0]!.spec,
+		rank: 1,
+		lossMax: 1500,
+		mayWait: true,
+		prefersFast: false,
+		remoteCost: 0,
+		failedOn: new Set<string>(),
+		isLastAttempt: false,
+		...overrides
+	}
+}
+
+function chooseNodes(unit: PlacementUnit, nodes: NodeCapacity[]): string[] | undefined {
+	return new PackedRunPlacement().choose(unit, nodes)?.map(({node}) => node.id)
+}
+
 describe("the loss of a run", () => {
+	it("is the work of the whole gang", () => {
+		const [member] = createRuns("gang", {...WHOLE, count: 4, gang: true}, {startedAt: NOW - 2000})
+		expect(computeRunLoss(member!, STOP_TIMES, NOW)).to.equal(4 * 64 * 2)
+	})
+
+	// Load pattern: wide gangs with checkpoints counted nothing, so that one was stopped rather than a task of little work.
+	it("is the time to restore it for all members if it has checkpoints", () => {
+		const step = {...WHOLE, count: 4, gang: true, checkpointing: true}
+		const [member] = createRuns("gang", step, {startedAt: NOW - 2000})
+		expect(computeRunLoss(member!, STOP_TIMES, NOW)).to.equal(4 * 64 * 0.25)
+	})
+
+	// Load pattern: bursts of urgent work. A gang that had just started over was the cheapest victim again.
+	it("counts what earlier runs have lost again", () => {
+		const [first, second] = createRuns("gang", {...WHOLE, count: 2, gang: true}, {startedAt: NOW})
+		second!.task.lostWork = 300
+		expect(computeRunLoss(first!, STOP_TIMES, NOW)).to.equal(300)
+		first!.task.run = 3
+		expect(computeRunLoss(first!, STOP_TIMES, NOW)).to.be.closeTo(300 + 2 * 128 * 1.15, 1e-6)
+	})
+
 	it("is seen from the latest checkpoint once a run is released", () => {
 		const [run] = createRuns("one", {...WHOLE, count: 1, checkpointing: true}, {startedAt: 1000})
 		recordCheckpoint(run!, "a", 9000)
@@ -32,6 +109,37 @@
 	})
 })
 
+describe("victims of urgent work", () => {
+	// Load pattern: an urgent gang needs several workers. A gang that fills them was counted once for each of its members.
+	it("are members of one gang rather than runs that lose more together", () => {
+		const gang = createRuns("gang", {...WHOLE, count: 2, gang: true}, {startedAt: NOW - 4000})
+		const singles = createRuns("singles", {...WHOLE, count: 2}, {startedAt: NOW - 6000})
+		const nodes = [...singles, ...gang].map((run, index) => createNode(`n${index}`, run))
+		const unit = createUnit({...WHOLE, count: 2, gang: true})
+		expect(chooseNodes(unit, nodes)).to.deep.equal(["n2", "n3"])
+	})
+
+	it("may lose no more than the unit allows, with a gang counted once", () => {
+		const gang = createRuns("gang", {...WHOLE, count: 2, gang: true}, {startedAt: NOW - 8000})
+		const nodes = gang.map((run, index) => createNode(`n${index}`, run))
+		const step = {...WHOLE, count: 2, gang: true}
+		expect(chooseNodes(createUnit(step), nodes)).to.deep.equal(["n0", "n1"])
+		expect(chooseNodes(createUnit(step, {lossMax: 1000}), nodes)).to.equal(undefined)
+	})
+
+	// Load pattern: workers that take long to stop a run. Runs were stopped that would have ended before the stop.
+	it("are not runs that end as soon as a stop would end them", () => {
+		const [run] = createRuns("ending", {...WHOLE, count: 1, checkpointing: true})
+		Object.assign(run!.task, {percent: 93, progressAt: NOW})
+		const slots = new PackedRunPlacement().choose(createUnit({...WHOLE, count: 1}), [
+			createNode("n0", run)
+		])
+		expect(slots?.map(({victims, isFree}) => ({victims, isFree}))).to.deep.equal([
+			{victims: [], isFree: false}
+		])
+	})
+})
+
 describe("a run without progress", () => {
 	function findStallAfter(ranMs: number, stalledMs: number, step: Record<string, unknown> = {}) {
 		const [run] = createRuns("stalled", {count: 1, estimate_ms: 8000, ...step})
--- a/__tests__/platform.test.ts
+++ b/__tests__/platform.test.ts
@@ -30,6 +30,7 @@
 			revokeMs: 5000,
 			stopMs: 200,
 			stateKeptMs: 180000,
+			restoreMs: 250,
 			remoteFactor: 3,
 			workerLeaseMaxMs: 10000,
 			cores: 1,
--- a/src/controllers/domain/run-placement.ts
+++ b/src/controllers/domain/run-placement.ts
@@ -46,7 +46,8 @@
 	listWaitingGroups,
 	openDueOccurrences,
 	planRun,
-	stopRun
+	stopRun,
+	sumSlotLosses
 } from "../../internal.js"
 
 /** Shortest time between two rounds, so that one round covers changes that arrive together. */
@@ -466,11 +467,11 @@
 			task: first.taskId,
 			rank,
 			workers: workerIds.join(" "),
-			victims: victims.map(({taskId}) => taskId).join(" "),
-			loss: Math.round(slots.reduce((sum, {loss}) => sum + loss, 0))
+			victims: victims.map(({ref}) => ref.taskId).join(" "),
+			loss: Math.round(sumSlotLosses(slots))
 		}
 		board.record(EventLevel.info, "run-room-held", fields)
-		for (const victim of victims) stopRun(board, victim, ReasonCode.preempted, now)
+		for (const {ref} of victims) stopRun(board, ref, ReasonCode.preempted, now)
 	}
 
 	#plan(board: Board, unit: PlacementUnit, nodes: readonly NodeCapacity[], now: number): void {
--- a/src/policies/domain/run-placement.ts
+++ b/src/policies/domain/run-placement.ts
@@ -3,7 +3,15 @@
  * whole workers stay free for tasks that need one. Preemption selects the runs with the least loss. The tasks of a
  * tightly coupled gang go into one rack if one can hold them.
  */
-import {type ResourceDemand, type StepSpec, type TaskRef, groupBy} from "../../internal.js"
+import {
+	type ResourceDemand,
+	type StepSpec,
+	type TaskRef,
+	type Victim,
+	formatLossKey,
+	groupBy,
+	sumLosses
+} from "../../internal.js"
 
 /** A worker during one round of placement; its free capacity shrinks and its list of runs grows as tasks are placed. */
 export interface NodeCapacity {
@@ -59,9 +67,10 @@
 export interface Slot {
 	readonly node: NodeCapacity
 	/** Runs that have to be stopped. */
-	readonly victims: readonly TaskRef[]
+	readonly victims: readonly Victim[]
 	/** True if no run has to end or stop first. */
 	readonly isFree: boolean
+	/** Loss that this slot adds to the others, by which slots are compared. */
 	readonly loss: number
 }
 
@@ -92,6 +101,13 @@
 			slots: this.#chooseNear(unit, pool, isBound),
 			extra: 0
 		}))
+		if (unit.refs.length > 1 && unit.lossMax >= 0)
+			for (const gang of listCheapGangs(eligible, unit)) {
+				const pool = eligible.flatMap(node =>
+					listSlots(node, unit, () => listVictims(node, unit, gang))
+				)
+				candidates.push({slots: this.#chooseNear(unit, pool, isBound), extra: 0})
+			}
 		if (isBound && unit.remoteCost < Infinity)
 			for (const pool of pools)
 				candidates.push({slots: chooseBest(pool, unit), extra: unit.remoteCost})
@@ -205,14 +221,22 @@
 	free.accelerators += sign * demand.accelerators
 }
 
+interface Candidate extends NodeRun {
+	/** Loss by stopping it, where `loss` counts only what that adds to other victims. */
+	readonly stopLoss?: number
+}
+
+/** Gangs that are tried as victims one by one. */
+const TRIED_GANGS_MAX = 2
+
 /** The worker's slots for the unit's tasks, if the runs that `listCandidates` returns end in that order. */
 function listSlots(
 	node: NodeCapacity,
 	unit: PlacementUnit,
-	listCandidates: () => NodeRun[]
+	listCandidates: () => Candidate[]
 ): Slot[] {
 	const {spec, refs} = unit
-	let candidates: NodeRun[] | undefined
+	let candidates: Candidate[] | undefined
 	const free = {...node.free}
 	const present = countTasksOfStep(node, unit)
 	const limit = Math.min(refs.length, (spec.maxPerWorker ?? Infinity) - present)
@@ -220,7 +244,7 @@
 	// If one slot needs a run to end, so do all later ones: they may use capacity that this run frees.
 	let isFree = true
 	while (slots.length < limit) {
-		const victims: TaskRef[] = []
+		const victims: Victim[] = []
 		let loss = 0
 		while (!isFitting(free, spec)) {
 			candidates ??= listCandidates()
@@ -228,7 +252,7 @@
 			if (victim === undefined) return slots
 			isFree = false
 			if (!isAboutToEnd(victim, unit)) {
-				victims.push(victim.ref)
+				victims.push({ref: victim.ref, loss: victim.stopLoss ?? victim.loss})
 				loss += victim.loss
 			}
 			addDemand(free, victim.ref.spec, 1)
@@ -254,11 +278,22 @@
 	return isStopping || (isEnding && mayWait)
 }
 
-/** Runs that can free capacity: those about to end, then the others by loss. */
-function listVictims(node: NodeCapacity, unit: PlacementUnit): NodeRun[] {
+/** Gangs with the least loss for each member, which may be stopped as a whole instead of several runs. */
+function listCheapGangs(nodes: readonly NodeCapacity[], unit: PlacementUnit): string[] {
+	const losses = new Map<string, number>()
+	for (const node of nodes)
+		for (const {ref, loss} of listVictims(node, unit))
+			if (ref.spec.gang) losses.set(formatLossKey(ref), loss / ref.spec.tasks)
+	const gangs = [...losses].sort(([, a], [, b]) => a - b)
+	return gangs.slice(0, TRIED_GANGS_MAX).map(([key]) => key)
+}
+
+/** Runs that can free capacity: those about to end, then the others by loss, to which members of the gang `lost` add nothing. */
+function listVictims(node: NodeCapacity, unit: PlacementUnit, lost?: string): Candidate[] {
 	return node
 		.listRuns()
 		.filter(run => isAboutToEnd(run, unit) || (run.rank > unit.rank && !run.isProtected))
+		.map(run => (formatLossKey(run.ref) === lost ? {...run, loss: 0, stopLoss: run.loss} : run))
 		.sort(
 			(a, b) => Number(isAboutToEnd(b, unit)) - Number(isAboutToEnd(a, unit)) || a.loss - b.loss
 		)
@@ -338,11 +373,16 @@
 
 /** False if the loss exceeds the unit's maximum. */
 function isAllowed(slots: readonly Slot[], {lossMax}: PlacementUnit): boolean {
-	return slots.reduce((sum, {loss}) => sum + loss, 0) <= Math.max(0, lossMax)
+	return sumSlotLosses(slots) <= Math.max(0, lossMax)
 }
 
 function computeTotalCost(slots: readonly Slot[], unit: PlacementUnit): number {
-	return slots.reduce((sum, slot) => sum + computeCost(slot, unit), 0)
+	const penalties = slots.reduce((sum, slot) => sum + computePenalty(slot, unit), 0)
+	return sumSlotLosses(slots) + penalties
+}
+
+export function sumSlotLosses(slots: readonly Slot[]): number {
+	return sumLosses(slots.flatMap(({victims}) => victims))
 }
 
 /** Loss that is accepted to avoid a worker suspected of being faulty, in core-seconds. */
@@ -350,7 +390,7 @@
 /** Loss that is accepted to avoid waiting for a run to end, in core-seconds. */
 const WAIT_PENALTY = 10
 
-function computeCost({loss, node, isFree}: Slot, {failedOn}: PlacementUnit): number {
+function computePenalty({node, isFree}: Slot, {failedOn}: PlacementUnit): number {
 	const penalty = node.isSuspect || failedOn.has(node.id) ? SUSPECT_PENALTY : 0
-	return loss + penalty + (isFree ? 0 : WAIT_PENALTY)
+	return penalty + (isFree ? 0 : WAIT_PENALTY)
 }
--- a/src/run-times/remaining.ts
+++ b/src/run-times/remaining.ts
@@ -1,7 +1,7 @@
 /** How long runs are expected to go on: by the rate of their progress, or by the forecast of their workflow. */
 import {type TaskProgress, type TaskRef, TaskPhase} from "../internal.js"
 
-/** A run that ends this soon is waited for instead of stopped: stopping takes about as long. */
+/** A run that ends this soon is waited for instead of stopped, also where a stop is faster. */
 const ENDS_SOON_MS = 500
 const PERCENT_DONE = 100
 
@@ -26,10 +26,11 @@
 	return (expectedMs * (PERCENT_DONE - percent)) / PERCENT_DONE
 }
 
-/** True if the run is about to end by itself; a gang ends with the slowest of its members. */
-export function isEnding({step, spec, task}: TaskRef, now: number): boolean {
+/** True if the run ends by itself as soon as a stop would end it; a gang ends with the slowest of its members. */
+export function isEnding({step, spec, task}: TaskRef, stopMs: number, now: number): boolean {
 	const members = spec.gang ? step.tasks : [task]
-	return members.every(member => computeRemaining(member, now) < ENDS_SOON_MS)
+	const endsSoonMs = Math.max(ENDS_SOON_MS, stopMs)
+	return members.every(member => computeRemaining(member, now) < endsSoonMs)
 }
 
 /** Remaining time of a run at its rate since this holder first saw it; infinite if that is not known. */
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -45,6 +45,7 @@
 	stopMs: z.number().min(DURATION_MIN_MS),
 	workerLeaseMaxMs: z.number().min(WORKER_LEASE_MAX_MIN_MS).default(10000),
 	stateKeptMs: z.number().min(DURATION_MIN_MS),
+	restoreMs: z.number().nonnegative().default(0),
 	remoteFactor: z.number().min(1),
 	cores: z.number().positive().default(1),
 	coreShare: z.number().positive().max(1).default(1),
--- a/src/shares/cap-victims.ts
+++ b/src/shares/cap-victims.ts
@@ -12,6 +12,7 @@
 	TaskPhase,
 	addUse,
 	buildNodeRun,
+	findStopTimes,
 	isAtMost,
 	scaleUse
 } from "../internal.js"
@@ -95,10 +96,11 @@
 
 	#listCandidates(refs: readonly TaskRef[]): Candidate[] {
 		const candidates = new Map<string, Candidate>()
+		const stopTimes = findStopTimes(this.#board.settings)
 		for (const ref of refs) {
 			const {spec, occurrence, stepIndex, taskId, task} = ref
 			if (task.phase !== TaskPhase.running && task.phase !== TaskPhase.starting) continue
-			const {rank, loss, isProtected} = buildNodeRun(ref, this.#guaranteed, this.#now)
+			const {rank, loss, isProtected} = buildNodeRun(ref, this.#guaranteed, stopTimes, this.#now)
 			if (isProtected) continue
 			const key = spec.gang ? `${occurrence.key}.${stepIndex}` : taskId
 			const known = candidates.get(key)
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -17,6 +17,8 @@
 	readonly workerLeaseMaxMs: number
 	/** How long the state of an ended workflow is kept. */
 	readonly stateKeptMs: number
+	/** Time that a run takes to resume from a checkpoint. */
+	readonly restoreMs: number
 	/** Factor by which a task takes longer outside the rack of its data or its gang. */
 	readonly remoteFactor: number
 	/** CPU cores of this host, and the share of each that this process may use. */
--- a/src/utils/domain/rooms.ts
+++ b/src/utils/domain/rooms.ts
@@ -5,6 +5,7 @@
 	type NodeEntry,
 	type NodeCapacity,
 	type NodeRun,
+	type StopTimes,
 	type TaskRef,
 	GUARANTEED_RANK,
 	TaskPhase,
@@ -15,6 +16,7 @@
 	findClosedWorkers,
 	findExpectedRunMs,
 	findNodeGate,
+	findStopTimes,
 	isEnding,
 	isFinal
 } from "../../internal.js"
@@ -41,8 +43,7 @@
 		const health = board.health.get(node.registration.id)
 		if (findNodeGate(node, catalog, health, closed) !== undefined) continue
 		const suspect = health !== undefined && (health.suspectUntil > now || health.slowUntil > now)
-		const pace = health?.pace ?? 1
-		const capacity = buildNodeCapacity(board, node, guaranteed, {suspect, pace}, now)
+		const capacity = buildNodeCapacity(board, node, guaranteed, suspect, now)
 		const {service} = node.registration
 		const list = byService.get(service)
 		if (list === undefined) byService.set(service, [capacity])
@@ -55,19 +56,21 @@
 	board: Board,
 	{registration}: NodeEntry,
 	guaranteed: ReadonlySet<string>,
-	{suspect, pace}: {suspect: boolean; pace: number},
+	isSuspect: boolean,
 	now: number
 ): NodeCapacity {
 	const {id, incarnation, rack, labels, capacity} = registration
 	const used = board.runs.sumDemandOn(id)
+	const health = board.health.get(id)
+	const stopTimes = findStopTimes(board.settings)
 	let runs: NodeRun[] | undefined
 	return {
 		id,
 		incarnation,
 		rack,
 		labels,
-		isSuspect: suspect,
-		pace,
+		isSuspect,
+		pace: health?.pace ?? 1,
 		capacity,
 		free: {
 			cpuMillis: capacity.cpuMillis - used.cpuMillis,
@@ -75,22 +78,29 @@
 			accelerators: capacity.accelerators - used.accelerators
 		},
 		listRuns: () =>
-			(runs ??= [...board.runs.listOn(id).values()].map(ref => buildNodeRun(ref, guaranteed, now)))
+			(runs ??= [...board.runs.listOn(id).values()].map(ref =>
+				buildNodeRun(ref, guaranteed, stopTimes, now)
+			))
 	}
 }
 
 /** `guaranteed` has the workflows that a guarantee covers. */
-export function buildNodeRun(ref: TaskRef, guaranteed: ReadonlySet<string>, now: number): NodeRun {
+export function buildNodeRun(
+	ref: TaskRef,
+	guaranteed: ReadonlySet<string>,
+	stopTimes: StopTimes,
+	now: number
+): NodeRun {
 	const {workflow, task, spec} = ref
 	const rank = isFinal(workflow.state) ? Infinity : findRank(workflow, guaranteed)
 	return {
 		ref,
 		rank,
-		loss: computeRunLoss(ref, now) + STOP_COST / (rank + 1),
+		loss: computeRunLoss(ref, stopTimes, now) + STOP_COST / (rank + 1),
 		isProtected: spec.longRunning || task.phase === TaskPhase.planned,
 		remainingMs: Math.max(0, estimateRemaining(ref, now)),
 		isStopping: task.phase === TaskPhase.stopping,
-		isEnding: isEnding(ref, now)
+		isEnding: isEnding(ref, stopTimes.stopMs, now)
 	}
 }
 
