Let single tasks try a worker that has failed runs before gangs do

Cause: 8 s after the last failure a worker that fails what it starts was like any other, and the next gang could go there again and be lost with all of its members.

Change: a worker is on trial until a run that started there since its latest failure has succeeded. Of workers that are otherwise alike a gang takes others; nothing is stopped and nothing waits because of it.

Ruled out: a quarantine that doubles with each further workflow.

--- a/__tests__/losses.test.ts
+++ b/__tests__/losses.test.ts
@@ -1,4 +1,4 @@
-/** What stopping a run loses, which stalls are waited for, without a network. */
+/** What stopping a run loses, which stalls are waited for, and where gangs don't go, without a network. */
 import {expect} from "chai"
 import {
 	type NodeCapacity,
@@ -36,6 +36,7 @@
 		rack: "a",
 		labels: [],
 		isSuspect: false,
+		isOnTrial: false,
 		pace: 1,
 		capacity: DEFAULT_CAPACITY,
 		free,
@@ -169,3 +170,14 @@
 		expect(findStall(first!, 7000)?.stalledMs).to.equal(3000)
 	})
 })
+
+describe("workers that fail runs", () => {
+	// Failure pattern: a worker fails all that it starts, is left alone, and the next gang is the first to go there again.
+	it("are tried again by single tasks, not by gangs", () => {
+		const half = {...DEFAULT_CAPACITY, accelerators: 4}
+		const nodes = [createNode("bad", undefined, {isOnTrial: true, free: half}), createNode("good")]
+		const gang = createUnit({gpu: 2, count: 2, gang: true}, {rank: 3})
+		expect(chooseNodes(gang, nodes)).to.deep.equal(["good", "good"])
+		expect(chooseNodes(createUnit({gpu: 2, count: 1}), nodes)).to.deep.equal(["bad"])
+	})
+})
--- a/__tests__/run-placement.test.ts
+++ b/__tests__/run-placement.test.ts
@@ -43,6 +43,7 @@
 		rack,
 		labels: [rack],
 		isSuspect: false,
+		isOnTrial: false,
 		pace: 1,
 		capacity: DEFAULT_CAPACITY,
 		free: {...DEFAULT_CAPACITY},
--- a/src/policies/domain/run-placement.ts
+++ b/src/policies/domain/run-placement.ts
@@ -21,6 +21,8 @@
 	readonly labels: readonly string[]
 	/** Suspected of being faulty; chosen only if no other worker fits. */
 	readonly isSuspect: boolean
+	/** Nothing that it started since its latest failure has succeeded yet; gangs go elsewhere if they can. */
+	readonly isOnTrial: boolean
 	/** Time that it takes for a task, relative to other workers. */
 	readonly pace: number
 	/** What it holds while nothing runs on it. */
@@ -309,12 +311,13 @@
 
 const MS_PER_S = 1000
 
-function compareSlots(a: Slot, b: Slot, {failedOn, prefersFast}: PlacementUnit): number {
+function compareSlots(a: Slot, b: Slot, {spec, failedOn, prefersFast}: PlacementUnit): number {
 	return (
 		Number(failedOn.has(a.node.id)) - Number(failedOn.has(b.node.id)) ||
 		Number(a.node.isSuspect) - Number(b.node.isSuspect) ||
 		a.loss - b.loss ||
 		Number(b.isFree) - Number(a.isFree) ||
+		(spec.gang ? Number(a.node.isOnTrial) - Number(b.node.isOnTrial) : 0) ||
 		(prefersFast ? roundPace(a.node) - roundPace(b.node) : 0) ||
 		a.node.free.accelerators - b.node.free.accelerators ||
 		a.node.free.cpuMillis - b.node.free.cpuMillis
--- a/src/utils/domain/rooms.ts
+++ b/src/utils/domain/rooms.ts
@@ -70,6 +70,7 @@
 		rack,
 		labels,
 		isSuspect,
+		isOnTrial: (health?.failedWorkflows.length ?? 0) > 0,
 		pace: health?.pace ?? 1,
 		capacity,
 		free: {
