Share the fixtures of placement between its tests

Cause: the tests of losses and of the placement policy built units, workers and runs each for itself.

Change: what run-placement.test.ts built moves to fixtures/placement.ts unchanged, with createRuns and isOnTrial.

--- a/__tests__/losses.test.ts
+++ b/__tests__/losses.test.ts
@@ -4,6 +4,7 @@
 	type NodeCapacity,
 	type PlacementUnit,
 	type TaskRef,
+	GUARANTEED_RANK,
 	PackedRunPlacement,
 	TaskPhase,
 	buildNodeRun,
@@ -14,73 +15,48 @@
 } from "../src/internal.js"
 import {DEFAULT_CAPACITY} from "../standins/fleet/fleet.js"
 import {BATCH, URGENT, createJob, createServingDomain} from "./fixtures/domain.js"
-import {createRuns} from "./fixtures/runs.js"
+import {
+	LOSS_MAX,
+	chooseNodes,
+	createNode,
+	createRefs,
+	createRuns,
+	createUnit
+} from "./fixtures/placement.js"
 
 const STOP_TIMES = {stopMs: 900, restoreMs: 250}
 const NOW = 10000
-const NOBODY: ReadonlySet<string> = new Set()
 /** Eight accelerators and no cores count as 64 cores. */
 const WHOLE = {cpu: 0, gpu: 8}
 
-/** A worker that the run fills, or an empty one. */
-function createNode(
-	id: string,
-	run?: TaskRef,
-	overrides: Partial<NodeCapacity> = {}
-): NodeCapacity {
-	const free = run === undefined ? {...DEFAULT_CAPACITY} : {...DEFAULT_CAPACITY, accelerators: 0}
-	const runs = run === undefined ? [] : [buildNodeRun(run, NOBODY, STOP_TIMES, NOW)]
-	return {
-		id,
-		incarnation: "1",
-		rack: "a",
-		labels: [],
-		isSuspect: false,
-		isOnTrial: false,
-		pace: 1,
-		capacity: DEFAULT_CAPACITY,
-		free,
-		listRuns: () => runs,
-		...overrides
-	}
-}
-
-function createUnit(step: Record<string, unknown>, overrides: Partial<PlacementUnit> = {}) {
-	const refs = createRuns("urgent", step)
-	return {
-		refs,
-		spec: refs[0]!.spec,
-		rank: 1,
-		lossMax: 1500,
-		mayWait: true,
-		prefersFast: false,
-		remoteCost: 0,
-		failedOn: new Set<string>(),
-		isLastAttempt: false,
-		...overrides
-	}
+/** A worker whose accelerators are all used by the run. */
+function createBusyNode(id: string, run: TaskRef): NodeCapacity {
+	return createNode(id, "a", {
+		free: {...DEFAULT_CAPACITY, accelerators: 0},
+		listRuns: () => [buildNodeRun(run, new Set(), STOP_TIMES, NOW)]
+	})
 }
 
-function chooseNodes(unit: PlacementUnit, nodes: NodeCapacity[]): string[] | undefined {
-	return new PackedRunPlacement().choose(unit, nodes)?.map(({node}) => node.id)
+function createGuaranteedUnit(step: Record<string, unknown>, lossMax = LOSS_MAX): PlacementUnit {
+	return createUnit(createRefs("guaranteed", step), {rank: GUARANTEED_RANK, lossMax})
 }
 
 describe("the loss of a run", () => {
 	it("is the work of the whole gang", () => {
-		const [member] = createRuns("gang", {...WHOLE, count: 4, gang: true}, {startedAt: NOW - 2000})
+		const [member] = createRuns("gang", {...WHOLE, count: 4, gang: true}, NOW - 2000)
 		expect(computeRunLoss(member!, STOP_TIMES, NOW)).to.equal(4 * 64 * 2)
 	})
 
 	// Load pattern: wide gangs with checkpoints counted nothing, so that one was stopped rather than a task of little work.
 	it("is the time to restore it for all members if it has checkpoints", () => {
 		const step = {...WHOLE, count: 4, gang: true, checkpointing: true}
-		const [member] = createRuns("gang", step, {startedAt: NOW - 2000})
+		const [member] = createRuns("gang", step, NOW - 2000)
 		expect(computeRunLoss(member!, STOP_TIMES, NOW)).to.equal(4 * 64 * 0.25)
 	})
 
 	// Load pattern: bursts of urgent work. A gang that had just started over was the cheapest victim again.
 	it("counts what earlier runs have lost again", () => {
-		const [first, second] = createRuns("gang", {...WHOLE, count: 2, gang: true}, {startedAt: NOW})
+		const [first, second] = createRuns("gang", {...WHOLE, count: 2, gang: true}, NOW)
 		second!.task.lostWork = 300
 		expect(computeRunLoss(first!, STOP_TIMES, NOW)).to.equal(300)
 		first!.task.run = 3
@@ -88,7 +64,7 @@
 	})
 
 	it("is seen from the latest checkpoint once a run is released", () => {
-		const [run] = createRuns("one", {...WHOLE, count: 1, checkpointing: true}, {startedAt: 1000})
+		const [run] = createRuns("one", {...WHOLE, count: 1, checkpointing: true}, 1000)
 		recordCheckpoint(run!, "a", 9000)
 		expect(computeLostWork(run!, NOW)).to.equal(64)
 		run!.task.phase = TaskPhase.planned
@@ -113,27 +89,27 @@
 describe("victims of urgent work", () => {
 	// Load pattern: an urgent gang needs several workers. A gang that fills them was counted once for each of its members.
 	it("are members of one gang rather than runs that lose more together", () => {
-		const gang = createRuns("gang", {...WHOLE, count: 2, gang: true}, {startedAt: NOW - 4000})
-		const singles = createRuns("singles", {...WHOLE, count: 2}, {startedAt: NOW - 6000})
-		const nodes = [...singles, ...gang].map((run, index) => createNode(`n${index}`, run))
-		const unit = createUnit({...WHOLE, count: 2, gang: true})
+		const gang = createRuns("gang", {...WHOLE, count: 2, gang: true}, NOW - 4000)
+		const singles = createRuns("singles", {...WHOLE, count: 2}, NOW - 6000)
+		const nodes = [...singles, ...gang].map((run, index) => createBusyNode(`n${index}`, run))
+		const unit = createGuaranteedUnit({...WHOLE, count: 2, gang: true})
 		expect(chooseNodes(unit, nodes)).to.deep.equal(["n2", "n3"])
 	})
 
 	it("may lose no more than the unit allows, with a gang counted once", () => {
-		const gang = createRuns("gang", {...WHOLE, count: 2, gang: true}, {startedAt: NOW - 8000})
-		const nodes = gang.map((run, index) => createNode(`n${index}`, run))
+		const gang = createRuns("gang", {...WHOLE, count: 2, gang: true}, NOW - 8000)
+		const nodes = gang.map((run, index) => createBusyNode(`n${index}`, run))
 		const step = {...WHOLE, count: 2, gang: true}
-		expect(chooseNodes(createUnit(step), nodes)).to.deep.equal(["n0", "n1"])
-		expect(chooseNodes(createUnit(step, {lossMax: 1000}), nodes)).to.equal(undefined)
+		expect(chooseNodes(createGuaranteedUnit(step), nodes)).to.deep.equal(["n0", "n1"])
+		expect(chooseNodes(createGuaranteedUnit(step, 1000), nodes)).to.equal(undefined)
 	})
 
 	// Load pattern: workers that take long to stop a run. Runs were stopped that would have ended before the stop.
 	it("are not runs that end as soon as a stop would end them", () => {
 		const [run] = createRuns("ending", {...WHOLE, count: 1, checkpointing: true})
 		Object.assign(run!.task, {percent: 93, progressAt: NOW})
-		const slots = new PackedRunPlacement().choose(createUnit({...WHOLE, count: 1}), [
-			createNode("n0", run)
+		const slots = new PackedRunPlacement().choose(createGuaranteedUnit({...WHOLE, count: 1}), [
+			createBusyNode("n0", run!)
 		])
 		expect(slots?.map(({victims, isFree}) => ({victims, isFree}))).to.deep.equal([
 			{victims: [], isFree: false}
@@ -175,9 +151,11 @@
 	// Failure pattern: a worker fails all that it starts, is left alone, and the next gang is the first to go there again.
 	it("are tried again by single tasks, not by gangs", () => {
 		const half = {...DEFAULT_CAPACITY, accelerators: 4}
-		const nodes = [createNode("bad", undefined, {isOnTrial: true, free: half}), createNode("good")]
-		const gang = createUnit({gpu: 2, count: 2, gang: true}, {rank: 3})
+		const nodes = [createNode("bad", "a", {isOnTrial: true, free: half}), createNode("good", "a")]
+		const gang = createUnit(createRefs("gang", {gpu: 2, count: 2, gang: true}))
 		expect(chooseNodes(gang, nodes)).to.deep.equal(["good", "good"])
-		expect(chooseNodes(createUnit({gpu: 2, count: 1}), nodes)).to.deep.equal(["bad"])
+		expect(chooseNodes(createUnit(createRefs("one", {gpu: 2, count: 1})), nodes)).to.deep.equal([
+			"bad"
+		])
 	})
 })
--- a/__tests__/run-placement.test.ts
+++ b/__tests__/run-placement.test.ts
@@ -1,92 +1,14 @@
 /** Tests the placement policy alone: where tasks that start together are placed. */
 import {expect} from "chai"
+import {PackedRunPlacement} from "../src/internal.js"
 import {
-	type NodeCapacity,
-	type PlacementUnit,
-	type NodeRun,
-	type TaskRef,
-	PackedRunPlacement,
-	createOccurrence,
-	createTaskRef,
-	createWorkflowEntry
-} from "../src/internal.js"
-import {decodeWorkflow} from "../platform/records.js"
-import {DEFAULT_CAPACITY} from "../standins/fleet/fleet.js"
-
-const LOSS_MAX = 1500
-
-/** Creates references to the tasks of a workflow with one step. */
-function createRefs(id: string, step: Record<string, unknown>): TaskRef[] {
-	const spec = decodeWorkflow({spec: "", steps: [step]})._unsafeUnwrap()
-	const entry = createWorkflowEntry(
-		{
-			id,
-			workspace: "office",
-			queue: "urgent",
-			service: "trace",
-			priority: 0,
-			maxAttempts: 2,
-			acceptedAtWallMs: 0,
-			spec
-		},
-		0,
-		0
-	)
-	const occurrence = createOccurrence(entry.record, 0)
-	return occurrence.steps[0]!.tasks.map((_, index) => createTaskRef(entry, occurrence, 0, index)!)
-}
-
-function createNode(id: string, rack: string, overrides: Partial<NodeCapacity> = {}): NodeCapacity {
-	return {
-		id,
-		incarnation: "1",
-		rack,
-		labels: [rack],
-		isSuspect: false,
-		isOnTrial: false,
-		pace: 1,
-		capacity: DEFAULT_CAPACITY,
-		free: {...DEFAULT_CAPACITY},
-		listRuns: () => [],
-		...overrides
-	}
-}
-
-/** Creates a worker whose accelerators are all used by one run. */
-function createFullNode(id: string, rack: string, run: Partial<NodeRun>): NodeCapacity {
-	const [ref] = createRefs(`batch-${id}`, {count: 1, gpu: 8})
-	const full: NodeRun = {
-		ref: ref!,
-		rank: 3,
-		loss: 0,
-		isProtected: false,
-		remainingMs: 1000,
-		isStopping: false,
-		isEnding: false,
-		...run
-	}
-	const free = {cpuMillis: 32000, memoryMb: 131072, accelerators: 0}
-	return createNode(id, rack, {free, listRuns: () => [full]})
-}
-
-function createUnit(refs: TaskRef[], overrides: Partial<PlacementUnit> = {}): PlacementUnit {
-	return {
-		refs,
-		spec: refs[0]!.spec,
-		rank: 1,
-		lossMax: LOSS_MAX,
-		mayWait: true,
-		prefersFast: false,
-		remoteCost: LOSS_MAX,
-		failedOn: new Set(),
-		isLastAttempt: false,
-		...overrides
-	}
-}
-
-function chooseNodes(unit: PlacementUnit, nodes: NodeCapacity[]): string[] | undefined {
-	return new PackedRunPlacement().choose(unit, nodes)?.map(({node}) => node.id)
-}
+	LOSS_MAX,
+	chooseNodes,
+	createFullNode,
+	createNode,
+	createRefs,
+	createUnit
+} from "./fixtures/placement.js"
 
 describe("placement of tasks that start together", () => {
 	const gang = {count: 2, gpu: 8, gang: true, tightly_coupled: true}
