Wait for a run that stands still while it could start over in time

Change: the work that is done again includes the stop and the start. A run without checkpoints of which something is done is also waited for while it could start over and still meet its queue's objective, so nothing is late for it. 10 s remain the most.

Ruled out: the work of all members as the bound, which grows while one waits; a wait for work that can no longer be in time, which would only end later.

Each condition's test fails without it.

--- a/__tests__/losses.test.ts
+++ b/__tests__/losses.test.ts
@@ -118,32 +118,47 @@
 })
 
 describe("a run without progress", () => {
-	function findStallAfter(ranMs: number, stalledMs: number, step: Record<string, unknown> = {}) {
+	const times = {objectiveMs: 0, stopMs: STOP_TIMES.stopMs}
+
+	function findStallAfter(
+		ranMs: number,
+		stalledMs: number,
+		objectiveMs = 0,
+		step = {},
+		percent = 80
+	) {
 		const [run] = createRuns("stalled", {count: 1, estimate_ms: 8000, ...step})
-		Object.assign(run!.task, {percent: 80, progressAt: ranMs})
-		return findStall(run!, ranMs + stalledMs)
+		Object.assign(run!.task, {percent, progressAt: ranMs})
+		return findStall(run!, {...times, objectiveMs}, ranMs + stalledMs)
 	}
 
 	// Failure pattern: workers stand still for 6 s and go on. Gangs that were nearly done were stopped after 2.6 s.
 	it("is waited for as long as it takes to do its work again", () => {
-		expect(findStallAfter(7000, 2700)).to.deep.equal({stalledMs: 2700, patienceMs: 7000})
+		expect(findStallAfter(4000, 2700)).to.deep.equal({stalledMs: 2700, patienceMs: 5100})
 		expect(findStallAfter(60000, 2700)?.patienceMs).to.equal(10000)
 	})
 
+	it("is waited for while it could start over and still be in time", () => {
+		const latestStart = 16000 - 8000 - times.stopMs - 200
+		const patienceMs = findStallAfter(1000, 2700, 16000)?.patienceMs
+		expect(patienceMs).to.equal(latestStart - 1000)
+	})
+
 	it("is given up at once if it has done little or has a checkpoint", () => {
 		expect(findStallAfter(500, 2700)?.patienceMs).to.equal(2600)
-		expect(findStallAfter(7000, 2700, {checkpointing: true})?.patienceMs).to.equal(2600)
+		expect(findStallAfter(7000, 2700, 16000, {checkpointing: true})?.patienceMs).to.equal(2600)
 		expect(findStallAfter(7000, 2500)).to.equal(undefined)
+		expect(findStallAfter(0, 2700, 16000, {}, 0)?.patienceMs).to.equal(2600)
 	})
 
 	// Failure pattern: workers carry starts out late. The members that waited for them were taken for stalled.
 	it("is not the fault of its worker while a member of its gang is missing", () => {
 		const [first, second] = createRuns("gang", {count: 2, gang: true})
 		second!.task.phase = TaskPhase.starting
-		expect(findStall(first!, 5000)).to.equal(undefined)
+		expect(findStall(first!, times, 5000)).to.equal(undefined)
 		Object.assign(second!.task, {phase: TaskPhase.running, startedAt: 4000})
-		expect(findStall(first!, 6000)).to.equal(undefined)
-		expect(findStall(first!, 7000)?.stalledMs).to.equal(3000)
+		expect(findStall(first!, times, 6000)).to.equal(undefined)
+		expect(findStall(first!, times, 7000)?.stalledMs).to.equal(3000)
 	})
 })
 
--- a/src/controllers/domain/run-report.ts
+++ b/src/controllers/domain/run-report.ts
@@ -29,8 +29,10 @@
 	findAbsenceProof,
 	findListedEndProof,
 	findLossProof,
+	findObjective,
 	findRestartProof,
 	findStall,
+	findStopTimes,
 	findTaskRef,
 	isCurrentRun,
 	isOlderThanStart,
@@ -316,9 +318,11 @@
 	/** Runs that make no progress on a worker that answers make it suspect; those given up are started elsewhere. */
 	#stopStalled(board: Board, node: NodeEntry, {receivedAt}: NodeReport, now: number): void {
 		const {id} = node.registration
+		const {stopMs} = findStopTimes(board.settings)
 		for (const ref of [...board.runs.listOn(id).values()]) {
 			const {task, taskId, workflow} = ref
-			const stall = findStall(ref, receivedAt)
+			const objectiveMs = findObjective(board, workflow) ?? 0
+			const stall = findStall(ref, {objectiveMs, stopMs}, receivedAt)
 			if (stall === undefined) continue
 			const {stalledMs, patienceMs} = stall
 			const isGivenUp = stalledMs >= patienceMs
--- a/src/policies/domain/run-queue.ts
+++ b/src/policies/domain/run-queue.ts
@@ -75,7 +75,7 @@
 }
 
 /** Overhead of a run besides its work: the commit of the plan, the start, the report of the end and its commit. */
-const RUN_OVERHEAD_MS = 200
+export const RUN_OVERHEAD_MS = 200
 
 /** Multiple of the objective up to which the platform's operators still count a late workflow as served. */
 const OVERDUE_FACTOR = 3
