--- a/__tests__/telemetry.test.ts
+++ b/__tests__/telemetry.test.ts
@@ -2,7 +2,9 @@
 import {tmpdir} from "node:os"
 import {join} from "node:path"
 import {expect} from "chai"
-import {createLogOutput} from "../src/adapters/telemetry.js"
+import {EventLevel} from "../src/internal.js"
+import {Telemetry, createLogOutput} from "../src/adapters/telemetry.js"
+import {createBoard} from "./fixtures/board.js"
 
 const PIPE_BUF_BYTES = 4096
 
@@ -34,3 +36,16 @@
 		expect(end).to.equal(written.length)
 	})
 })
+
+describe("metrics", () => {
+	it("sum the work that runs lose by cause", async () => {
+		const board = createBoard()
+		const telemetry = new Telemetry(board)
+		for (const lost of [30, 12])
+			board.record(EventLevel.info, "run-released", {cause: "preempted", lost}, "stopped")
+		telemetry.drain()
+		const metrics = await telemetry.formatMetrics()
+		telemetry.close()
+		expect(metrics).to.include('cardamomhook_lost_core_seconds_total{cause="preempted"} 42')
+	})
+})
