Leave room for the urgent work that is about to arrive

Cause: while less urgent work fills every worker, urgent work preempts.

Change: src/headroom/ leaves free, on whole workers, the largest demand of urgent work that arrived lately within the time that a preemption takes, at most an eighth of a service. Work of lower priority yields while it has time to spare. Only for queues of priority 0 whose target latency is shorter than the time that a stop may take.

--- /dev/null
+++ b/__tests__/headroom.test.ts
@@ -0,0 +1,168 @@
+/** Room that less urgent work leaves for urgent work that is about to arrive, while all workers are full. */
+import {expect} from "chai"
+import {
+	type NodeCapacity,
+	RackHeadroom,
+	UrgentArrivals,
+	createWorkflowEntry,
+	isHeadroomWanted
+} from "../src/internal.js"
+import {decodeWorkflow} from "../platform/records.js"
+import {DEFAULT_CAPACITY} from "../standins/fleet/fleet.js"
+import {BATCH, URGENT, createJob} from "./fixtures/domain.js"
+import {SLOW_STOP_MS, createFullLoad} from "./fixtures/headroom.js"
+import {createId, handIn} from "./fixtures/holds.js"
+
+const SERVICE = "trace"
+
+function createArrival(id: string, acceptedAt: number, accelerators: number) {
+	const record = {
+		id,
+		workspace: "office",
+		queue: "urgent",
+		service: SERVICE,
+		priority: 0,
+		maxAttempts: 2,
+		acceptedAtWallMs: acceptedAt,
+		spec: decodeWorkflow(createJob({count: accelerators}))._unsafeUnwrap()
+	}
+	return createWorkflowEntry(record, acceptedAt, acceptedAt)
+}
+
+function createNode(id: string, rack: string, accelerators: number): NodeCapacity {
+	return {
+		id,
+		incarnation: "1",
+		rack,
+		labels: [],
+		isSuspect: false,
+		isOnTrial: false,
+		pace: 1,
+		capacity: DEFAULT_CAPACITY,
+		free: {...DEFAULT_CAPACITY, accelerators},
+		listRuns: () => []
+	}
+}
+
+/** 16 workers in 4 racks, of which some have accelerators free. */
+function createRacks(free: Readonly<Record<string, number>>): NodeCapacity[] {
+	return Array.from({length: 16}, (_, index) => {
+		const id = `w${index}`
+		return createNode(id, `rack-${Math.floor(index / 4)}`, free[id] ?? 0)
+	})
+}
+
+function choose(accelerators: number, nodes: readonly NodeCapacity[]): string[] {
+	const size = {cpuMillis: 0, memoryMb: 0, accelerators}
+	return new RackHeadroom().choose(size, nodes).map(({id}) => id)
+}
+
+describe("the urgent work that is expected", () => {
+	it("is the largest demand that arrived within any horizon", () => {
+		const arrivals = new UrgentArrivals()
+		for (const [id, at, accelerators] of [
+			["a", 0, 4],
+			["b", 900, 5],
+			["c", 1100, 6],
+			["d", 5000, 7]
+		] as const)
+			arrivals.record(createArrival(id, at, accelerators), SERVICE)
+		expect(arrivals.computeExpected(SERVICE, 1000).demand.accelerators).to.equal(11)
+		expect(arrivals.computeExpected("other", 1000).arrivals).to.equal(0)
+	})
+
+	it("forgets what arrived long ago", () => {
+		const arrivals = new UrgentArrivals()
+		arrivals.record(createArrival("a", 0, 8), SERVICE)
+		arrivals.record(createArrival("b", 9000, 2), SERVICE)
+		arrivals.expire(15000)
+		expect(arrivals.computeExpected(SERVICE, 1000).demand.accelerators).to.equal(2)
+	})
+
+	it("matters where a stop takes longer than the queue's target", () => {
+		const queue = {
+			name: "urgent",
+			host: "",
+			pathPrefix: "/",
+			service: SERVICE,
+			priority: 0,
+			maxAttempts: 2,
+			stretch: 1.5,
+			targetLatencyMs: 400,
+			isPublic: false
+		}
+		expect(isHeadroomWanted(queue, SLOW_STOP_MS)).to.equal(true)
+		expect(isHeadroomWanted(queue, 400)).to.equal(false)
+		expect(isHeadroomWanted({...queue, priority: 1}, SLOW_STOP_MS)).to.equal(false)
+	})
+})
+
+describe("the workers that are left free", () => {
+	it("lie in the rack with the most room", () => {
+		const nodes = createRacks({w0: 7, w4: 5, w5: 5, w9: 6})
+		expect(choose(10, nodes)).to.have.members(["w4", "w5"])
+	})
+
+	it("hold at most an eighth of the service", () => {
+		const nodes = createRacks({w0: 8, w1: 8, w2: 8, w3: 8})
+		expect(choose(32, nodes)).to.have.length(2)
+	})
+
+	it("are none that could not hold such work", () => {
+		expect(choose(8, createRacks({}))).to.deep.equal([])
+	})
+})
+
+describe("a full service", () => {
+	// The load: batch work waits for every worker while urgent gangs arrive, and stopping a run takes longer than they may wait.
+	it("starts urgent work without stopping others", async () => {
+		const load = await createFullLoad()
+		await load.advanceWithUrgent(2000)
+		load.handInBatch(60)
+		await load.advanceWithUrgent(3600)
+		expect(load.countPreemptions()).to.equal(0)
+		expect(load.first.board.headroom.get(SERVICE)?.size.accelerators).to.be.at.least(16)
+	})
+
+	it("lets batch work have the room once it would be late without", async () => {
+		const load = await createFullLoad()
+		const {first, advanceWithUrgent, advanceUntil} = load
+		await advanceWithUrgent(1200)
+		handIn(first, `${BATCH}${createId(1)}`, createJob({count: 168, workMs: 60000}))
+		await advanceWithUrgent(1200)
+		// It may take 3.4 s, of which a quarter is kept.
+		handIn(first, `${BATCH}${createId(2)}`, createJob({workMs: 1000}))
+		const waitedMs = await advanceUntil(() => first.board.runs.has(`${createId(2)}.0.0.0`), 5000)
+		expect(waitedMs).to.be.within(1200, 1700)
+	})
+
+	it("leaves none where runs stop within the target", async () => {
+		const load = await createFullLoad({stopMs: 400})
+		await load.advanceWithUrgent(2000)
+		load.handInBatch(30)
+		await load.advanceWithUrgent(2000)
+		expect(load.first.board.headroom.size).to.equal(0)
+	})
+
+	it("knows the urgent work that another holder accepted", async () => {
+		const load = await createFullLoad()
+		const {first, addHost, advance, advanceUntil, handInBatch} = load
+		handInBatch(60)
+		await advance(500)
+		for (let index = 0; index < 4; index++)
+			handIn(first, `${URGENT}${createId(0x2000 + index)}`, createJob({workMs: 8000}))
+		await advance(1500)
+		first.stop()
+		const second = addHost({stopMs: SLOW_STOP_MS})
+		await advanceUntil(() => second.board.headroom.has(SERVICE), 6000)
+		expect(second.board.headroom.get(SERVICE)?.arrivals).to.equal(4)
+	})
+
+	it("keeps nothing back while most of it is idle", async () => {
+		const load = await createFullLoad()
+		await load.advanceWithUrgent(2000)
+		handIn(load.first, `${BATCH}${createId(1)}`, createJob({count: 8}))
+		await load.advance(500)
+		expect(load.first.board.headroom.size).to.equal(0)
+	})
+})
--- a/src/adapters/telemetry.ts
+++ b/src/adapters/telemetry.ts
@@ -57,6 +57,7 @@
 	readonly #runTimeErrors: Gauge<"queue" | "of">
 	readonly #capUse: Gauge<"workspace">
 	readonly #weightedShares: Gauge<"workspace">
+	readonly #headroom: Gauge<"service">
 	readonly #durations: Histogram<"event" | "of">
 	readonly #lostWork: Counter<"cause">
 	readonly #calls: Histogram<"kind" | "result">
@@ -110,6 +111,12 @@
 			labelNames: ["workspace"],
 			registers: [this.#registry]
 		})
+		this.#headroom = new Gauge({
+			name: "cardamomhook_headroom_accelerators",
+			help: "Accelerators that less urgent work is to leave free for urgent work about to arrive, by service",
+			labelNames: ["service"],
+			registers: [this.#registry]
+		})
 		this.#durations = new Histogram({
 			name: "cardamomhook_event_seconds",
 			help: "Durations reported by events, such as of a caller's request or the wait for placement",
@@ -205,6 +212,9 @@
 		this.#weightedShares.reset()
 		for (const {workspace, value} of listWeightedShares(this.#board))
 			this.#weightedShares.set({workspace}, value)
+		this.#headroom.reset()
+		for (const {service, size} of this.#board.headroom.values())
+			this.#headroom.set({service}, size.accelerators)
 		return this.#registry.metrics()
 	}
 }
--- a/src/controllers/domain/run-placement.ts
+++ b/src/controllers/domain/run-placement.ts
@@ -13,7 +13,6 @@
 	type ReadyStep,
 	type CapacityByService,
 	type RunPlacementPolicy,
-	type ResourceDemand,
 	type RunQueuePolicy,
 	type RunQueueRound,
 	type Slot,
@@ -21,6 +20,7 @@
 	type TaskRef,
 	type WorkflowEntry,
 	EventLevel,
+	Headroom,
 	Lifecycle,
 	PackedRunPlacement,
 	ReasonCode,
@@ -40,6 +40,7 @@
 	formatUnitKey,
 	isEverPlaceable,
 	isFitting,
+	isMostlyIdle,
 	isSchedulable,
 	listReadySteps,
 	listNodeCapacities,
@@ -137,6 +138,7 @@
 	readonly #makingWay = new Set<string>()
 	/** What was withheld in this round. */
 	#withheld: {readonly node: NodeCapacity; readonly spec: StepSpec}[] = []
+	readonly #headroom = new Headroom()
 	/** Units that found no capacity in this round, by what the policy decides on, and those of them that never will. */
 	readonly #misfits = new Set<string>()
 	readonly #hopeless = new Set<string>()
@@ -167,6 +169,7 @@
 			this.#holds.clear()
 			this.#overdue.clear()
 			this.#waitingLoggedAt.clear()
+			this.#headroom.clear()
 			return undefined
 		}
 		if (board.lifecycle.get("state") !== Lifecycle.serving) return undefined
@@ -201,6 +204,7 @@
 		const shares = new WorkspaceShares(board, catalog.catalog, capacities)
 		this.#shares = shares
 		this.#applyHolds(board, capacityByService, now)
+		this.#headroom.beginRound(board, catalog.catalog, active, capacityByService, now)
 		this.#withheldGroups = 0
 		this.#withheld = []
 		this.#misfits.clear()
@@ -327,7 +331,8 @@
 			const waitedMs = now - readyAt
 			const mayWait = !this.#overdue.has(first.taskId)
 			const unit = buildPlacementUnit(board, ready, group, {mayWait, waitedMs}, now)
-			return this.#placeUnit(board, unit, service, nodes, waitedMs, now)
+			const leavesHeadroom = this.#headroom.apply(board, ready, service, nodes, now)
+			return this.#placeUnit(board, unit, service, nodes, {waitedMs, leavesHeadroom}, now)
 		}
 		return undefined
 	}
@@ -337,7 +342,7 @@
 		unit: PlacementUnit,
 		service: string,
 		nodes: readonly NodeCapacity[],
-		waitedMs: number,
+		{waitedMs, leavesHeadroom}: {readonly waitedMs: number; readonly leavesHeadroom: boolean},
 		now: number
 	): UnitOutcome {
 		const capOutcome = this.#checkCap(board, unit, nodes, now)
@@ -345,14 +350,20 @@
 			this.#recordWaiting(board, unit, nodes, {waitedMs, reason: ReasonCode.overQuota}, now)
 			return capOutcome
 		}
-		const key = formatUnitKey(unit, service)
+		const key = `${formatUnitKey(unit, service)} ${leavesHeadroom}`
 		const slots = this.#misfits.has(key) ? undefined : this.#policy.choose(unit, nodes)
 		if (slots !== undefined) {
 			this.#commitSlots(board, unit, slots, now)
 			return UnitOutcome.placed
 		}
 		this.#misfits.add(key)
-		this.#recordWaiting(board, unit, nodes, {waitedMs, reason: ReasonCode.noRoom}, now)
+		this.#recordWaiting(
+			board,
+			unit,
+			nodes,
+			{waitedMs, leavesHeadroom, reason: ReasonCode.noRoom},
+			now
+		)
 		if (!this.#hopeless.has(key) && !this.#withhold(unit, nodes)) this.#hopeless.add(key)
 		return UnitOutcome.blocked
 	}
@@ -424,7 +435,15 @@
 		board: Board,
 		unit: PlacementUnit,
 		nodes: readonly NodeCapacity[],
-		{waitedMs, reason}: {readonly waitedMs: number; readonly reason: ReasonCode},
+		{
+			waitedMs,
+			leavesHeadroom = false,
+			reason
+		}: {
+			readonly waitedMs: number
+			readonly leavesHeadroom?: boolean
+			readonly reason: ReasonCode
+		},
 		now: number
 	): void {
 		const {refs, rank, lossMax} = unit
@@ -441,6 +460,7 @@
 			...this.#describeShare(unit),
 			lossMax,
 			waitedMs: Math.round(waitedMs),
+			leavesHeadroom,
 			workers: nodes.length,
 			freeAccelerators: nodes.reduce((sum, {free}) => sum + Math.max(0, free.accelerators), 0)
 		}
@@ -515,19 +535,6 @@
 	}
 }
 
-/** True if less than half of the workers' capacity is in use. */
-function isMostlyIdle(nodes: readonly NodeCapacity[]): boolean {
-	const sumUsed = (read: (demand: ResourceDemand) => number) =>
-		nodes.reduce((sum, {capacity, free}) => sum + read(capacity) - read(free), 0)
-	const sumTotal = (read: (demand: ResourceDemand) => number) =>
-		nodes.reduce((sum, {capacity}) => sum + read(capacity), 0)
-	const readings = [
-		({cpuMillis}: ResourceDemand) => cpuMillis,
-		({accelerators}: ResourceDemand) => accelerators
-	]
-	return readings.every(read => sumUsed(read) * 2 < sumTotal(read))
-}
-
 /** Counts the unit's tasks among the workers' runs in this round. */
 function recordPlannedRuns({refs, rank}: PlacementUnit, nodes: readonly NodeCapacity[]): void {
 	for (const [index, ref] of refs.entries())
--- a/src/core/board.ts
+++ b/src/core/board.ts
@@ -40,6 +40,7 @@
 	type RunTimeEntry,
 	RunSection,
 	Section,
+	type HeadroomEntry,
 	type StandstillEntry,
 	type StepTimes,
 	type StopEntry,
@@ -93,6 +94,7 @@
 	standstills: "standstills",
 	countRequests: "countRequests",
 	intakeLimits: "intakeLimits",
+	headroom: "headroom",
 	requests: "requests",
 	replies: "replies",
 	outbox: "outbox",
@@ -193,6 +195,8 @@
 	readonly countRequests = new Section<string, CountRequest>()
 	/** Who may hand in no more work for now; keyed `current`. */
 	readonly intakeLimits = new Section<"current", IntakeLimits>()
+	/** Capacity that less urgent work leaves free, by service. */
+	readonly headroom = new Section<string, HeadroomEntry>()
 	readonly requests = new Section<string, HostRequest>()
 	readonly replies = new Section<string, Reply>()
 	readonly outbox = new Section<string, Command>()
--- a/src/utils/domain/rooms.ts
+++ b/src/utils/domain/rooms.ts
@@ -5,6 +5,7 @@
 	type NodeEntry,
 	type NodeCapacity,
 	type NodeRun,
+	type ResourceDemand,
 	type StopTimes,
 	type TaskRef,
 	GUARANTEED_RANK,
@@ -116,3 +117,16 @@
 		isEnding: false
 	}
 }
+
+/** True if less than half of the workers' capacity is in use. */
+export function isMostlyIdle(nodes: readonly NodeCapacity[]): boolean {
+	const sumUsed = (read: (demand: ResourceDemand) => number) =>
+		nodes.reduce((sum, {capacity, free}) => sum + read(capacity) - read(free), 0)
+	const sumTotal = (read: (demand: ResourceDemand) => number) =>
+		nodes.reduce((sum, {capacity}) => sum + read(capacity), 0)
+	const readings = [
+		({cpuMillis}: ResourceDemand) => cpuMillis,
+		({accelerators}: ResourceDemand) => accelerators
+	]
+	return readings.every(read => sumUsed(read) * 2 < sumTotal(read))
+}
