Leave slow workers free for urgent work only after all others

Cause: a gang is as fast as its slowest worker, and urgent work has half of its run time to spare.

Change: RackHeadroom takes workers whose known pace is 1.15 or more last.

Result: the new test is red without it.

--- a/__tests__/headroom.test.ts
+++ b/__tests__/headroom.test.ts
@@ -103,6 +103,15 @@
 		expect(choose(10, nodes)).to.have.members(["w4", "w5"])
 	})
 
+	it("are slow ones only after all others", () => {
+		const slow = new Set(["w4", "w5"])
+		const nodes = createRacks({w0: 4, w4: 6, w5: 6, w9: 6}).map(node =>
+			slow.has(node.id) ? {...node, pace: 1.25} : node
+		)
+		expect(choose(10, nodes)).to.have.members(["w0", "w9"])
+		expect(choose(14, nodes)).to.include("w4")
+	})
+
 	it("hold at most an eighth of the service", () => {
 		const nodes = createRacks({w0: 8, w1: 8, w2: 8, w3: 8})
 		expect(choose(32, nodes)).to.have.length(2)
--- a/src/headroom/headroom-policy.ts
+++ b/src/headroom/headroom-policy.ts
@@ -12,30 +12,42 @@
 /** Largest share of a service's accelerators, or of its CPU where it has none, that is left free. */
 const SHARE_MAX = 0.125
 
+/** Pace from which a worker counts as slow. */
+const SLOW_PACE = 1.15
+
 export class RackHeadroom implements HeadroomPolicy {
 	choose(size: ResourceDemand, nodes: readonly NodeCapacity[]): readonly NodeCapacity[] {
-		const shares = new Map(nodes.map(node => [node, computeShare(node.free, size)]))
-		const findShare = (node: NodeCapacity) => shares.get(node) ?? 0
-		const sumShares = (inRack: readonly NodeCapacity[]) =>
-			inRack.reduce((sum, node) => sum + findShare(node), 0)
-		const racks = [...groupBy(nodes, ({rack}) => rack).values()]
-		racks.sort((a, b) => sumShares(b) - sumShares(a))
 		let budget = SHARE_MAX * nodes.reduce((sum, {capacity}) => sum + measure(capacity, size), 0)
 		let missing = 1
 		const chosen: NodeCapacity[] = []
-		for (const inRack of racks)
-			for (const node of [...inRack].sort((a, b) => findShare(b) - findShare(a))) {
-				const share = findShare(node)
-				if (share <= 0 || missing <= 0) break
-				if (measure(node.free, size) > budget) continue
-				budget -= measure(node.free, size)
-				missing -= share
-				chosen.push(node)
-			}
+		for (const node of orderByRoom(nodes, size)) {
+			if (missing <= 0) break
+			const room = measure(node.free, size)
+			if (room > budget) continue
+			budget -= room
+			missing -= computeShare(node.free, size)
+			chosen.push(node)
+		}
 		return chosen
 	}
 }
 
+/** Workers with room: by rack, those first that are not known to be slow, as a gang is as fast as its slowest worker. */
+function orderByRoom(nodes: readonly NodeCapacity[], size: ResourceDemand): NodeCapacity[] {
+	const shares = new Map(nodes.map(node => [node, computeShare(node.free, size)]))
+	const findShare = (node: NodeCapacity) => shares.get(node) ?? 0
+	const sumShares = (inRack: readonly NodeCapacity[]) =>
+		inRack.reduce((sum, node) => sum + findShare(node), 0)
+	const orderPart = (part: readonly NodeCapacity[]) => {
+		const withRoom = part.filter(node => findShare(node) > 0)
+		const racks = [...groupBy(withRoom, ({rack}) => rack).values()]
+		racks.sort((a, b) => sumShares(b) - sumShares(a))
+		return racks.flatMap(inRack => [...inRack].sort((a, b) => findShare(b) - findShare(a)))
+	}
+	const isSlow = ({pace}: NodeCapacity) => pace >= SLOW_PACE
+	return [...orderPart(nodes.filter(node => !isSlow(node))), ...orderPart(nodes.filter(isSlow))]
+}
+
 /** Part of the size that the free capacity covers in every resource. */
 function computeShare(free: ResourceDemand, size: ResourceDemand): number {
 	const shares = [
