End headroom with its term, and yield for no work without an objective

Found by reading: work whose queue is no longer configured has no objective, so it would have yielded for good; the gauge kept its last value after a term; and capacity that is withheld may be negative, which headroom would have added to the worker. Change: such work doesn't yield, the section is cleared with the term, and only what is free is left. Tests of headroom, rounds and the domain pass.

--- a/src/controllers/domain/run-placement.ts
+++ b/src/controllers/domain/run-placement.ts
@@ -169,7 +169,7 @@
 			this.#holds.clear()
 			this.#overdue.clear()
 			this.#waitingLoggedAt.clear()
-			this.#headroom.clear()
+			this.#headroom.clear(board)
 			return undefined
 		}
 		if (board.lifecycle.get("state") !== Lifecycle.serving) return undefined
--- a/src/headroom/headroom.ts
+++ b/src/headroom/headroom.ts
@@ -54,9 +54,11 @@
 		this.#policy = policy
 	}
 
-	clear(): void {
+	/** Forgets everything at the end of a term. */
+	clear(board: Board): void {
 		this.#arrivals.clear()
 		this.#loggedAt.clear()
+		for (const service of [...board.headroom.keys()]) board.headroom.delete(service)
 	}
 
 	/** Computes what each service should have free in this round. */
@@ -125,7 +127,7 @@
 		now: number
 	): readonly Reservation[] {
 		const chosen = this.#policy.choose(size, nodes)
-		const reservations = chosen.map(node => ({node, kept: {...node.free}}))
+		const reservations = chosen.map(node => ({node, kept: computeSpare(node)}))
 		this.#reservations.set(service, reservations)
 		if (now - (this.#loggedAt.get(service) ?? -Infinity) < LOG_INTERVAL_MS) return reservations
 		this.#loggedAt.set(service, now)
@@ -158,15 +160,26 @@
 	queue: QueueConfig | undefined,
 	now: number
 ): boolean {
-	if (rank <= computeRank(0) || punctuality !== Punctuality.onTime || spec.longRunning) return false
-	// What has a schedule has been due since a time of its own, and what has no queue has no objective.
-	if (queue === undefined || workflow.record.spec.schedule !== undefined) return true
+	// Without a queue there is no objective, so that nothing would end the wait.
+	if (rank <= computeRank(0) || spec.longRunning || queue === undefined) return false
+	// The age of an occurrence counts from when it was due, which its punctuality covers.
+	if (punctuality !== Punctuality.onTime || workflow.record.spec.schedule !== undefined)
+		return punctuality === Punctuality.onTime
 	const {criticalPathsMs} = workflow.forecast
 	const keptMs = TIME_KEPT_SHARE * computeObjective(criticalPathsMs, queue)
 	const ageMs = now - workflow.acceptedAt + keptMs
 	return computePunctuality(criticalPathsMs, stepIndex, queue, ageMs) === Punctuality.onTime
 }
 
+/** What is withheld from other work may have made some of it negative. */
+function computeSpare({free}: NodeCapacity): ResourceDemand {
+	return {
+		cpuMillis: Math.max(0, free.cpuMillis),
+		memoryMb: Math.max(0, free.memoryMb),
+		accelerators: Math.max(0, free.accelerators)
+	}
+}
+
 function addReservations(reservations: readonly Reservation[], sign: 1 | -1): void {
 	for (const {node, kept} of reservations) {
 		node.free.cpuMillis += sign * kept.cpuMillis
