Leave headroom only while a queue wants it, and test it with changes halfway

Cause: after a change of the configuration that lets urgent work wait for a stop, what had arrived before kept the headroom for up to 10 s (the new test was red). Change: services without such a queue have none. Also tested: workers with the room leave, and what is chosen stays within an eighth of any service (fast-check).

--- a/__tests__/headroom.test.ts
+++ b/__tests__/headroom.test.ts
@@ -1,5 +1,6 @@
 /** Room that less urgent work leaves for urgent work that is about to arrive, while all workers are full. */
 import {expect} from "chai"
+import fc from "fast-check"
 import {
 	type NodeCapacity,
 	RackHeadroom,
@@ -9,7 +10,7 @@
 } from "../src/internal.js"
 import {decodeWorkflow} from "../platform/records.js"
 import {DEFAULT_CAPACITY} from "../standins/fleet/fleet.js"
-import {BATCH, URGENT, createJob} from "./fixtures/domain.js"
+import {BATCH, URGENT, createCatalogRecord, createJob} from "./fixtures/domain.js"
 import {SLOW_STOP_MS, createFullLoad} from "./fixtures/headroom.js"
 import {createId, handIn} from "./fixtures/holds.js"
 
@@ -117,6 +118,20 @@
 		expect(choose(32, nodes)).to.have.length(2)
 	})
 
+	it("have room, and together no more than that eighth, whatever is free", () => {
+		const frees = fc.array(fc.integer({min: -8, max: 8}), {minLength: 16, maxLength: 16})
+		fc.assert(
+			fc.property(frees, fc.integer({min: 1, max: 200}), (free, wanted) => {
+				const nodes = createRacks(
+					Object.fromEntries(free.map((room, index) => [`w${index}`, room]))
+				)
+				const rooms = choose(wanted, nodes).map(id => free[Number(id.slice(1))] ?? 0)
+				expect(Math.min(1, ...rooms)).to.equal(1)
+				expect(rooms.reduce((sum, room) => sum + room, 0)).to.be.at.most(16)
+			})
+		)
+	})
+
 	it("are none that could not hold such work", () => {
 		expect(choose(8, createRacks({}))).to.deep.equal([])
 	})
@@ -167,6 +182,37 @@
 		expect(second.board.headroom.get(SERVICE)?.arrivals).to.equal(4)
 	})
 
+	it("leaves none once a changed configuration lets urgent work wait", async () => {
+		const load = await createFullLoad()
+		const {first, fleet, advance, advanceWithUrgent, handInBatch} = load
+		await advanceWithUrgent(2000)
+		handInBatch(60)
+		await advanceWithUrgent(1200)
+		expect(first.board.headroom.has(SERVICE)).to.equal(true)
+		const record = createCatalogRecord(2)
+		const routes = record.routes.map(route => ({...route, target_latency_ms: SLOW_STOP_MS}))
+		fleet.store.putRow("op", "config", {...record, routes})
+		await advance(2000)
+		expect(first.board.headroom.size).to.equal(0)
+	})
+
+	it("leaves room elsewhere once the workers that had it are gone", async () => {
+		const load = await createFullLoad()
+		const {first, fleet, advance, advanceWithUrgent, handInBatch} = load
+		await advanceWithUrgent(2000)
+		handInBatch(60, {estimate_ms: 10000})
+		await advanceWithUrgent(4000)
+		const idle = [...first.board.nodes.keys()].filter(
+			id => first.board.runs.sumDemandOn(id).accelerators === 0
+		)
+		expect(idle).to.have.length.above(0)
+		for (const id of idle) fleet.register(id, "draining")
+		await advance(2000)
+		const others = [...first.board.nodes.keys()].filter(id => !idle.includes(id))
+		const free = others.map(id => 8 - first.board.runs.sumDemandOn(id).accelerators)
+		expect(Math.max(...free)).to.be.at.least(4)
+	})
+
 	it("keeps nothing back while most of it is idle", async () => {
 		const load = await createFullLoad()
 		await load.advanceWithUrgent(2000)
--- a/src/headroom/headroom.ts
+++ b/src/headroom/headroom.ts
@@ -73,14 +73,12 @@
 		this.#applied.clear()
 		const stopMs = board.settings.domain?.stopMs ?? 0
 		this.#queues = new Map(catalog.queues.map(queue => [queue.name, queue]))
-		const wanting = new Map(
-			catalog.queues
-				.filter(queue => isHeadroomWanted(queue, stopMs))
-				.map(queue => [queue.name, queue])
-		)
+		const wanting = catalog.queues.filter(queue => isHeadroomWanted(queue, stopMs))
+		const services = new Set(wanting.map(({service}) => service))
+		const serviceOfQueue = new Map(wanting.map(({name, service}) => [name, service]))
 		for (const workflow of active) {
 			const {queue, priority, spec} = workflow.record
-			const service = wanting.get(queue)?.service
+			const service = serviceOfQueue.get(queue)
 			if (service !== undefined && priority === 0 && spec.schedule === undefined)
 				this.#arrivals.record(workflow, service)
 		}
@@ -90,7 +88,8 @@
 			if (!capacityByService.has(service)) board.headroom.delete(service)
 		for (const [service, nodes] of capacityByService) {
 			const {demand, arrivals} = this.#arrivals.computeExpected(service, horizonMs)
-			if (arrivals === 0 || isMostlyIdle(nodes)) board.headroom.delete(service)
+			if (!services.has(service) || arrivals === 0 || isMostlyIdle(nodes))
+				board.headroom.delete(service)
 			else board.headroom.set(service, {service, size: demand, arrivals, horizonMs})
 		}
 	}
