Bound what clients beyond the limits occupy of a process

Cause: Node's parser creates request and response for all that a read of 64 KB holds, up to 1,800 short requests, and looks at unread answers only afterwards; nothing bounded the connections of an entrance, nor the bytes of all requests.

Change: each connection of an HTTP server is paced: one request and one ahead of it, the next on a later turn, no reading meanwhile. The entrances have a bound on connections, at which the one that was served longest ago is closed, and all share a bound on bytes of requests, at which the connection with most of them is closed, or a new request gets 503 and Retry-After. Connections with a whole request that is unanswered are never closed for others. Answers that are not taken, and bodies that no answer needed, have an end. Peers' sessions count against the same bounds. Settings `limits`, a counter and a log line by entrance and reason; the platform's template fills in descriptors and memory.

--- a/__tests__/crowd.test.ts
+++ b/__tests__/crowd.test.ts
@@ -61,6 +61,13 @@
 	["requests sent ahead with the answers unread", sendAhead, "callers"],
 	["requests sent ahead with the answers unread", sendAhead, "readiness"],
 	["requests sent ahead with the answers unread", sendAhead, "metrics"],
+	["requests sent ahead on connections that all stay open", sendAhead, "callers", MANY_DESCRIPTORS],
+	[
+		"requests sent ahead on connections that all stay open",
+		sendAhead,
+		"readiness",
+		MANY_DESCRIPTORS
+	],
 	["submissions sent ahead with the answers unread", submitAhead, "callers"],
 	["bodies that never end", beginBodies, "callers", MANY_DESCRIPTORS],
 	["bodies that never end", beginBodies, "readiness", MANY_DESCRIPTORS],
--- a/bench/site-hosts.ts
+++ b/bench/site-hosts.ts
@@ -10,6 +10,8 @@
 const READINESS_PORT = 8523
 const PERIOD_MS = 100
 const MS_PER_S = 1000
+const DESCRIPTORS = 4100
+const MEMORY_MB = 350
 const LARGE = {cores: 2, coreShare: 0.675}
 const SMALL = {cores: 1, coreShare: 0.324}
 
@@ -53,7 +55,9 @@
 			"bounds.max_hold_ms": 10000,
 			"bounds.remote_factor": 3,
 			"limits.cores": cores,
-			"limits.cpu_share": coreShare
+			"limits.cpu_share": coreShare,
+			"limits.max_fds": DESCRIPTORS,
+			"limits.memory_mb": MEMORY_MB
 		}
 		const template = readFileSync(TEMPLATE, "utf8")
 		const text = template.replace(/{{(.*?)}}/g, (_, name: string) => `${values[name] ?? ""}`)
--- a/src/adapters/peers.ts
+++ b/src/adapters/peers.ts
@@ -3,7 +3,12 @@
  * the board. A connection on which a call timed out is closed, since it may be dead.
  */
 import {type AddressInfo} from "node:net"
-import {type Http2Server, type ServerHttp2Session, createServer} from "node:http2"
+import {
+	type Http2Server,
+	type Http2ServerResponse,
+	type ServerHttp2Session,
+	createServer
+} from "node:http2"
 import {create} from "@bufbuild/protobuf"
 import {
 	type Client,
@@ -33,12 +38,18 @@
 } from "../internal.js"
 import {PeerService, type Sealed, SealedSchema} from "../gen/cardamomhook/peer/v1/peer_pb.js"
 import {type CommandExecutor} from "./command-runner.js"
+import {type LimitedEntrance} from "./connection-limits.js"
 import {decodePeerStatus, decodeNotices, encodePeerStatus, encodeNotices} from "./peer-messages.js"
 import {type PeerSeal} from "./peer-seal.js"
+import {MeteredRequest, PeerSession} from "./peer-session.js"
 
 /** Messages may contain a bundle, which can be larger than a caller's request. */
 const MAX_MESSAGE_BYTES = 16 * MAX_BODY_BYTES
 const IDLE_CONNECTION_MS = 30000
+/** Longer than the client's, which closes a connection while no call is on its way. */
+const IDLE_SESSION_MS = 2 * IDLE_CONNECTION_MS
+/** Calls that a peer may have open on one connection. */
+const OPEN_CALLS_MAX = 32
 
 interface Connection {
 	readonly manager: Http2SessionManager
@@ -135,13 +146,15 @@
 	readonly #clock: Clock
 	readonly #seal: PeerSeal
 	readonly #pendingReplies = new Map<string, PendingReply>()
-	readonly #sessions = new Set<ServerHttp2Session>()
+	readonly #entrance: LimitedEntrance
+	readonly #sessions = new Map<ServerHttp2Session, PeerSession>()
 	#server: Http2Server | undefined
 
-	constructor(board: Board, clock: Clock, seal: PeerSeal) {
+	constructor(board: Board, clock: Clock, seal: PeerSeal, entrance: LimitedEntrance) {
 		this.#board = board
 		this.#clock = clock
 		this.#seal = seal
+		this.#entrance = entrance
 	}
 
 	/** Resolves with the port once the server is listening. */
@@ -155,10 +168,16 @@
 			readMaxBytes: MAX_MESSAGE_BYTES,
 			acceptCompression: []
 		})
-		const server = createServer(handle)
+		const options = {
+			Http2ServerRequest: MeteredRequest,
+			settings: {maxConcurrentStreams: OPEN_CALLS_MAX}
+		}
+		const server = createServer(options, (request, response) => {
+			this.#begin(request, response)
+			handle(request, response)
+		})
 		server.on("session", session => {
-			this.#sessions.add(session)
-			session.on("close", () => this.#sessions.delete(session))
+			this.#openSession(session)
 		})
 		this.#server = server
 		const {host, port} = this.#board.settings.peerAddress
@@ -182,10 +201,29 @@
 	}
 
 	close(): void {
-		for (const session of this.#sessions) session.destroy()
+		for (const session of this.#sessions.keys()) session.destroy()
 		this.#server?.close()
 	}
 
+	#openSession(session: ServerHttp2Session): void {
+		const peerSession = new PeerSession(session, this.#entrance)
+		this.#sessions.set(session, peerSession)
+		session.setTimeout(IDLE_SESSION_MS, () => {
+			session.destroy()
+		})
+		session.on("close", () => {
+			this.#sessions.delete(session)
+			this.#entrance.drop(peerSession)
+		})
+		this.#entrance.admit(peerSession)
+	}
+
+	#begin(request: MeteredRequest, response: Http2ServerResponse): void {
+		const {session} = request.stream
+		if (session === undefined) return
+		this.#sessions.get(session as ServerHttp2Session)?.begin(request, response)
+	}
+
 	#addRoutes(router: ConnectRouter): void {
 		router.service(PeerService, {
 			exchange: sealed => this.#handleQuery(sealed),
--- a/src/adapters/telemetry.ts
+++ b/src/adapters/telemetry.ts
@@ -8,6 +8,7 @@
 	type Board,
 	type BoardEvent,
 	type CommandKind,
+	type Entrance,
 	JobState,
 	ReasonCode,
 	findAuthorityScope,
@@ -22,6 +23,7 @@
 const LOG_WRITE_MAX_BYTES = 4096
 
 const MS_PER_S = 1000
+const LIMIT_LOG_INTERVAL_MS = 10000
 /** Histogram buckets, from the duration of a call within a zone to the longest wait of a caller. */
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10]
 
@@ -52,6 +54,9 @@
 	readonly #registry = new Registry()
 	readonly #events: Counter<"event" | "reason">
 	readonly #problems: Counter<"reason">
+	readonly #limits: Counter<"entrance" | "reason">
+	/** Clients limited since the last log line, and when that was, by entrance and reason. */
+	readonly #limitLogs = new Map<string, {count: number; loggedAt: number}>()
 	readonly #jobs: Gauge<"state">
 	readonly #standstills: Gauge<"gate">
 	readonly #runTimeErrors: Gauge<"queue" | "of">
@@ -81,6 +86,12 @@
 			registers: [this.#registry]
 		})
 		for (const reason of Object.values(ReasonCode)) this.#problems.inc({reason}, 0)
+		this.#limits = new Counter({
+			name: "cardamomhook_limited_clients_total",
+			help: "Connections closed and requests refused because clients went beyond the limits, by entrance and reason",
+			labelNames: ["entrance", "reason"],
+			registers: [this.#registry]
+		})
 		this.#jobs = new Gauge({
 			name: "cardamomhook_jobs",
 			help: "Jobs of the zone that this host schedules, by state",
@@ -194,6 +205,20 @@
 		this.#problems.inc({reason})
 	}
 
+	/** Counts a client that went beyond a limit, and logs it with those since the last line. */
+	countLimit(entrance: Entrance, reason: string): void {
+		this.#limits.inc({entrance, reason})
+		const key = `${entrance} ${reason}`
+		const limited = this.#limitLogs.get(key) ?? {count: 0, loggedAt: -Infinity}
+		this.#limitLogs.set(key, limited)
+		limited.count++
+		const now = performance.now()
+		if (now - limited.loggedAt < LIMIT_LOG_INTERVAL_MS) return
+		this.#log.warn({entrance, reason, count: limited.count}, "clients-limited")
+		limited.count = 0
+		limited.loggedAt = now
+	}
+
 	async formatMetrics(): Promise<string> {
 		const counts = new Map<string, number>(Object.values(JobState).map(state => [state, 0]))
 		for (const {record} of this.#board.jobs.values())
--- a/src/host.ts
+++ b/src/host.ts
@@ -1,5 +1,4 @@
 /** An entry host: the board, its controllers and the adapters around them. */
-import {serve, type ServerType} from "@hono/node-server"
 import {type Hono} from "hono"
 import {
 	type Clock,
@@ -8,6 +7,7 @@
 	type SocketAddress,
 	Board,
 	ControllerLoop,
+	Entrance,
 	GangStage,
 	Lifecycle,
 	createControllers,
@@ -16,8 +16,10 @@
 import {EndpointClient, WorkerClient} from "./adapters/back-ends.js"
 import {createCallerApi} from "./adapters/caller-api.js"
 import {type CommandExecutor, CommandRunner} from "./adapters/command-runner.js"
+import {ConnectionLimits} from "./adapters/connection-limits.js"
 import {Gateway} from "./adapters/gateway.js"
 import {HttpClient} from "./adapters/http-client.js"
+import {HttpServer} from "./adapters/http-server.js"
 import {PeerSeal} from "./adapters/peer-seal.js"
 import {PeerClient, PeerServer} from "./adapters/peers.js"
 import {PlatformClient} from "./adapters/platform.js"
@@ -33,14 +35,10 @@
 const HAND_OVER_MAX_MS = 3000
 const HAND_OVER_SHARE = 0.25
 
-const HEADERS_TIMEOUT_MS = 5000
-const REQUEST_TIMEOUT_MS = 10000
-/** How often connections are checked against the two timeouts. */
-const CONNECTION_CHECK_INTERVAL_MS = 1000
-
 /** One HTTP server of a host. */
 export interface FrontEnd {
 	readonly app: Hono
+	readonly entrance: Entrance
 	readonly address: SocketAddress
 }
 
@@ -68,7 +66,7 @@
 
 	createFrontEnds(board: Board, gateway: Gateway, telemetry: Telemetry): readonly FrontEnd[] {
 		const app = createCallerApi(board, gateway, telemetry)
-		return [{app, address: board.settings.callerAddress}]
+		return [{app, entrance: Entrance.callers, address: board.settings.callerAddress}]
 	}
 }
 
@@ -83,19 +81,23 @@
 	readonly #peerServer: PeerServer | undefined
 	readonly #telemetry: Telemetry
 	readonly #frontEnds: readonly FrontEnd[]
-	readonly #servers: ServerType[] = []
+	readonly #limits: ConnectionLimits
+	readonly #servers: HttpServer[] = []
 
 	constructor(settings: HostSettings, clock: Clock, wiring: HostWiring = new ZoneWiring()) {
 		this.board = new Board(settings)
 		this.#clock = clock
+		this.#telemetry = new Telemetry(this.board)
+		this.#limits = new ConnectionLimits(settings.limits, (entrance, reason) => {
+			this.#telemetry.countLimit(entrance, reason)
+		})
 		const executors = [...wiring.createExecutors(this.#http, settings)]
 		if (wiring.hasPeers) {
 			const seal = new PeerSeal(settings.peerSecrets)
 			this.#peerClient = new PeerClient(settings.hostId, seal)
-			this.#peerServer = new PeerServer(this.board, clock, seal)
+			this.#peerServer = new PeerServer(this.board, clock, seal, this.#limits.open(Entrance.peers))
 			executors.push(this.#peerClient)
 		}
-		this.#telemetry = new Telemetry(this.board)
 		this.#runner = new CommandRunner(this.board, executors, (kind, result, tookMs) => {
 			this.#telemetry.observeCall(kind, result, tookMs)
 		})
@@ -121,20 +123,10 @@
 		return {port: ports[0] ?? 0, peerPort}
 	}
 
-	#listen({app, address}: FrontEnd): Promise<number> {
-		return new Promise<number>((resolve, reject) => {
-			const serverOptions = {
-				headersTimeout: HEADERS_TIMEOUT_MS,
-				requestTimeout: REQUEST_TIMEOUT_MS,
-				connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS
-			}
-			const {host: hostname, port} = address
-			const server = serve({fetch: app.fetch, hostname, port, serverOptions}, info => {
-				resolve(info.port)
-			})
-			server.once("error", reject)
-			this.#servers.push(server)
-		})
+	#listen({app, entrance, address}: FrontEnd): Promise<number> {
+		const server = new HttpServer(app, this.#limits.open(entrance))
+		this.#servers.push(server)
+		return server.listen(address)
 	}
 
 	/**
@@ -162,13 +154,13 @@
 	}
 
 	/** Accepts no new connections, and closes the open ones once they are answered or a time limit has passed. */
-	async #closeServer(server: ServerType, giveUpAt: number): Promise<void> {
+	async #closeServer(server: HttpServer, giveUpAt: number): Promise<void> {
 		let isClosed = false
 		server.close(() => {
 			isClosed = true
 		})
 		await this.#waitUntil(() => isClosed, Math.min(giveUpAt, this.#clock.now() + CLOSE_MAX_MS))
-		if ("closeAllConnections" in server) server.closeAllConnections()
+		server.closeAllConnections()
 	}
 
 	#isIdle(): boolean {
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -4,7 +4,7 @@
 import {err, type Result} from "neverthrow"
 import {parse} from "yaml"
 import {z} from "zod"
-import {type HostSettings, MalformedError, checkValue} from "./internal.js"
+import {type HostSettings, DEFAULT_LIMITS, MalformedError, checkValue} from "./internal.js"
 
 const PORT_MAX = 65535
 const SECRET_LENGTH_MIN = 16
@@ -51,6 +51,25 @@
 	coreShare: z.number().positive().max(1).default(1),
 	learnRunTimes: z.boolean().default(true)
 })
+const DESCRIPTORS_MIN = 256
+const MEMORY_MIN_MB = 64
+
+/** A number of at least `min`; a field without a value takes the default. */
+function createLimitSchema(min: number, fallback: number) {
+	return z
+		.number()
+		.min(min)
+		.nullish()
+		.transform(value => value ?? fallback)
+}
+
+const limitsSchema = z.strictObject({
+	descriptors: createLimitSchema(DESCRIPTORS_MIN, DEFAULT_LIMITS.descriptors),
+	memoryMb: createLimitSchema(MEMORY_MIN_MB, DEFAULT_LIMITS.memoryMb),
+	headersTimeoutMs: createLimitSchema(DURATION_MIN_MS, DEFAULT_LIMITS.headersTimeoutMs),
+	requestTimeoutMs: createLimitSchema(DURATION_MIN_MS, DEFAULT_LIMITS.requestTimeoutMs),
+	answerTimeoutMs: createLimitSchema(DURATION_MIN_MS, DEFAULT_LIMITS.answerTimeoutMs)
+})
 const LOG_LEVELS = ["trace", "debug", "info", "warn", "error", "silent"] as const
 
 const publicKeySchema = z
@@ -74,6 +93,7 @@
 	operators: z.record(nameSchema, sha256Schema).default({}),
 	logLevel: z.enum(LOG_LEVELS).default("info"),
 	shutdownTimeoutMs: z.int().min(SHUTDOWN_TIMEOUT_MIN_MS).default(20000),
+	limits: limitsSchema.optional(),
 	domain: domainSchema.optional()
 })
 
--- a/src/types/settings.ts
+++ b/src/types/settings.ts
@@ -3,6 +3,35 @@
 	readonly port: number
 }
 
+/** Where clients and peers connect to a host. */
+export const Entrance = {
+	callers: "callers",
+	readiness: "readiness",
+	metrics: "metrics",
+	peers: "peers"
+} as const
+export type Entrance = (typeof Entrance)[keyof typeof Entrance]
+
+/** What clients may occupy of a process, and how long they may take. */
+export interface LimitSettings {
+	/** Descriptors and memory of the process. */
+	readonly descriptors: number
+	readonly memoryMb: number
+	readonly headersTimeoutMs: number
+	readonly requestTimeoutMs: number
+	/** How long an answer may wait until the client takes it. */
+	readonly answerTimeoutMs: number
+}
+
+/** For the smallest machine. */
+export const DEFAULT_LIMITS: LimitSettings = {
+	descriptors: 4100,
+	memoryMb: 250,
+	headersTimeoutMs: 5000,
+	requestTimeoutMs: 10000,
+	answerTimeoutMs: 15000
+}
+
 /** A domain: zones that one holder schedules together, on workers that have leases and take no reservations. */
 export interface DomainSettings {
 	readonly name: string
@@ -44,6 +73,8 @@
 	readonly operators: Readonly<Record<string, string>>
 	readonly logLevel: string
 	readonly shutdownTimeoutMs: number
+	/** Undefined for the defaults. */
+	readonly limits?: LimitSettings | undefined
 	/** Undefined if each zone has its own holder. */
 	readonly domain?: DomainSettings | undefined
 }
