--- a/__tests__/crowd.test.ts
+++ b/__tests__/crowd.test.ts
@@ -11,12 +11,12 @@
 	beginMessages,
 	createPressedPlatformDaemon,
 	createPressedZoneDaemon,
-	dribbleHeaders,
-	type press,
+	sendHeadersSlowly,
+	type runCrowd,
 	queryAhead,
 	sendAhead,
 	sendLargestBodies,
-	staySilent,
+	openSilently,
 	submitAhead
 } from "./fixtures/crowd.js"
 
@@ -25,7 +25,7 @@
 
 interface Pressed<Name extends string> {
 	readonly entrances: Readonly<Record<Name, Entrance>>
-	readonly press: (start: CrowdStart, entrance: Entrance) => ReturnType<typeof press>
+	readonly runCrowd: (start: CrowdStart, entrance: Entrance) => ReturnType<typeof runCrowd>
 	readonly waitUntilAnswered: (entrance: Entrance) => Promise<void>
 	readonly stop: () => void
 }
@@ -43,16 +43,16 @@
 	name: Name,
 	descriptors = FEW_DESCRIPTORS
 ): Promise<void> {
-	const {entrances, press: pressEntrance, waitUntilAnswered, stop} = await createDaemon(descriptors)
+	const {entrances, runCrowd: runAt, waitUntilAnswered, stop} = await createDaemon(descriptors)
 	const entrance = entrances[name]
-	const {report, crowd} = await pressEntrance(start, entrance)
+	const {report, crowd} = await runAt(start, entrance)
 	try {
 		expect(report.isAlive, "the process lives").to.equal(true)
 		expect(report.rssMaxMb, "resident memory in MB").to.be.at.most(RSS_MAX_MB)
 		expect(report.descriptorsMax, "open descriptors").to.be.at.most(descriptors.usedMax)
 		await waitUntilAnswered(entrance)
 	} finally {
-		crowd.disperse()
+		crowd.stop()
 		stop()
 	}
 }
@@ -73,21 +73,21 @@
 	["bodies that never end", beginBodies, "readiness", MANY_DESCRIPTORS],
 	["bodies that never end", beginBodies, "metrics", MANY_DESCRIPTORS],
 	["bodies of the largest size at once", sendLargestBodies, "callers", MANY_DESCRIPTORS],
-	["headers that come byte by byte", dribbleHeaders, "callers"],
-	["headers that come byte by byte", dribbleHeaders, "readiness"],
-	["headers that come byte by byte", dribbleHeaders, "metrics"],
-	["connections that say nothing", staySilent, "callers"],
-	["connections that say nothing", staySilent, "readiness"],
-	["connections that say nothing", staySilent, "metrics"]
+	["headers that come byte by byte", sendHeadersSlowly, "callers"],
+	["headers that come byte by byte", sendHeadersSlowly, "readiness"],
+	["headers that come byte by byte", sendHeadersSlowly, "metrics"],
+	["connections that say nothing", openSilently, "callers"],
+	["connections that say nothing", openSilently, "readiness"],
+	["connections that say nothing", openSilently, "metrics"]
 ]
 
 const ZONE_CASES: readonly Case<"callers" | "peers">[] = [
 	["requests sent ahead with the answers unread", sendAhead, "callers"],
 	["bodies that never end", beginBodies, "callers", MANY_DESCRIPTORS],
-	["connections that say nothing", staySilent, "callers"],
+	["connections that say nothing", openSilently, "callers"],
 	["queries sent ahead with the answers unread", queryAhead, "peers"],
 	["messages that never end", beginMessages, "peers", MANY_DESCRIPTORS],
-	["connections that say nothing", staySilent, "peers"]
+	["connections that say nothing", openSilently, "peers"]
 ]
 
 describe("a daemon on the platform, pressed by a crowd,", function () {
