Test the settings and the counter of clients' limits

Cause: a limit without a value, which a template leaves where the platform names none, and the counter had no test.

--- a/__tests__/crowd-limits.test.ts
+++ b/__tests__/crowd-limits.test.ts
@@ -1,5 +1,9 @@
 /** What the limits of connections do to a client, with a server in this process. */
 import {expect} from "chai"
+import {Entrance} from "../src/internal.js"
+import {LimitReason} from "../src/adapters/connection-limits.js"
+import {Telemetry} from "../src/adapters/telemetry.js"
+import {createBoard} from "./fixtures/board.js"
 import {waitFor} from "./fixtures/cluster.js"
 import {createLimitedServer, formatRequest} from "./fixtures/limited-server.js"
 
@@ -104,3 +108,17 @@
 		expect(rig.reasons).to.deep.equal(["unread-answer"])
 	})
 })
+
+describe("clients beyond the limits", () => {
+	it("are counted by entrance and reason", async () => {
+		const telemetry = new Telemetry(createBoard())
+		for (const reason of [LimitReason.idle, LimitReason.idle, LimitReason.refused])
+			telemetry.countLimit(Entrance.callers, reason)
+		const text = await telemetry.formatMetrics()
+		const series = text.split("\n").filter(line => line.startsWith("cardamomhook_limited_clients"))
+		expect(series).to.deep.equal([
+			'cardamomhook_limited_clients_total{entrance="callers",reason="idle"} 2',
+			'cardamomhook_limited_clients_total{entrance="callers",reason="refused"} 1'
+		])
+	})
+})
--- a/__tests__/settings.test.ts
+++ b/__tests__/settings.test.ts
@@ -2,7 +2,7 @@
 import {fileURLToPath} from "node:url"
 import {expect} from "chai"
 import {parse, stringify} from "yaml"
-import {checkValue, jobSpecSchema} from "../src/internal.js"
+import {DEFAULT_LIMITS, checkValue, jobSpecSchema} from "../src/internal.js"
 import {loadBundleContent, loadYaml} from "../src/cli/files.js"
 import {decodeSettings, loadSettings} from "../src/settings.js"
 
@@ -21,6 +21,14 @@
 		expect(settings.logLevel).to.equal("info")
 	})
 
+	it("take the default for a limit without a value", () => {
+		const text = createSettings({limits: {descriptors: 8192, memoryMb: null}})
+		expect(decodeSettings(text)._unsafeUnwrap().limits).to.deep.equal({
+			...DEFAULT_LIMITS,
+			descriptors: 8192
+		})
+	})
+
 	const faults: readonly [string, Readonly<Record<string, unknown>>, RegExp][] = [
 		["a name", {hostId: "Host 1"}, /hostId: expected 1 to 63 lower-case/],
 		["an address", {callerAddress: {host: "x", port: 1}}, /callerAddress\.host: expected an IPv4/],
@@ -31,6 +39,7 @@
 		["no secret", {peerSecrets: []}, /peerSecrets: expected at least one/],
 		["a URL", {platformUrl: "10.0.0.1"}, /platformUrl: expected an http/],
 		["a hash", {operators: {me: "token"}}, /operators\.me: expected a SHA-256/],
+		["a limit", {limits: {descriptors: 10}}, /limits\.descriptors: .*>=256/],
 		["an unknown field", {hostid: "a"}, /Unrecognized key: "hostid"/]
 	]
 	for (const [subject, change, message] of faults)
