--- a/bench/site-hosts.ts
+++ b/bench/site-hosts.ts
@@ -53,6 +53,7 @@
 			"bounds.revoke_ms": 5000,
 			"bounds.stop_ms": 200,
 			"bounds.max_hold_ms": 10000,
+			"bounds.restore_ms": 250,
 			"bounds.remote_factor": 3,
 			"limits.cores": cores,
 			"limits.cpu_share": coreShare,
