--- a/__tests__/crowd-limits.test.ts
+++ b/__tests__/crowd-limits.test.ts
@@ -1,6 +1,6 @@
 /** What the limits of connections do to a client, with a server in this process. */
 import {expect} from "chai"
-import {Entrance} from "../src/internal.js"
+import {Entrance, MAX_BODY_BYTES} from "../src/internal.js"
 import {LimitReason} from "../src/adapters/connection-limits.js"
 import {Telemetry} from "../src/adapters/telemetry.js"
 import {createBoard} from "./fixtures/board.js"
@@ -48,6 +48,16 @@
 		expect(rig.bodies).to.deep.equal([body, body])
 	})
 
+	it("may send bodies of the largest size one after the other", async () => {
+		rig = await createLimitedServer()
+		const client = rig.open()
+		const text = formatRequest("/now", "x".repeat(MAX_BODY_BYTES))
+		client.socket.write(text.repeat(3))
+		await waitFor("the answers", () => client.received.split("200 OK").length === 4)
+		expect(rig.bodies.map(({length}) => length)).to.deep.equal(Array(3).fill(MAX_BODY_BYTES))
+		expect(rig.reasons).to.deep.equal([])
+	})
+
 	it("is closed for a new one if it was served longest ago, and not while a request of it is worked on", async () => {
 		rig = await createLimitedServer(FEW)
 		const working = rig.open()
