Judge lateness by the objective that was known at a workflow's end

Change: workflow-ended has objectiveMs by the forecast at that time, which the tool uses where a log has it.

Measured: lateness.test.ts, red without the change of the tool; domain tests pass.

--- a/__tests__/lateness.test.ts
+++ b/__tests__/lateness.test.ts
@@ -40,6 +40,17 @@
 }
 
 describe("the split of workflows' ages", () => {
+	it("judges lateness by the objective that was known at the end", () => {
+		const [, state] = ENDED
+		const ended: Line = [
+			4000,
+			"workflow-ended",
+			{workflow: ID, state: "completed", objectiveMs: 5000}
+		]
+		const [age] = measureAges(createDay([TAKEN_UP, ...createStart(1000, TASK, 1), ended, state!]))
+		expect(age?.isLate).to.equal(false)
+	})
+
 	it("names what each part of a late workflow's age went to", () => {
 		const [age] = measureAges(
 			createDay([
--- a/bench/day-log.ts
+++ b/bench/day-log.ts
@@ -153,6 +153,7 @@
 		} else if (msg === "workflow-ended") {
 			workflow.endedAt ??= time
 			workflow.state ??= String(event.state)
+			if (typeof event.objectiveMs === "number") workflow.objectiveMs = event.objectiveMs
 		} else if (msg === "workflow-state" && FINAL_STATES.has(String(event.state)))
 			workflow.shownAt ??= time
 	}
--- a/src/utils/domain/runs.ts
+++ b/src/utils/domain/runs.ts
@@ -19,6 +19,7 @@
 	computeLostWork,
 	countOccurrences,
 	createTaskRef,
+	findObjective,
 	findTerm,
 	findUnsentProof,
 	isFinal,
@@ -265,7 +266,9 @@
 	board.record(EventLevel.info, "workflow-ended", {
 		workflow: workflow.record.id,
 		state,
-		ageMs: Math.round(now - workflow.acceptedAt)
+		ageMs: Math.round(now - workflow.acceptedAt),
+		// By what its steps are expected to take now, which is more than was known when it was taken up.
+		objectiveMs: findObjective(board, workflow)
 	})
 }
 
