Judge ways to estimate by a workspace's own runs only once there are enough

Cause: after three batches of a workspace, one of seven ways was chosen by two comparisons each, often by chance.

Change: a workspace's own history is used after eight comparisons; until then that of all workspaces.

--- a/src/run-times/step-times.ts
+++ b/src/run-times/step-times.ts
@@ -51,6 +51,9 @@
 /** Times that a way to estimate has been compared with what happened before it is used. */
 const COMPARISONS_MIN = 2
 
+/** The same for those of one workspace: among so many ways, the best after few comparisons is often best by chance. */
+const OWN_COMPARISONS_MIN = 8
+
 /** An estimate times a learned ratio stays within this factor of the durations seen. */
 const BEYOND_SEEN_MAX = 4
 
@@ -210,7 +213,7 @@
 	common: RunTimeHistory | undefined,
 	estimateMs: number
 ): ChosenExpectation {
-	const isOwnEnough = (own?.findError(Estimator.durations)?.count ?? 0) >= COMPARISONS_MIN
+	const isOwnEnough = (own?.findError(Estimator.durations)?.count ?? 0) >= OWN_COMPARISONS_MIN
 	const judge = isOwnEnough ? own : common
 	let best: ChosenExpectation = createCallerExpectation(estimateMs)
 	let bestError = judge?.findError(Estimator.caller)?.error ?? Infinity
