Take the waiting log and the withheld capacity out of the controller of placement

WaitingLog and WithheldCapacity are classes of their own in src/placement/, a share describes itself. Behaviour is as before, but that `leavesHeadroom` in `run-waiting` is also true to units that their cap blocks. learnRunTimes is off unless the settings ask for it, as the platform's template does.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,6 +30,7 @@
 	"headroom",
 	"intake",
 	"losses",
+	"placement",
 	"policies",
 	"run-times",
 	"shares",
--- a/src/controllers/domain/run-placement.ts
+++ b/src/controllers/domain/run-placement.ts
@@ -16,8 +16,8 @@
 	type RunQueuePolicy,
 	type RunQueueRound,
 	type Slot,
-	type StepSpec,
 	type TaskRef,
+	type UnitWait,
 	type WorkflowEntry,
 	EventLevel,
 	Headroom,
@@ -27,7 +27,9 @@
 	SectionName,
 	TaskPhase,
 	CapVictims,
+	WaitingLog,
 	WeightedRunQueue,
+	WithheldCapacity,
 	WorkspaceCaps,
 	WorkspaceShares,
 	addDemand,
@@ -60,24 +62,12 @@
 /** Interval of rounds while steps wait and nothing changes. */
 const WAITING_INTERVAL_MS = 250
 
-/** Groups of tasks for which capacity is withheld in one round; more would leave too much capacity idle. */
-const WITHHELD_GROUPS_MAX = 4
-
 /** Time for which work waits beside capacity that is withheld from it, while most of its service is idle. */
 const WITHHELD_MAX_MS = 2000
 
-/** Interval of log entries for a task that still waits. */
-const WAITING_LOG_INTERVAL_MS = 2000
-
-/** The same entries in one round; the next rounds log the others. */
-const WAITING_LINES_MAX = 50
-
 /** Time beyond `stopMs` for which capacity is held for tasks before they are placed again. */
 const HOLD_MARGIN_MS = 400
 
-/** Digits of a share in log entries. */
-const SHARE_DIGITS = 6
-
 interface CapacityHold {
 	readonly unit: PlacementUnit
 	readonly workerIds: readonly string[]
@@ -129,15 +119,12 @@
 	readonly #overdue = new Set<string>()
 	readonly #clock: Clock
 	#roundAt = 0
-	/** Groups of tasks for which capacity was withheld in this round. */
-	#withheldGroups = 0
 	/** What workspaces may still have running, and what makes way for their urgent work, in this round. */
 	#caps: {readonly caps: WorkspaceCaps; readonly victims: CapVictims} | undefined
 	#shares: WorkspaceShares | undefined
 	/** Units for which runs of their own workspace are stopped, by the first task's id, in this round. */
 	readonly #makingWay = new Set<string>()
-	/** What was withheld in this round. */
-	#withheld: {readonly node: NodeCapacity; readonly spec: StepSpec}[] = []
+	readonly #withheld = new WithheldCapacity()
 	readonly #headroom = new Headroom()
 	/** Units that found no capacity in this round, by what the policy decides on, and those of them that never will. */
 	readonly #misfits = new Set<string>()
@@ -147,10 +134,7 @@
 	#nextDueWallMs = Infinity
 	/** Earliest monotonic time at which a step that was delayed after a refused start may run. */
 	#delayedUntil = Infinity
-	/** Monotonic time of the last log entry about a waiting group, by the first task's id. */
-	readonly #waitingLoggedAt = new Map<string, number>()
-	/** Log entries about waiting groups in this round. */
-	#waitingLines = 0
+	readonly #waitingLog = new WaitingLog()
 
 	constructor(
 		clock: Clock,
@@ -168,7 +152,7 @@
 			this.#readyAt.clear()
 			this.#holds.clear()
 			this.#overdue.clear()
-			this.#waitingLoggedAt.clear()
+			this.#waitingLog.clear()
 			this.#headroom.clear(board)
 			return undefined
 		}
@@ -205,11 +189,10 @@
 		this.#shares = shares
 		this.#applyHolds(board, capacityByService, now)
 		this.#headroom.beginRound(board, catalog.catalog, active, capacityByService, now)
-		this.#withheldGroups = 0
-		this.#withheld = []
+		this.#withheld.clear()
 		this.#misfits.clear()
 		this.#hopeless.clear()
-		this.#resetWaitingLines(now)
+		this.#waitingLog.beginRound(now)
 		const queue = this.#queue.open(ready, shares)
 		const waiting = this.#placeInTurn(board, queue, catalog, capacityByService, now)
 		if (waiting.length > 0) this.#placeOnWithheld(board, waiting, catalog, capacityByService, now)
@@ -224,11 +207,9 @@
 		capacityByService: CapacityByService,
 		now: number
 	): void {
-		for (const {node, spec} of this.#withheld) addDemand(node.free, spec, 1)
-		this.#withheld = []
+		this.#withheld.release()
 		this.#caps?.caps.releaseWithheld()
 		this.#misfits.clear()
-		this.#withheldGroups = WITHHELD_GROUPS_MAX
 		for (const step of waiting) {
 			const readyAt = this.#readyAt.get(`${step.occurrence.key}.${step.stepIndex}`) ?? now
 			const nodes = capacityByService.get(findService(catalog, step.workflow)) ?? []
@@ -342,28 +323,24 @@
 		unit: PlacementUnit,
 		service: string,
 		nodes: readonly NodeCapacity[],
-		{waitedMs, leavesHeadroom}: {readonly waitedMs: number; readonly leavesHeadroom: boolean},
+		wait: UnitWait,
 		now: number
 	): UnitOutcome {
+		const shares = this.#shares
 		const capOutcome = this.#checkCap(board, unit, nodes, now)
 		if (capOutcome !== undefined) {
-			this.#recordWaiting(board, unit, nodes, {waitedMs, reason: ReasonCode.overQuota}, now)
+			const reason = ReasonCode.overQuota
+			this.#waitingLog.record(board, unit, nodes, wait, {reason, shares}, now)
 			return capOutcome
 		}
-		const key = `${formatUnitKey(unit, service)} ${leavesHeadroom}`
+		const key = `${formatUnitKey(unit, service)} ${wait.leavesHeadroom}`
 		const slots = this.#misfits.has(key) ? undefined : this.#policy.choose(unit, nodes)
 		if (slots !== undefined) {
 			this.#commitSlots(board, unit, slots, now)
 			return UnitOutcome.placed
 		}
 		this.#misfits.add(key)
-		this.#recordWaiting(
-			board,
-			unit,
-			nodes,
-			{waitedMs, leavesHeadroom, reason: ReasonCode.noRoom},
-			now
-		)
+		this.#waitingLog.record(board, unit, nodes, wait, {reason: ReasonCode.noRoom, shares}, now)
 		if (!this.#hopeless.has(key) && !this.#withhold(unit, nodes)) this.#hopeless.add(key)
 		return UnitOutcome.blocked
 	}
@@ -405,14 +382,10 @@
 	 * never fits.
 	 */
 	#withhold(unit: PlacementUnit, nodes: readonly NodeCapacity[]): boolean {
-		if (this.#withheldGroups >= WITHHELD_GROUPS_MAX) return true
+		if (this.#withheld.isFull) return true
 		const slots = this.#policy.forecast(unit, nodes)
 		if (slots === undefined) return false
-		this.#withheldGroups++
-		for (const {node} of slots) {
-			addDemand(node.free, unit.spec, -1)
-			this.#withheld.push({node, spec: unit.spec})
-		}
+		this.#withheld.add(unit, slots)
 		const workspace = unit.refs[0]?.workflow.record.workspace ?? ""
 		this.#shares?.reserve(workspace, unit.spec, unit.refs.length)
 		return true
@@ -425,48 +398,6 @@
 		this.#shares?.reserve(workspace, spec, refs.length)
 	}
 
-	#resetWaitingLines(now: number): void {
-		this.#waitingLines = 0
-		for (const [taskId, loggedAt] of this.#waitingLoggedAt)
-			if (now - loggedAt >= WAITING_LOG_INTERVAL_MS) this.#waitingLoggedAt.delete(taskId)
-	}
-
-	#recordWaiting(
-		board: Board,
-		unit: PlacementUnit,
-		nodes: readonly NodeCapacity[],
-		{
-			waitedMs,
-			leavesHeadroom = false,
-			reason
-		}: {
-			readonly waitedMs: number
-			readonly leavesHeadroom?: boolean
-			readonly reason: ReasonCode
-		},
-		now: number
-	): void {
-		const {refs, rank, lossMax} = unit
-		const [first] = refs
-		if (first === undefined || this.#waitingLines >= WAITING_LINES_MAX) return
-		if (now - (this.#waitingLoggedAt.get(first.taskId) ?? -Infinity) < WAITING_LOG_INTERVAL_MS)
-			return
-		this.#waitingLines++
-		this.#waitingLoggedAt.set(first.taskId, now)
-		const fields = {
-			task: first.taskId,
-			tasks: refs.length,
-			rank,
-			...this.#describeShare(unit),
-			lossMax,
-			waitedMs: Math.round(waitedMs),
-			leavesHeadroom,
-			workers: nodes.length,
-			freeAccelerators: nodes.reduce((sum, {free}) => sum + Math.max(0, free.accelerators), 0)
-		}
-		board.record(EventLevel.info, "run-waiting", fields, reason)
-	}
-
 	/** Plans the runs, or stops the victims first and holds their capacity. */
 	#commitSlots(board: Board, unit: PlacementUnit, slots: readonly Slot[], now: number): void {
 		const {refs, spec, rank} = unit
@@ -499,7 +430,7 @@
 		const [first] = refs
 		if (first === undefined) return
 		const run = computeNextRun(first)
-		const share = this.#describeShare(unit)
+		const share = this.#shares?.describe(first.workflow.record.workspace)
 		for (const [index, ref] of refs.entries()) {
 			const node = nodes[index]
 			if (node !== undefined) planRun(board, ref, node.id, node.incarnation, run, now)
@@ -517,13 +448,6 @@
 		}
 		board.record(EventLevel.info, "run-placed", fields)
 	}
-
-	/** Log fields with the workspace and, where weights are given, what it has before the unit. */
-	#describeShare({refs}: PlacementUnit) {
-		const workspace = refs[0]?.workflow.record.workspace ?? ""
-		if (this.#shares?.hasWeights !== true) return {workspace}
-		return {workspace, share: Number(this.#shares.compute(workspace).toFixed(SHARE_DIGITS))}
-	}
 }
 
 /** Gives up plans that have not been started of workspaces whose cap has become lower than what they have running. */
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -49,7 +49,7 @@
 	remoteFactor: z.number().min(1),
 	cores: z.number().positive().default(1),
 	coreShare: z.number().positive().max(1).default(1),
-	learnRunTimes: z.boolean().default(true)
+	learnRunTimes: z.boolean().default(false)
 })
 const DESCRIPTORS_MIN = 256
 const MEMORY_MIN_MB = 64
--- a/src/shares/workspace-shares.ts
+++ b/src/shares/workspace-shares.ts
@@ -12,6 +12,9 @@
 	scaleUse
 } from "../internal.js"
 
+/** Digits of a share in log entries. */
+const SHARE_DIGITS = 6
+
 export class WorkspaceShares {
 	readonly #board: Board
 	readonly #weights: ReadonlyMap<string, number>
@@ -46,6 +49,12 @@
 		return share / (this.#weights.get(workspace) ?? this.#lowestWeight)
 	}
 
+	/** Log fields with the workspace and, where weights are given, what it has. */
+	describe(workspace: string): {readonly workspace: string; readonly share?: number} {
+		if (!this.hasWeights) return {workspace}
+		return {workspace, share: Number(this.compute(workspace).toFixed(SHARE_DIGITS))}
+	}
+
 	/** Counts capacity that is kept for tasks like any that they use. */
 	reserve(workspace: string, spec: StepSpec, tasks: number): void {
 		const reserved = this.#reserved.get(workspace) ?? NO_DEMAND
