--- a/src/headroom/urgent-arrivals.ts
+++ b/src/headroom/urgent-arrivals.ts
@@ -3,7 +3,7 @@
  * is what has to be expected within the next one. It is counted from the workflows themselves, so that a new holder knows
  * it from those that it has loaded.
  */
-import {type ResourceDemand, type WorkflowEntry, addUse, scaleUse} from "../internal.js"
+import {type ResourceDemand, type WorkflowEntry, NO_DEMAND, addUse, scaleUse} from "../internal.js"
 
 /** How long an arrival counts: over several bursts, and not over a change of load. */
 const ARRIVAL_KEPT_MS = 10000
@@ -19,8 +19,6 @@
 	readonly arrivals: number
 }
 
-const NOTHING: ResourceDemand = {cpuMillis: 0, memoryMb: 0, accelerators: 0}
-
 export class UrgentArrivals {
 	/** By workflow, in the order in which they were first seen. */
 	readonly #arrivals = new Map<string, Arrival>()
@@ -31,7 +29,7 @@
 		const first = spec.steps.filter(({after}) => after.length === 0)
 		const demand = first.reduce(
 			(sum, step) => addUse(sum, scaleUse(step.demand, step.tasks)),
-			NOTHING
+			NO_DEMAND
 		)
 		this.#arrivals.set(id, {service, demand, at: acceptedAt})
 	}
@@ -51,8 +49,8 @@
 		const arrivals = [...this.#arrivals.values()]
 			.filter(arrival => arrival.service === service)
 			.sort((a, b) => a.at - b.at)
-		let sum = NOTHING
-		let largest = NOTHING
+		let sum = NO_DEMAND
+		let largest = NO_DEMAND
 		let oldest = 0
 		for (const {at, demand} of arrivals) {
 			sum = addUse(sum, demand)
