Let work of which nothing runs yield to urgent work for 2 s at most

Cause: headroom could hold back work of which nothing runs for as long as it had time to spare, beside free capacity that could hold it many times.

Change: such work yields for 2 s at most; work with runs yields as before. The section of runs knows which workflows have one.

--- a/src/controllers/domain/run-placement.ts
+++ b/src/controllers/domain/run-placement.ts
@@ -312,7 +312,7 @@
 			const waitedMs = now - readyAt
 			const mayWait = !this.#overdue.has(first.taskId)
 			const unit = buildPlacementUnit(board, ready, group, {mayWait, waitedMs}, now)
-			const leavesHeadroom = this.#headroom.apply(board, ready, service, nodes, now)
+			const leavesHeadroom = this.#headroom.apply(board, ready, service, nodes, waitedMs, now)
 			return this.#placeUnit(board, unit, service, nodes, {waitedMs, leavesHeadroom}, now)
 		}
 		return undefined
--- a/src/core/run-section.ts
+++ b/src/core/run-section.ts
@@ -1,6 +1,6 @@
 /**
  * The runs that a domain's holder has placed and that may still run, by task id. The section also keeps the runs of
- * each worker and of each workspace with their total demand, so that decisions need not compute them.
+ * each worker, workspace and workflow with their total demand, so that decisions need not compute them.
  */
 import {
 	type Occurrence,
@@ -92,11 +92,13 @@
 export class RunSection extends Section<string, TaskRef> {
 	readonly #byWorker = new RunGroups(false)
 	readonly #byWorkspace = new RunGroups(true)
+	readonly #byWorkflow = new RunGroups(true)
 
 	override set(taskId: string, ref: TaskRef): void {
 		this.#remove(taskId)
 		this.#byWorker.add(ref.task.workerId, ref)
 		this.#byWorkspace.add(ref.workflow.record.workspace, ref)
+		this.#byWorkflow.add(ref.workflow.record.id, ref)
 		super.set(taskId, ref)
 	}
 
@@ -130,6 +132,11 @@
 		return this.#byWorkspace.list(workspace)
 	}
 
+	/** True if the workflow has a run. */
+	hasRunOf(workflowId: string): boolean {
+		return this.#byWorkflow.list(workflowId).size > 0
+	}
+
 	/** Total demand of the runs of one workspace. */
 	sumDemandOf(workspace: string): ResourceDemand {
 		return this.#byWorkspace.sumDemand(workspace)
@@ -138,5 +145,6 @@
 	#remove(taskId: string): void {
 		this.#byWorker.remove(taskId)
 		this.#byWorkspace.remove(taskId)
+		this.#byWorkflow.remove(taskId)
 	}
 }
--- a/src/headroom/headroom.ts
+++ b/src/headroom/headroom.ts
@@ -1,8 +1,8 @@
 /**
  * Capacity that less urgent work leaves free for urgent work that is about to arrive. Without it a full service serves
  * urgent work by preemption: the runs that make way take time to stop, their work is lost, and a queue whose target is
- * shorter than that is missed from the start. Work yields only while it has time to spare, so that nothing is late or
- * starves because of it.
+ * shorter than that is missed from the start. Work yields only while it has time to spare, and not for long while nothing
+ * of it runs, so that nothing is late or stands still because of it.
  */
 import {
 	type Board,
@@ -31,6 +31,9 @@
 /** Part of its objective that yielding work keeps, since estimates are wrong and a run may be lost. */
 const TIME_KEPT_SHARE = 0.25
 
+/** Longest time for which work of which nothing runs yields. */
+const IDLE_WAIT_MAX_MS = 2000
+
 /** Interval of log entries for one service. */
 const LOG_INTERVAL_MS = 2000
 
@@ -100,11 +103,14 @@
 		step: ReadyStep,
 		service: string,
 		nodes: readonly NodeCapacity[],
+		waitedMs: number,
 		now: number
 	): boolean {
 		const entry = board.headroom.get(service)
 		if (entry === undefined) return false
-		const isYielding = hasTimeToSpare(step, this.#queues.get(step.workflow.record.queue), now)
+		const {id, queue} = step.workflow.record
+		const mayYield = waitedMs < IDLE_WAIT_MAX_MS || board.runs.hasRunOf(id)
+		const isYielding = mayYield && hasTimeToSpare(step, this.#queues.get(queue), now)
 		if (isYielding === this.#applied.has(service)) return isYielding
 		if (isYielding) {
 			const reservations =
