Take the default for the time to restore a checkpoint where the template leaves it empty

Cause: a template whose field has no value renders an empty setting, which restoreMs refused, so that the daemon didn't start.

--- a/__tests__/settings.test.ts
+++ b/__tests__/settings.test.ts
@@ -29,6 +29,20 @@
 		})
 	})
 
+	it("take the default for the time to restore a checkpoint without a value", () => {
+		const domain = {
+			name: "fleet",
+			readinessAddress: "127.0.0.1:1",
+			metricsAddress: "127.0.0.1:2",
+			revokeMs: 5000,
+			stopMs: 200,
+			stateKeptMs: 180000,
+			restoreMs: null,
+			remoteFactor: 3
+		}
+		expect(decodeSettings(createSettings({domain}))._unsafeUnwrap().domain?.restoreMs).to.equal(0)
+	})
+
 	const faults: readonly [string, Readonly<Record<string, unknown>>, RegExp][] = [
 		["a name", {hostId: "Host 1"}, /hostId: expected 1 to 63 lower-case/],
 		["an address", {callerAddress: {host: "x", port: 1}}, /callerAddress\.host: expected an IPv4/],
--- a/src/settings.ts
+++ b/src/settings.ts
@@ -34,6 +34,15 @@
 	return {host: text.slice(0, colon), port: Number(text.slice(colon + 1))}
 }
 
+/** A number of at least `min`; a field without a value takes the default. */
+function createNumberSchema(min: number, fallback: number) {
+	return z
+		.number()
+		.min(min)
+		.nullish()
+		.transform(value => value ?? fallback)
+}
+
 const DURATION_MIN_MS = 1
 /** Workers are asked at least each 1.5 s, and one answer may be lost. */
 const WORKER_LEASE_MAX_MIN_MS = 4000
@@ -45,7 +54,7 @@
 	stopMs: z.number().min(DURATION_MIN_MS),
 	workerLeaseMaxMs: z.number().min(WORKER_LEASE_MAX_MIN_MS).default(10000),
 	stateKeptMs: z.number().min(DURATION_MIN_MS),
-	restoreMs: z.number().nonnegative().default(0),
+	restoreMs: createNumberSchema(0, 0),
 	remoteFactor: z.number().min(1),
 	cores: z.number().positive().default(1),
 	coreShare: z.number().positive().max(1).default(1),
@@ -54,21 +63,12 @@
 const DESCRIPTORS_MIN = 256
 const MEMORY_MIN_MB = 64
 
-/** A number of at least `min`; a field without a value takes the default. */
-function createLimitSchema(min: number, fallback: number) {
-	return z
-		.number()
-		.min(min)
-		.nullish()
-		.transform(value => value ?? fallback)
-}
-
 const limitsSchema = z.strictObject({
-	descriptors: createLimitSchema(DESCRIPTORS_MIN, DEFAULT_LIMITS.descriptors),
-	memoryMb: createLimitSchema(MEMORY_MIN_MB, DEFAULT_LIMITS.memoryMb),
-	headersTimeoutMs: createLimitSchema(DURATION_MIN_MS, DEFAULT_LIMITS.headersTimeoutMs),
-	requestTimeoutMs: createLimitSchema(DURATION_MIN_MS, DEFAULT_LIMITS.requestTimeoutMs),
-	answerTimeoutMs: createLimitSchema(DURATION_MIN_MS, DEFAULT_LIMITS.answerTimeoutMs)
+	descriptors: createNumberSchema(DESCRIPTORS_MIN, DEFAULT_LIMITS.descriptors),
+	memoryMb: createNumberSchema(MEMORY_MIN_MB, DEFAULT_LIMITS.memoryMb),
+	headersTimeoutMs: createNumberSchema(DURATION_MIN_MS, DEFAULT_LIMITS.headersTimeoutMs),
+	requestTimeoutMs: createNumberSchema(DURATION_MIN_MS, DEFAULT_LIMITS.requestTimeoutMs),
+	answerTimeoutMs: createNumberSchema(DURATION_MIN_MS, DEFAULT_LIMITS.answerTimeoutMs)
 })
 const LOG_LEVELS = ["trace", "debug", "info", "warn", "error", "silent"] as const
 
