--- a/review/rig-3.ts
+++ b/review/rig-3.ts
@@ -659,6 +659,7 @@
 }
 
 export interface CallOptions {
+	/** Empty for a call without a key. */
 	readonly key: string
 	readonly body?: unknown
 	/** How long the client waits; it then leaves and closes its connection. */
@@ -681,8 +682,8 @@
 		const text = body === undefined ? undefined : JSON.stringify(body)
 		const headers = {
 			host: HOST,
-			authorization: `Bearer ${key}`,
 			"x-deadline-ms": `${DEADLINE_MS}`,
+			...(key !== "" && {authorization: `Bearer ${key}`}),
 			...(text !== undefined && {
 				"content-type": "application/json",
 				"content-length": Buffer.byteLength(text)
