Settle at acceptance who may use a workflow

Cause: a call through a public queue was let through unless the configuration of that moment said that the queue of the job needs a key. A queue that isn't there says nothing; the workspace in the record was not asked on that path.

The record now says whether the workflow is public, and one module decides by the record who may read, cancel and repeat it. The configuration only says who the caller is. Records without the field are public only if they have no workspace, which a queue that needs a key always gave.

The same lookup on related paths, each with a test: the queue renamed, public in its place, its name given to a public queue, key or workspace gone, a record that names no owner, a public workflow whose queue needs a key by now.

--- /dev/null
+++ b/__tests__/workflow-access.test.ts
@@ -0,0 +1,164 @@
+/** Who may read, cancel, repeat and count a workflow while queues, keys and workspaces come and go. */
+import {expect} from "chai"
+import {WorkflowAction, WorkflowState} from "../src/internal.js"
+import {
+	type CatalogRecord,
+	type MixedDomain,
+	NO_KEY,
+	OPEN,
+	replaceRoute,
+	createMixedCatalog,
+	createMixedDomain
+} from "./fixtures/access.js"
+import {BATCH, CALLER_KEY, OTHER_KEY, URGENT} from "./fixtures/domain.js"
+
+const ID = "00000000000000b2"
+const {get, cancel, submit} = WorkflowAction
+const {queued, running} = WorkflowState
+
+const INITIAL = createMixedCatalog()
+
+/** Configurations under which the queue or the caller of an accepted workflow is not what it was. */
+const CHANGES: Readonly<Record<string, CatalogRecord>> = {
+	"its queue is left out": replaceRoute(INITIAL, "batch"),
+	"its queue has another name": replaceRoute(INITIAL, "batch", {name: "sort"}),
+	"its queue is public": replaceRoute(INITIAL, "batch", {public: true}),
+	"a public queue has the name of its queue": replaceRoute(replaceRoute(INITIAL, "batch"), "open", {
+		name: "batch"
+	}),
+	"its key is gone": {
+		...INITIAL,
+		tenants: INITIAL.tenants.map(tenant =>
+			tenant.name === "office" ? {...tenant, api_keys: []} : tenant
+		)
+	},
+	"its workspace is gone": {
+		...INITIAL,
+		tenants: INITIAL.tenants.filter(({name}) => name !== "office")
+	}
+}
+
+/** Expects that every call of a stranger is answered like one for a workflow that doesn't exist, or refused. */
+async function expectClosed({hosts, call, putConfig}: MixedDomain, config: CatalogRecord) {
+	await putConfig(config)
+	const publicPaths = config.routes
+		.filter(route => route.public)
+		.map(({path_prefix: prefix}) => prefix)
+	for (const host of hosts)
+		for (const key of [NO_KEY, OTHER_KEY])
+			for (const path of key === NO_KEY ? publicPaths : [...publicPaths, URGENT]) {
+				expect(await call(host, get, `${path}${ID}`, {key})).to.equal("unknown-workflow")
+				expect(await call(host, cancel, `${path}${ID}`, {key})).to.equal("unknown-workflow")
+				expect(await call(host, submit, `${path}${ID}`, {key})).to.equal("key-conflict")
+			}
+}
+
+function readRecord({fleet}: MixedDomain): string {
+	const {rows} = fleet.store.readRange("workflow", "main", ID, undefined, 1)
+	return Buffer.from(rows[0]?.value ?? "", "base64").toString()
+}
+
+/** Replaces the workflow's record, as a host of another version or another writer would have written it. */
+function writeRecord({fleet}: MixedDomain, text: string): void {
+	const row = {table: "workflow", part: "main", key: ID}
+	const put = [{...row, value: Buffer.from(text).toString("base64")}]
+	fleet.store.transact({precondition: [], put, delete: []})
+}
+
+describe("a workflow of a queue that needs a key", () => {
+	// Regression test: once its queue was gone, anybody could read and cancel it through a public queue.
+	for (const [name, config] of Object.entries(CHANGES))
+		it(`is its workspace's alone while ${name}`, async () => {
+			const domain = await createMixedDomain()
+			const {first, call, putConfig} = domain
+			expect(await call(first, submit, `${BATCH}${ID}`)).to.equal(queued)
+			await expectClosed(domain, config)
+			await putConfig(INITIAL)
+			expect(await call(first, get, `${BATCH}${ID}`)).to.equal(running)
+		}).timeout(10_000)
+
+	it("can be read, repeated and cancelled by its workspace through any queue, public ones too", async () => {
+		const {first, call, putConfig} = await createMixedDomain()
+		await call(first, submit, `${BATCH}${ID}`)
+		await putConfig(CHANGES["its queue is left out"]!)
+		for (const path of [URGENT, OPEN]) {
+			expect(await call(first, get, `${path}${ID}`)).to.equal(running)
+			expect(await call(first, submit, `${path}${ID}`)).to.equal(queued)
+		}
+		expect(await call(first, cancel, `${OPEN}${ID}`)).to.equal(queued)
+	})
+
+	it("is its workspace's alone if an earlier version has written its record", async () => {
+		const domain = await createMixedDomain()
+		const {first, fleet, call} = domain
+		await call(first, submit, `${BATCH}${ID}`)
+		const {isPublic, ...earlier} = JSON.parse(readRecord(domain)) as Record<string, unknown>
+		expect(isPublic).to.equal(false)
+		writeRecord(domain, JSON.stringify(earlier))
+		await expectClosed(domain, CHANGES["its queue is left out"]!)
+		expect(await call(first, get, `${URGENT}${ID}`)).to.equal(running)
+		expect(fleet.monitor.violations).to.deep.equal([])
+	})
+
+	// Regression test: a record without an owner could be read and cancelled through a public queue.
+	it("is nobody's if its record names no owner", async () => {
+		const domain = await createMixedDomain()
+		const {first, call} = domain
+		await call(first, submit, `${BATCH}${ID}`)
+		writeRecord(domain, "{}")
+		for (const path of [OPEN, BATCH]) {
+			expect(await call(first, get, `${path}${ID}`)).to.equal("unknown-workflow")
+			expect(await call(first, submit, `${path}${ID}`)).to.equal("key-conflict")
+		}
+	})
+})
+
+describe("a workflow of a public queue", () => {
+	const later: Readonly<Record<string, readonly [CatalogRecord, string]>> = {
+		"its queue is left out": [
+			replaceRoute(replaceRoute(INITIAL, "open"), "batch", {public: true}),
+			BATCH
+		],
+		"its queue has another name": [replaceRoute(INITIAL, "open", {name: "sort"}), OPEN],
+		"the workspace of its caller is gone": [CHANGES["its workspace is gone"]!, OPEN]
+	}
+	for (const [name, [config, path]] of Object.entries(later))
+		for (const key of [NO_KEY, CALLER_KEY])
+			it(`stays reachable while ${name}, handed in ${key === NO_KEY ? "without" : "with"} a key`, async () => {
+				const {first, call, putConfig, hosts} = await createMixedDomain()
+				expect(await call(first, submit, `${OPEN}${ID}`, {key})).to.equal(queued)
+				await putConfig(config)
+				for (const host of hosts) {
+					expect(await call(host, get, `${path}${ID}`, {key: NO_KEY})).to.equal(running)
+					expect(await call(host, submit, `${path}${ID}`, {key: NO_KEY})).to.equal(queued)
+				}
+				expect(await call(first, cancel, `${path}${ID}`, {key: NO_KEY})).to.equal(queued)
+			})
+
+	// Regression test: a public workflow was unknown to every caller once its queue needed a key.
+	it("stays reachable while its queue needs a key", async () => {
+		const {first, call, putConfig} = await createMixedDomain()
+		await call(first, submit, `${OPEN}${ID}`, {key: NO_KEY})
+		await putConfig(replaceRoute(INITIAL, "open", {public: false}))
+		expect(await call(first, get, `${OPEN}${ID}`)).to.equal(running)
+		expect(await call(first, submit, `${OPEN}${ID}`)).to.equal(queued)
+		expect(await call(first, cancel, `${OPEN}${ID}`)).to.equal(queued)
+	})
+
+	it("stays reachable if an earlier version has written its record", async () => {
+		const domain = await createMixedDomain()
+		const {first, call} = domain
+		await call(first, submit, `${OPEN}${ID}`, {key: NO_KEY})
+		const {isPublic, ...earlier} = JSON.parse(readRecord(domain)) as Record<string, unknown>
+		expect(isPublic).to.equal(true)
+		writeRecord(domain, JSON.stringify(earlier))
+		expect(await call(first, get, `${OPEN}${ID}`, {key: NO_KEY})).to.equal(running)
+		expect(await call(first, cancel, `${OPEN}${ID}`, {key: NO_KEY})).to.equal(queued)
+	})
+
+	it("doesn't stand for a submission to a queue that needs a key", async () => {
+		const {first, call} = await createMixedDomain()
+		await call(first, submit, `${OPEN}${ID}`, {key: NO_KEY})
+		expect(await call(first, submit, `${BATCH}${ID}`)).to.equal("key-conflict")
+	})
+})
--- a/src/controllers/domain/workflow-intake.ts
+++ b/src/controllers/domain/workflow-intake.ts
@@ -12,6 +12,8 @@
 	type QueueConfig,
 	type RowWrite,
 	type TableRow,
+	type WorkflowCaller,
+	type RecordOwner,
 	type WorkflowRecord,
 	type WorkflowRequest,
 	type WorkflowSpec,
@@ -36,10 +38,10 @@
 	WorkflowState,
 	buildRefusal,
 	checkAccess,
+	decodeRecordOwner,
 	decodeWorkflowState,
 	describeExcess,
 	findQueue,
-	findRecordOwner,
 	findWorkspace,
 	formatCancelKey,
 	formatIntakePair,
@@ -50,6 +52,8 @@
 	isPlatformLost,
 	issueTableCommit,
 	issueTableScan,
+	mayRepeat,
+	mayUse,
 	parseWorkflowKey
 } from "../../internal.js"
 
@@ -64,9 +68,7 @@
 interface IntakeOperation {
 	readonly request: WorkflowRequest
 	readonly action: WorkflowAction
-	readonly queue: QueueConfig
-	/** Empty for a public queue. */
-	readonly workspace: string
+	readonly caller: WorkflowCaller
 	readonly workflowId: string
 	readonly catalogVersion: number
 	readonly evidenceAgeMs: number
@@ -148,7 +150,7 @@
 				? WorkflowAction.countPending
 				: request.action
 		const access = findWorkspace(catalog, key)
-		const workspace = access?.name ?? ""
+		const caller = {queue, workspace: access?.name}
 		if (action === WorkflowAction.countPending) {
 			board.countRequests.set(request.id, {queue: queue.name, arrivedAt: request.arrivedAt})
 			return
@@ -173,7 +175,7 @@
 			return
 		}
 		if (action === WorkflowAction.submit && spec?.isOk() === true) {
-			const record = buildRecord(rest, workspace, queue, spec.value, this.#readWallClock())
+			const record = buildRecord(rest, caller, spec.value, this.#readWallClock())
 			const bytes = Buffer.byteLength(JSON.stringify(record))
 			if (bytes > ROW_BYTES_MAX) {
 				const detail = `the workflow takes ${bytes} bytes in the platform's table, which stores up to ${ROW_BYTES_MAX}`
@@ -184,8 +186,7 @@
 		const operation: IntakeOperation = {
 			request,
 			action,
-			queue,
-			workspace,
+			caller,
 			workflowId: rest,
 			catalogVersion: catalog.version,
 			evidenceAgeMs: Math.round(now - evidenceAt),
@@ -215,13 +216,13 @@
 		}
 	}
 
-	#buildRows({request, queue, workspace, workflowId}: IntakeOperation): RowWrite[] | undefined {
+	#buildRows({request, caller, workflowId}: IntakeOperation): RowWrite[] | undefined {
 		if (request.spec?.isOk() !== true) return undefined
 		const {value: spec} = request.spec
-		const record = buildRecord(workflowId, workspace, queue, spec, this.#readWallClock())
+		const record = buildRecord(workflowId, caller, spec, this.#readWallClock())
 		return [
 			{key: formatWorkflowKey(workflowId), ifVersion: 0, value: JSON.stringify(record)},
-			{key: formatPendingKey(workflowId), ifVersion: 0, value: queue.name}
+			{key: formatPendingKey(workflowId), ifVersion: 0, value: caller.queue.name}
 		]
 	}
 
@@ -284,7 +285,7 @@
 		existing: TableRow | undefined,
 		now: number
 	): void {
-		if (existing === undefined || isOwnRow(board, operation, existing))
+		if (existing === undefined || isRowFor(mayRepeat, operation, existing))
 			this.#replyState(board, operation, WorkflowState.queued, now)
 		else {
 			const detail = `workflow id ${operation.workflowId} is already used by another workspace`
@@ -308,7 +309,7 @@
 			else this.#replyAccepted(board, operation, record, now)
 			return
 		}
-		if (record === undefined || !isOwnRow(board, operation, record)) {
+		if (record === undefined || !isRowFor(mayUse, operation, record)) {
 			const detail = `workflow ${operation.workflowId} does not exist`
 			this.#finish(board, operation, ReasonCode.unknownWorkflow, RanState.unknown, detail, now)
 			return
@@ -405,13 +406,22 @@
 
 function buildRecord(
 	id: string,
-	workspace: string,
-	queue: QueueConfig,
+	{queue, workspace = ""}: WorkflowCaller,
 	spec: WorkflowSpec,
 	acceptedAtWallMs: number
 ): WorkflowRecord {
-	const {name, service, priority, maxAttempts} = queue
-	return {id, workspace, queue: name, service, priority, maxAttempts, acceptedAtWallMs, spec}
+	const {name, isPublic, service, priority, maxAttempts} = queue
+	return {
+		id,
+		workspace,
+		queue: name,
+		isPublic,
+		service,
+		priority,
+		maxAttempts,
+		acceptedAtWallMs,
+		spec
+	}
 }
 
 function computeGiveUpAt({request}: IntakeOperation): number {
@@ -453,12 +463,16 @@
 	return action === WorkflowAction.cancel || isAccepting
 }
 
-/** On a public queue anybody may use what was submitted without a key, so no workflow of a queue that needs one. */
-function isOwnRow(board: Board, {workspace, queue}: IntakeOperation, row: TableRow): boolean {
-	const owner = findRecordOwner(row.value)
-	if (!queue.isPublic) return owner?.workspace === workspace
-	const queues = board.catalog.get("current")?.catalog.queues ?? []
-	return queues.find(({name}) => name === owner?.queue)?.isPublic !== false
+/** False if the record is malformed: it names no owner. */
+function isRowFor(
+	isAllowed: (caller: WorkflowCaller, owner: RecordOwner) => boolean,
+	{caller}: IntakeOperation,
+	{value}: TableRow
+): boolean {
+	return decodeRecordOwner(value).match(
+		owner => isAllowed(caller, owner),
+		() => false
+	)
 }
 
 /** Undefined if the row is malformed. */
@@ -476,14 +490,14 @@
 	outcome: string,
 	now: number
 ): void {
-	const {request, workflowId, action, queue, workspace, catalogVersion, evidenceAgeMs} = operation
+	const {request, workflowId, action, caller, catalogVersion, evidenceAgeMs} = operation
 	// Callers poll states all the time, so these answers are counted, but logged only at debug level.
 	const level = action === WorkflowAction.get ? EventLevel.debug : EventLevel.info
 	board.record(level, "request-answered", {
 		workflow: workflowId,
 		action,
-		queue: queue.name,
-		workspace,
+		queue: caller.queue.name,
+		workspace: caller.workspace ?? "",
 		outcome,
 		catalogVersion,
 		evidenceAgeMs,
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -64,6 +64,8 @@
 	readonly id: string
 	readonly workspace: string
 	readonly queue: string
+	/** True if its queue needed no key at acceptance; absent in records of earlier versions. */
+	readonly isPublic?: boolean
 	readonly service: string
 	/** 0 is the highest. */
 	readonly priority: number
--- a/src/utils/domain/workflow-rows.ts
+++ b/src/utils/domain/workflow-rows.ts
@@ -65,6 +65,7 @@
 	id: z.string(),
 	workspace: z.string(),
 	queue: z.string(),
+	isPublic: z.boolean().optional(),
 	service: z.string(),
 	priority: countSchema,
 	maxAttempts: countSchema,
@@ -109,9 +110,6 @@
 	done: rangesSchema.default([])
 })
 
-const ownerSchema = z.object({workspace: z.string(), queue: z.string()})
-type RecordOwner = z.infer<typeof ownerSchema>
-
 /** `[phase, run, failures, checkpoint, worker, incarnation, workers that it failed on]` */
 const taskSchema = z.tuple([
 	z.enum(["waiting", "placed", "done"]),
@@ -159,11 +157,6 @@
 	return JSON.stringify({workspace, state: PARTLY_DONE, done: done.encode()})
 }
 
-/** The workspace and the queue that a workflow belongs to; undefined if its record is malformed. */
-export function findRecordOwner(text: string): RecordOwner | undefined {
-	return decodeJson("workflow", ownerSchema, text).unwrapOr(undefined)
-}
-
 /**
  * Encodes the values of the rows from which a new holder continues: the text of the first one goes on in the others.
  * Only the worker knows whether a placed run was started.
