Admit nobody by an empty key

A caller without an Authorization header has the empty key.

Evidence: the test fails on the code before, and passes now.

--- a/__tests__/workflow-access.test.ts
+++ b/__tests__/workflow-access.test.ts
@@ -77,6 +77,19 @@
 			expect(await call(first, get, `${BATCH}${ID}`)).to.equal(running)
 		}).timeout(10_000)
 
+	// Regression test: a key that the configuration left empty admitted every caller without a key to its workspace.
+	it("is closed to callers without a key, though its workspace has an empty one", async () => {
+		const domain = await createMixedDomain()
+		const {first, call} = domain
+		await call(first, submit, `${BATCH}${ID}`)
+		const tenants = INITIAL.tenants.map(tenant => ({
+			...tenant,
+			api_keys: [...(tenant.api_keys as readonly string[]), ""]
+		}))
+		await expectClosed(domain, {...INITIAL, tenants})
+		expect(await call(first, get, `${BATCH}${ID}`, {key: NO_KEY})).to.equal("unauthenticated")
+	})
+
 	it("can be read, repeated and cancelled by its workspace through any queue, public ones too", async () => {
 		const {first, call, putConfig} = await createMixedDomain()
 		await call(first, submit, `${BATCH}${ID}`)
--- a/src/controllers/domain/workflow-intake.ts
+++ b/src/controllers/domain/workflow-intake.ts
@@ -118,7 +118,7 @@
 		}
 		const found = findQueue(entry.catalog, request.host, request.path)
 		const refusal =
-			found === undefined ? undefined : checkAccess(board, request.key, found.queue, now)
+			found === undefined ? undefined : checkAccess(board, entry, request.key, found.queue, now)
 		if (found === undefined && isCatalogStale(entry, now))
 			this.#refuseStale(board, request, entry, now)
 		else if (found === undefined)
--- a/src/intake/queue-access.ts
+++ b/src/intake/queue-access.ts
@@ -19,14 +19,14 @@
 /** Checks keys only against a configuration that was confirmed recently. */
 export function checkAccess(
 	board: Board,
+	entry: CatalogEntry,
 	key: string,
 	queue: QueueConfig,
 	now: number
 ): AccessRefusal | undefined {
 	if (board.lifecycle.get("state") === Lifecycle.drained)
 		return {reason: ReasonCode.stopping, detail: "this host is stopping"}
-	const entry = board.catalog.get("current")
-	if (queue.isPublic || entry === undefined) return undefined
+	if (queue.isPublic) return undefined
 	const revokeMs = board.settings.domain?.revokeMs ?? Infinity
 	if (now - entry.evidenceAt > revokeMs * KEY_EVIDENCE_SHARE)
 		return {reason: ReasonCode.platformUnavailable, detail: ""}
--- a/src/utils/domain/queues.ts
+++ b/src/utils/domain/queues.ts
@@ -25,6 +25,8 @@
 
 /** The workspace that a key belongs to; every key is compared, so that the duration reveals nothing. */
 export function findWorkspace({workspaces}: Catalog, key: string): WorkspaceAccess | undefined {
+	// A caller without a key has the empty one, which a configuration may list.
+	if (key === "") return undefined
 	const given = Buffer.from(key)
 	let found: WorkspaceAccess | undefined
 	for (const workspace of workspaces)
