Count only public workflows where no key is needed

The pending row of a public workflow says that it is public; other rows stay the name of the queue, which earlier versions read.

Evidence: the first of the two tests fails on the code before, both pass now.

--- a/__tests__/workflow-access.test.ts
+++ b/__tests__/workflow-access.test.ts
@@ -1,6 +1,7 @@
 /** Who may read, cancel, repeat and count a workflow while queues, keys and workspaces come and go. */
 import {expect} from "chai"
-import {WorkflowAction, WorkflowState} from "../src/internal.js"
+import {PENDING_COUNT_AGE_MS, WorkflowAction, WorkflowState} from "../src/internal.js"
+import {decodeWorkflow} from "../platform/records.js"
 import {
 	type CatalogRecord,
 	type MixedDomain,
@@ -10,10 +11,10 @@
 	createMixedCatalog,
 	createMixedDomain
 } from "./fixtures/access.js"
-import {BATCH, CALLER_KEY, OTHER_KEY, URGENT} from "./fixtures/domain.js"
+import {BATCH, CALLER_KEY, OTHER_KEY, URGENT, createJob} from "./fixtures/domain.js"
 
 const ID = "00000000000000b2"
-const {get, cancel, submit} = WorkflowAction
+const {get, cancel, submit, countPending} = WorkflowAction
 const {queued, running} = WorkflowState
 
 const INITIAL = createMixedCatalog()
@@ -53,6 +54,10 @@
 			}
 }
 
+function formatId(index: number): string {
+	return index.toString(16).padStart(16, "0")
+}
+
 function readRecord({fleet}: MixedDomain): string {
 	const {rows} = fleet.store.readRange("workflow", "main", ID, undefined, 1)
 	return Buffer.from(rows[0]?.value ?? "", "base64").toString()
@@ -175,3 +180,43 @@
 		expect(await call(first, submit, `${BATCH}${ID}`)).to.equal("key-conflict")
 	})
 })
+
+describe("the number of a queue's workflows that have not begun", () => {
+	/** Fills the workers, so that what is handed in later waits. */
+	async function createFullDomain() {
+		const domain = await createMixedDomain()
+		const whole = decodeWorkflow(createJob({count: 2, gpu: 8, workMs: 60_000}))
+		await domain.call(domain.first, submit, `${URGENT}${ID}`, {spec: whole})
+		return domain
+	}
+
+	// Regression test: a queue counted the workflows of others to everybody once it, or another one of its name, was public.
+	it("leaves out those of workspaces where no key is needed", async () => {
+		const {call, putConfig, hosts, first, advance} = await createFullDomain()
+		await call(first, submit, `${BATCH}${formatId(1)}`)
+		await call(first, submit, `${OPEN}${formatId(2)}`, {key: NO_KEY})
+		await call(first, submit, `${OPEN}${formatId(3)}`)
+		for (const host of hosts) {
+			expect(await call(host, countPending, BATCH)).to.equal("1 pending")
+			expect(await call(host, countPending, OPEN, {key: NO_KEY})).to.equal("2 pending")
+		}
+		await putConfig(CHANGES["its queue is public"]!)
+		await advance(PENDING_COUNT_AGE_MS)
+		for (const host of hosts)
+			expect(await call(host, countPending, BATCH, {key: NO_KEY})).to.equal("0 pending")
+		await putConfig(replaceRoute(INITIAL, "open", {public: false}))
+		await advance(PENDING_COUNT_AGE_MS)
+		for (const host of hosts) {
+			expect(await call(host, countPending, BATCH)).to.equal("1 pending")
+			expect(await call(host, countPending, OPEN)).to.equal("2 pending")
+		}
+	})
+
+	it("counts those that an earlier version has accepted for queues that need a key", async () => {
+		const {call, first, fleet} = await createFullDomain()
+		const row = {table: "pending", part: "main", key: formatId(1)}
+		const put = [{...row, value: Buffer.from("batch").toString("base64")}]
+		fleet.store.transact({precondition: [], put, delete: []})
+		expect(await call(first, countPending, BATCH)).to.equal("1 pending")
+	})
+})
--- a/src/controllers/domain/pending-count.ts
+++ b/src/controllers/domain/pending-count.ts
@@ -7,6 +7,7 @@
 	type Completion,
 	type Controller,
 	type CountRequest,
+	type PendingRow,
 	EventLevel,
 	INTAKE_CALL_TIMEOUT_MS,
 	PENDING_COUNT_AGE_MS,
@@ -17,12 +18,15 @@
 	ReplyKind,
 	SectionName,
 	buildRefusal,
+	decodePending,
 	issueTableScan
 } from "../../internal.js"
 
 interface Counts {
 	readonly readAt: number
-	readonly byQueue: ReadonlyMap<string, number>
+	/** By queue. */
+	readonly all: ReadonlyMap<string, number>
+	readonly publicOnly: ReadonlyMap<string, number>
 }
 
 export class PendingCountController implements Controller {
@@ -49,9 +53,12 @@
 			refuseAll(board, result.error.message, now)
 			return
 		}
-		const byQueue = new Map<string, number>()
-		for (const {value} of result.value) byQueue.set(value, (byQueue.get(value) ?? 0) + 1)
-		this.#counts = {readAt: command.issuedAt, byQueue}
+		const rows = result.value.map(({value}) => decodePending(value))
+		this.#counts = {
+			readAt: command.issuedAt,
+			all: countByQueue(rows),
+			publicOnly: countByQueue(rows.filter(({isPublic}) => isPublic))
+		}
 		replyAll(board, this.#counts)
 	}
 }
@@ -62,9 +69,17 @@
 	return taken
 }
 
-function replyAll(board: Board, {byQueue}: Counts): void {
-	for (const [id, {queue}] of takeAll(board))
-		board.replies.set(id, {kind: ReplyKind.pending, count: byQueue.get(queue) ?? 0})
+function countByQueue(rows: readonly PendingRow[]): ReadonlyMap<string, number> {
+	const counts = new Map<string, number>()
+	for (const {queue} of rows) counts.set(queue, (counts.get(queue) ?? 0) + 1)
+	return counts
+}
+
+function replyAll(board: Board, {all, publicOnly}: Counts): void {
+	for (const [id, {queue, isPublicOnly}] of takeAll(board)) {
+		const count = (isPublicOnly ? publicOnly : all).get(queue) ?? 0
+		board.replies.set(id, {kind: ReplyKind.pending, count})
+	}
 }
 
 function refuseAll(board: Board, detail: string, now: number): void {
--- a/src/controllers/domain/workflow-intake.ts
+++ b/src/controllers/domain/workflow-intake.ts
@@ -41,6 +41,7 @@
 	decodeRecordOwner,
 	decodeWorkflowState,
 	describeExcess,
+	encodePending,
 	findQueue,
 	findWorkspace,
 	formatCancelKey,
@@ -152,7 +153,11 @@
 		const access = findWorkspace(catalog, key)
 		const caller = {queue, workspace: access?.name}
 		if (action === WorkflowAction.countPending) {
-			board.countRequests.set(request.id, {queue: queue.name, arrivedAt: request.arrivedAt})
+			board.countRequests.set(request.id, {
+				queue: queue.name,
+				isPublicOnly: queue.isPublic,
+				arrivedAt: request.arrivedAt
+			})
 			return
 		}
 		if (action === undefined || !ID_PATTERN.test(rest)) {
@@ -219,10 +224,12 @@
 	#buildRows({request, caller, workflowId}: IntakeOperation): RowWrite[] | undefined {
 		if (request.spec?.isOk() !== true) return undefined
 		const {value: spec} = request.spec
+		const {name, isPublic} = caller.queue
 		const record = buildRecord(workflowId, caller, spec, this.#readWallClock())
+		const pending = encodePending({queue: name, isPublic})
 		return [
 			{key: formatWorkflowKey(workflowId), ifVersion: 0, value: JSON.stringify(record)},
-			{key: formatPendingKey(workflowId), ifVersion: 0, value: caller.queue.name}
+			{key: formatPendingKey(workflowId), ifVersion: 0, value: pending}
 		]
 	}
 
--- a/src/types/workflows.ts
+++ b/src/types/workflows.ts
@@ -294,6 +294,8 @@
 /** A caller's request for the number of a queue's workflows that have not started. */
 export interface CountRequest {
 	readonly queue: string
+	/** Only public workflows are counted. */
+	readonly isPublicOnly: boolean
 	/** Monotonic arrival time. */
 	readonly arrivedAt: number
 }
--- a/src/utils/domain/workflow-rows.ts
+++ b/src/utils/domain/workflow-rows.ts
@@ -131,6 +131,14 @@
 
 const progressSchema = z.array(stepRowSchema)
 
+/** What a row under `PENDING_PREFIX` says of a workflow that has no started task. */
+export interface PendingRow {
+	readonly queue: string
+	readonly isPublic: boolean
+}
+
+const publicPendingSchema = z.object({queue: z.string(), isPublic: z.literal(true)})
+
 export interface WorkflowStateRow {
 	readonly workspace: string
 	readonly state: WorkflowState
@@ -143,6 +151,18 @@
 	return decodeJson("workflow", recordSchema, text).map(record => record as WorkflowRecord)
 }
 
+/** The row of a workflow that isn't public is the name of its queue, as in earlier versions. */
+export function encodePending({queue, isPublic}: PendingRow): string {
+	return isPublic ? JSON.stringify({queue, isPublic}) : queue
+}
+
+export function decodePending(text: string): PendingRow {
+	return decodeJson("pending workflow", publicPendingSchema, text).unwrapOr({
+		queue: text,
+		isPublic: false
+	})
+}
+
 export function decodeWorkflowState(text: string): Result<WorkflowStateRow, MalformedError> {
 	return decodeJson("workflow state", stateSchema, text).map(({workspace, state, done}) => ({
 		workspace,
