Let no submission follow a cancellation that was answered

A cancellation whose caller has no workflow of the id now commits a tombstone for each owner whose workflows the caller may cancel, on condition of what it has read. A submission commits on condition that there is no tombstone of its owner. So the table orders the two, at whichever host and however late the commit is carried out. The refused submission gets 410 with the reason cancelled, not run.

Tombstones are of an owner, so a stranger's keeps nobody from using an id. The holder deletes each two minutes after it has seen its latest version. A host repeats a submission for a minute at most, where it had no bound, and writes for at most 1,000 such cancellations in two minutes, an owner up to what is left for all. Beyond that the answer is 503 with Retry-After. Questions write nothing. Hosts of earlier versions ask for no tombstone: the holder stops what they accept beside one.

--- a/__tests__/workflow-access.test.ts
+++ b/__tests__/workflow-access.test.ts
@@ -9,7 +9,9 @@
 	OPEN,
 	replaceRoute,
 	createMixedCatalog,
-	createMixedDomain
+	createMixedDomain,
+	readRows,
+	writeRow
 } from "./fixtures/access.js"
 import {BATCH, CALLER_KEY, OTHER_KEY, URGENT, createJob} from "./fixtures/domain.js"
 
@@ -58,16 +60,9 @@
 	return index.toString(16).padStart(16, "0")
 }
 
-function readRecord({fleet}: MixedDomain): string {
-	const {rows} = fleet.store.readRange("workflow", "main", ID, undefined, 1)
-	return Buffer.from(rows[0]?.value ?? "", "base64").toString()
-}
-
-/** Replaces the workflow's record, as a host of another version or another writer would have written it. */
-function writeRecord({fleet}: MixedDomain, text: string): void {
-	const row = {table: "workflow", part: "main", key: ID}
-	const put = [{...row, value: Buffer.from(text).toString("base64")}]
-	fleet.store.transact({precondition: [], put, delete: []})
+function readRecord({fleet}: MixedDomain): Record<string, unknown> {
+	const row = readRows(fleet, "workflow").find(({key}) => key === ID)
+	return JSON.parse(row?.value ?? "") as Record<string, unknown>
 }
 
 describe("a workflow of a queue that needs a key", () => {
@@ -110,9 +105,9 @@
 		const domain = await createMixedDomain()
 		const {first, fleet, call} = domain
 		await call(first, submit, `${BATCH}${ID}`)
-		const {isPublic, ...earlier} = JSON.parse(readRecord(domain)) as Record<string, unknown>
+		const {isPublic, ...earlier} = readRecord(domain)
 		expect(isPublic).to.equal(false)
-		writeRecord(domain, JSON.stringify(earlier))
+		writeRow(domain.fleet, "workflow", ID, JSON.stringify(earlier))
 		await expectClosed(domain, CHANGES["its queue is left out"]!)
 		expect(await call(first, get, `${URGENT}${ID}`)).to.equal(running)
 		expect(fleet.monitor.violations).to.deep.equal([])
@@ -123,7 +118,7 @@
 		const domain = await createMixedDomain()
 		const {first, call} = domain
 		await call(first, submit, `${BATCH}${ID}`)
-		writeRecord(domain, "{}")
+		writeRow(domain.fleet, "workflow", ID, "{}")
 		for (const path of [OPEN, BATCH]) {
 			expect(await call(first, get, `${path}${ID}`)).to.equal("unknown-workflow")
 			expect(await call(first, submit, `${path}${ID}`)).to.equal("key-conflict")
@@ -167,9 +162,9 @@
 		const domain = await createMixedDomain()
 		const {first, call} = domain
 		await call(first, submit, `${OPEN}${ID}`, {key: NO_KEY})
-		const {isPublic, ...earlier} = JSON.parse(readRecord(domain)) as Record<string, unknown>
+		const {isPublic, ...earlier} = readRecord(domain)
 		expect(isPublic).to.equal(true)
-		writeRecord(domain, JSON.stringify(earlier))
+		writeRow(domain.fleet, "workflow", ID, JSON.stringify(earlier))
 		expect(await call(first, get, `${OPEN}${ID}`, {key: NO_KEY})).to.equal(running)
 		expect(await call(first, cancel, `${OPEN}${ID}`, {key: NO_KEY})).to.equal(queued)
 	})
@@ -214,9 +209,7 @@
 
 	it("counts those that an earlier version has accepted for queues that need a key", async () => {
 		const {call, first, fleet} = await createFullDomain()
-		const row = {table: "pending", part: "main", key: formatId(1)}
-		const put = [{...row, value: Buffer.from("batch").toString("base64")}]
-		fleet.store.transact({precondition: [], put, delete: []})
+		writeRow(fleet, "pending", formatId(1), "batch")
 		expect(await call(first, countPending, BATCH)).to.equal("1 pending")
 	})
 })
--- a/src/controllers/domain/workflow-intake.ts
+++ b/src/controllers/domain/workflow-intake.ts
@@ -10,10 +10,10 @@
 	type Completion,
 	type Controller,
 	type QueueConfig,
+	type RecordOwner,
 	type RowWrite,
 	type TableRow,
 	type WorkflowCaller,
-	type RecordOwner,
 	type WorkflowRecord,
 	type WorkflowRequest,
 	type WorkflowSpec,
@@ -24,6 +24,7 @@
 	INTAKE_CALL_TIMEOUT_MS,
 	INTAKE_MARGIN_MS,
 	INTAKE_REFUSED_RETRIES,
+	INTAKE_REPEATED_MAX_MS,
 	INTAKE_RETRY_DELAY_MS,
 	PLATFORM_RETRY_AFTER_MS,
 	ROW_BYTES_MAX,
@@ -33,10 +34,12 @@
 	ReplyKind,
 	RequestKind,
 	SectionName,
+	TombstoneQuota,
 	WorkflowAction,
 	WorkflowRowKind,
 	WorkflowState,
 	buildRefusal,
+	buildTombstones,
 	checkAccess,
 	decodeRecordOwner,
 	decodeWorkflowState,
@@ -47,6 +50,7 @@
 	formatCancelKey,
 	formatIntakePair,
 	formatPendingKey,
+	formatTombstoneKeyFor,
 	formatWorkflowKey,
 	isCatalogStale,
 	isFinal,
@@ -77,6 +81,10 @@
 	readonly refusalIfNew: NewWorkRefusal | undefined
 	/** True once a commit was sent that may still take effect. */
 	mayHaveTakenEffect: boolean
+	/** True once the caller's quota has been charged for the operation's tombstones. */
+	isCharged: boolean
+	/** True while the commit in flight writes tombstones. */
+	isDenying: boolean
 	refusals: number
 	retries: number
 	commandId: string | undefined
@@ -88,6 +96,7 @@
 	readonly reads = [SectionName.requests, SectionName.completions]
 	readonly #readWallClock: () => number
 	readonly #operations = new Map<string, IntakeOperation>()
+	readonly #tombstoneQuota = new TombstoneQuota()
 
 	constructor(readWallClock: () => number) {
 		this.#readWallClock = readWallClock
@@ -197,6 +206,8 @@
 			evidenceAgeMs: Math.round(now - evidenceAt),
 			refusalIfNew: findNewWorkRefusal(board, request, access, queue),
 			mayHaveTakenEffect: false,
+			isCharged: false,
+			isDenying: false,
 			refusals: 0,
 			retries: 0,
 			commandId: undefined,
@@ -208,17 +219,27 @@
 
 	#send(board: Board, operation: IntakeOperation, now: number): void {
 		operation.retryAt = undefined
-		const remainingMs = computeGiveUpAt(operation) - now
-		const timeoutMs = Math.max(1, Math.min(INTAKE_CALL_TIMEOUT_MS, remainingMs))
-		const {id} = operation.request
+		operation.isDenying = false
 		if (operation.action === WorkflowAction.submit && operation.refusalIfNew === undefined) {
 			const writes = this.#buildRows(operation)
-			if (writes === undefined) return
-			operation.commandId = issueTableCommit(board, this.name, id, writes, now, timeoutMs)
-		} else {
-			const prefix = formatWorkflowKey(operation.workflowId)
-			operation.commandId = issueTableScan(board, this.name, id, prefix, now, timeoutMs)
+			if (writes !== undefined) this.#commit(board, operation, writes, now)
+			return
 		}
+		const prefix = formatWorkflowKey(operation.workflowId)
+		const timeoutMs = computeTimeout(operation, now)
+		const {id} = operation.request
+		operation.commandId = issueTableScan(board, this.name, id, prefix, now, timeoutMs)
+	}
+
+	#commit(
+		board: Board,
+		operation: IntakeOperation,
+		writes: readonly RowWrite[],
+		now: number
+	): void {
+		const timeoutMs = computeTimeout(operation, now)
+		const {id} = operation.request
+		operation.commandId = issueTableCommit(board, this.name, id, writes, now, timeoutMs)
 	}
 
 	#buildRows({request, caller, workflowId}: IntakeOperation): RowWrite[] | undefined {
@@ -228,6 +249,7 @@
 		const record = buildRecord(workflowId, caller, spec, this.#readWallClock())
 		const pending = encodePending({queue: name, isPublic})
 		return [
+			{key: formatTombstoneKeyFor(caller, workflowId), ifVersion: 0, value: undefined},
 			{key: formatWorkflowKey(workflowId), ifVersion: 0, value: JSON.stringify(record)},
 			{key: formatPendingKey(workflowId), ifVersion: 0, value: pending}
 		]
@@ -272,17 +294,25 @@
 		now: number
 	): void {
 		if (result.isErr()) return
+		const {isDenying, workflowId, caller} = operation
 		if (result.value.committed) {
-			this.#replyState(board, operation, WorkflowState.queued, now)
+			if (isDenying) this.#replyUnknown(board, operation, now)
+			else this.#replyState(board, operation, WorkflowState.queued, now)
 			return
 		}
+		const existing = new Map(
+			result.value.conflicts.filter(({version}) => version > 0).map(row => [row.key, row])
+		)
 		if (operation.action === WorkflowAction.cancel) {
-			this.#replyState(board, operation, WorkflowState.cancelled, now)
+			const isCancelled = existing.has(formatCancelKey(workflowId))
+			if (isCancelled) this.#replyState(board, operation, WorkflowState.cancelled, now)
+			else this.#send(board, operation, now)
 			return
 		}
-		const key = formatWorkflowKey(operation.workflowId)
-		const existing = result.value.conflicts.find(row => row.key === key && row.version > 0)
-		this.#replyAccepted(board, operation, existing, now)
+		const record = existing.get(formatWorkflowKey(workflowId))
+		if (record === undefined && existing.has(formatTombstoneKeyFor(caller, workflowId)))
+			this.#replyCancelled(board, operation, now)
+		else this.#replyAccepted(board, operation, record, now)
 	}
 
 	/** Answers a submission whose id is known; without its row, an earlier commit of the same submission succeeded. */
@@ -310,15 +340,19 @@
 		const rows = new Map(result.value.map(row => [parseWorkflowKey(row.key).kind, row]))
 		const record = rows.get(WorkflowRowKind.record)
 		if (operation.action === WorkflowAction.submit) {
-			const {refusalIfNew} = operation
-			if (record === undefined && refusalIfNew !== undefined)
+			const {refusalIfNew, caller, workflowId} = operation
+			const tombstoneKey = formatTombstoneKeyFor(caller, workflowId)
+			if (record !== undefined) this.#replyAccepted(board, operation, record, now)
+			else if (result.value.some(({key}) => key === tombstoneKey))
+				this.#replyCancelled(board, operation, now)
+			else if (refusalIfNew !== undefined)
 				this.#finish(board, operation, refusalIfNew.reason, RanState.no, refusalIfNew.detail, now)
-			else this.#replyAccepted(board, operation, record, now)
 			return
 		}
 		if (record === undefined || !isRowFor(mayUse, operation, record)) {
-			const detail = `workflow ${operation.workflowId} does not exist`
-			this.#finish(board, operation, ReasonCode.unknownWorkflow, RanState.unknown, detail, now)
+			if (operation.action === WorkflowAction.cancel)
+				this.#writeTombstones(board, operation, result.value, now)
+			else this.#replyUnknown(board, operation, now)
 			return
 		}
 		const state = readState(rows.get(WorkflowRowKind.state))
@@ -333,14 +367,35 @@
 			return
 		}
 		const write = {key: formatCancelKey(operation.workflowId), ifVersion: 0, value: ""}
-		operation.commandId = issueTableCommit(
-			board,
-			this.name,
-			operation.request.id,
-			[write],
-			now,
-			INTAKE_CALL_TIMEOUT_MS
-		)
+		this.#commit(board, operation, [write], now)
+	}
+
+	#writeTombstones(
+		board: Board,
+		operation: IntakeOperation,
+		rows: readonly TableRow[],
+		now: number
+	): void {
+		const {caller, workflowId} = operation
+		operation.isCharged ||= this.#tombstoneQuota.take(caller, now)
+		if (!operation.isCharged) {
+			const detail = "too many cancellations of unknown workflows"
+			this.#finish(board, operation, ReasonCode.queueFull, RanState.no, detail, now)
+			return
+		}
+		operation.isDenying = true
+		this.#commit(board, operation, buildTombstones(caller, workflowId, rows), now)
+	}
+
+	/** To a question this is true of the moment at which the table was read; after a cancellation it stays true. */
+	#replyUnknown(board: Board, operation: IntakeOperation, now: number): void {
+		const detail = `workflow ${operation.workflowId} does not exist`
+		this.#finish(board, operation, ReasonCode.unknownWorkflow, RanState.unknown, detail, now)
+	}
+
+	#replyCancelled(board: Board, operation: IntakeOperation, now: number): void {
+		const detail = `workflow ${operation.workflowId} was cancelled before it was accepted`
+		this.#finish(board, operation, ReasonCode.cancelled, RanState.no, detail, now)
 	}
 
 	#replyState(board: Board, operation: IntakeOperation, state: WorkflowState, now: number): void {
@@ -432,7 +487,13 @@
 }
 
 function computeGiveUpAt({request}: IntakeOperation): number {
-	return request.arrivedAt + Math.max(INTAKE_MARGIN_MS, request.replyTimeoutMs - INTAKE_MARGIN_MS)
+	const replyTimeoutMs = Math.min(request.replyTimeoutMs, INTAKE_REPEATED_MAX_MS)
+	return request.arrivedAt + Math.max(INTAKE_MARGIN_MS, replyTimeoutMs - INTAKE_MARGIN_MS)
+}
+
+/** Deadline of the next call for the operation. */
+function computeTimeout(operation: IntakeOperation, now: number): number {
+	return Math.max(1, Math.min(INTAKE_CALL_TIMEOUT_MS, computeGiveUpAt(operation) - now))
 }
 
 /**
--- a/src/controllers/domain/workflow-log.ts
+++ b/src/controllers/domain/workflow-log.ts
@@ -40,6 +40,7 @@
 	findTerm,
 	formatHolderKey,
 	isFinal,
+	isTombstone,
 	recordSaved,
 	issueTableCommit,
 	issueTableFollow,
@@ -245,9 +246,11 @@
 	}
 
 	#findNextRemoval(board: Board): number {
-		const [oldest] = this.#adoption.ended
+		const {ended, tombstones} = this.#adoption
+		const [oldest] = ended
 		const endedAt = oldest === undefined ? undefined : board.workflows.get(oldest)?.endedAt
-		return endedAt === undefined ? Infinity : endedAt + this.#findStateKeptMs(board)
+		const removeAt = endedAt === undefined ? Infinity : endedAt + this.#findStateKeptMs(board)
+		return Math.min(removeAt, tombstones.findNextExpiry())
 	}
 
 	#findStateKeptMs(board: Board): number {
@@ -274,8 +277,9 @@
 		return batch
 	}
 
-	/** Adds the deletion of workflows that ended more than `stateKeptMs` ago. */
+	/** Adds the deletion of tombstones that have expired, and of workflows that ended more than `stateKeptMs` ago. */
 	#collectRemovals(board: Board, batch: CommitBatch, now: number): void {
+		for (const write of this.#adoption.tombstones.listExpired(now)) if (!batch.add([write])) return
 		for (const id of this.#adoption.ended) {
 			const entry = board.workflows.get(id)
 			if (entry !== undefined && (entry.endedAt ?? now) + this.#findStateKeptMs(board) > now) return
@@ -309,6 +313,8 @@
 		for (const [index, {key}] of command.request.writes.entries())
 			versions.set(key, result.value.versions[index] ?? 0)
 		recordSaved(board, batch, versions)
+		for (const {key, value} of command.request.writes)
+			if (value === null) this.#adoption.tombstones.delete(key)
 		for (const {entry, state} of batch.states)
 			if (isFinal(state)) this.#adoption.ended.add(entry.record.id)
 	}
@@ -346,6 +352,7 @@
 	): void {
 		const versions = new Map(conflicts.map(row => [row.key, row.version]))
 		adoptVersions(batch, versions)
+		for (const row of conflicts) if (isTombstone(row)) this.#adoption.tombstones.adopt(row, now)
 		const keys = [...versions.keys()].slice(0, CONFLICTS_LOGGED_MAX).join(" ")
 		board.record(EventLevel.info, "workflow-commit-conflict", {keys})
 		this.#nextCommitAt = now + OUTAGE_RETRY_MIN_MS
--- a/src/core/constants.ts
+++ b/src/core/constants.ts
@@ -289,6 +289,13 @@
 /** Retry delay sent to callers who may hand in no more for now. */
 export const FULL_RETRY_AFTER_MS = 5000
 
+/** Longest time for which a host repeats a caller's calls to the platform's table. */
+export const INTAKE_REPEATED_MAX_MS = 60_000
+/** How long tombstones are kept: a submission may be repeated that long, and the platform may carry out a commit late. */
+export const TOMBSTONE_KEPT_MS = 2 * INTAKE_REPEATED_MAX_MS
+/** Tombstones that a host writes in that time. */
+export const TOMBSTONES_MAX = 1000
+
 /** Limits of the platform's table on one commit: the conditions and changes in it, and its size as it is sent. */
 export const COMMIT_ENTRIES_MAX = 100
 export const COMMIT_BYTES_MAX = 1_000_000
--- a/src/intake/workflow-access.ts
+++ b/src/intake/workflow-access.ts
@@ -5,7 +5,7 @@
  */
 import {type Result} from "neverthrow"
 import {z} from "zod"
-import {type MalformedError, type QueueConfig, decodeJson} from "../internal.js"
+import {type MalformedError, type QueueConfig, decodeJson, hashText} from "../internal.js"
 
 /** A caller whose key, if the queue needs one, has been checked. */
 export interface WorkflowCaller {
@@ -14,6 +14,14 @@
 	readonly workspace: string | undefined
 }
 
+/** The fields of a workflow's record that name its owner. */
+export interface WorkflowOwner {
+	readonly workspace: string
+	readonly isPublic?: boolean | undefined
+}
+
+const PUBLIC_TAG = "public"
+
 const ownerSchema = z.object({
 	workspace: z.string(),
 	queue: z.string(),
@@ -21,13 +29,12 @@
 })
 export type RecordOwner = z.infer<typeof ownerSchema>
 
-/** The owner that a workflow's record names. */
 export function decodeRecordOwner(text: string): Result<RecordOwner, MalformedError> {
 	return decodeJson("workflow", ownerSchema, text)
 }
 
 /** True if the caller may read and cancel the owner's workflow. */
-export function mayUse({workspace}: WorkflowCaller, owner: RecordOwner): boolean {
+export function mayUse({workspace}: WorkflowCaller, owner: WorkflowOwner): boolean {
 	return isPublicOwner(owner) || owner.workspace === workspace
 }
 
@@ -37,7 +44,17 @@
 	return queue.isPublic || queue.name === owner.queue
 }
 
+/** The owner of what the caller submits. */
+export function findCallerOwner({queue, workspace = ""}: WorkflowCaller): WorkflowOwner {
+	return {workspace, isPublic: queue.isPublic}
+}
+
+/** Stands for the owner in the keys of rows; all public workflows have one. */
+export function formatOwnerTag(owner: WorkflowOwner): string {
+	return isPublicOwner(owner) ? PUBLIC_TAG : hashText(owner.workspace)
+}
+
 /** Records of earlier versions don't tell, and have a workspace wherever a key was needed. */
-function isPublicOwner({workspace, isPublic}: RecordOwner): boolean {
+function isPublicOwner({workspace, isPublic}: WorkflowOwner): boolean {
 	return isPublic ?? workspace === ""
 }
--- a/src/utils/domain/workflow-adoption.ts
+++ b/src/utils/domain/workflow-adoption.ts
@@ -10,6 +10,7 @@
 	type WorkflowLoad,
 	EventLevel,
 	TaskPhase,
+	Tombstones,
 	WorkflowRowKind,
 	WorkflowState,
 	countOccurrences,
@@ -23,6 +24,7 @@
 	groupProgressRows,
 	isFinal,
 	isOccurrenceDone,
+	isTombstone,
 	parseWorkflowKey,
 	recordMalformedRow,
 	restoreOccurrence
@@ -40,6 +42,8 @@
 export class WorkflowAdoption {
 	/** Ended workflows, oldest first, until their rows are deleted. */
 	readonly ended = new Set<string>()
+	/** Rows of cancellations by callers who had no workflow of the id. */
+	readonly tombstones = new Tombstones()
 	/** Workflows with a malformed row, which are not scheduled in this term. */
 	readonly #excluded = new Set<string>()
 	readonly #board: Board
@@ -58,6 +62,7 @@
 
 	clear(): void {
 		this.ended.clear()
+		this.tombstones.clear()
 		this.#excluded.clear()
 		this.#parts = []
 	}
@@ -78,6 +83,9 @@
 			...splitParts(rowsOf(WorkflowRowKind.cancel), measureRow, (rows, now) => {
 				this.#adoptCancellations(rows, now)
 			}),
+			...splitParts(rowsOf(WorkflowRowKind.tombstone), measureRow, (rows, now) => {
+				this.#adoptCancellations(rows, now)
+			}),
 			...splitParts(groupProgressRows(progressRows), measureGroup, (groups, now) => {
 				for (const group of groups) this.#restoreProgress(group, now)
 			}),
@@ -115,10 +123,14 @@
 		}
 	}
 
+	/** A workflow beside a tombstone of its owner was accepted by a host of an earlier version, which asks for none. */
 	#adoptCancellations(rows: readonly TableRow[], now: number): void {
+		for (const row of rows) if (isTombstone(row)) this.tombstones.adopt(row, now)
 		for (const row of rows) {
-			const entry = this.#board.workflows.get(parseWorkflowKey(row.key).id)
-			if (entry !== undefined && isRowOf(row, WorkflowRowKind.cancel))
+			const {id} = parseWorkflowKey(row.key)
+			const entry = this.#board.workflows.get(id)
+			if (entry === undefined) continue
+			if (isRowOf(row, WorkflowRowKind.cancel) || this.tombstones.has(id, entry.record))
 				cancelWorkflow(this.#board, entry, now)
 		}
 	}
--- a/src/utils/domain/workflows.ts
+++ b/src/utils/domain/workflows.ts
@@ -39,13 +39,23 @@
 	return `${PENDING_PREFIX}${id}`
 }
 
+/** Hosts of earlier versions take it for the cancellation of a workflow that they don't know. */
+export function formatTombstoneKey(id: string, ownerTag: string): string {
+	return `${WORKFLOW_PREFIX}${id}.${ownerTag}${CANCEL_SUFFIX}`
+}
+
 /** The progress of an occurrence is in its first row, and continues in further ones if it is large. */
 export function formatProgressKey(occurrenceKey: string, part: number): string {
 	const suffix = part === 0 ? "" : `.${part}`
 	return `${PROGRESS_PREFIX}${occurrenceKey}${suffix}`
 }
 
-export const WorkflowRowKind = {record: "record", state: "state", cancel: "cancel"} as const
+export const WorkflowRowKind = {
+	record: "record",
+	state: "state",
+	cancel: "cancel",
+	tombstone: "tombstone"
+} as const
 export type WorkflowRowKind = (typeof WorkflowRowKind)[keyof typeof WorkflowRowKind]
 
 /** Parses the key of one of a workflow's rows. */
@@ -53,9 +63,9 @@
 	const name = key.slice(WORKFLOW_PREFIX.length)
 	if (name.endsWith(STATE_SUFFIX))
 		return {id: name.slice(0, -STATE_SUFFIX.length), kind: WorkflowRowKind.state}
-	if (name.endsWith(CANCEL_SUFFIX))
-		return {id: name.slice(0, -CANCEL_SUFFIX.length), kind: WorkflowRowKind.cancel}
-	return {id: name, kind: WorkflowRowKind.record}
+	if (!name.endsWith(CANCEL_SUFFIX)) return {id: name, kind: WorkflowRowKind.record}
+	const [id = "", ownerTag] = name.slice(0, -CANCEL_SUFFIX.length).split(".")
+	return {id, kind: ownerTag === undefined ? WorkflowRowKind.cancel : WorkflowRowKind.tombstone}
 }
 
 export function formatOccurrenceKey(workflowId: string, index: number): string {
