Don't take a submission for accepted without its record

The record and the tombstone alone decide now; the pending row is written in any case. A conflict that shows neither is repeated.

Evidence: the test fails on the code before, and passes now.

--- a/__tests__/workflow-access.test.ts
+++ b/__tests__/workflow-access.test.ts
@@ -113,6 +113,15 @@
 		expect(fleet.monitor.violations).to.deep.equal([])
 	})
 
+	// Regression test: a submission was answered as accepted since another row of its id was there, and was not stored.
+	it("isn't taken for accepted without a record", async () => {
+		const {first, fleet, call, advance} = await createMixedDomain()
+		writeRow(fleet, "pending", ID, "batch")
+		expect(await call(first, submit, `${BATCH}${ID}`)).to.equal(queued)
+		await advance(1000)
+		expect(await call(first, get, `${BATCH}${ID}`)).to.equal(running)
+	})
+
 	// Regression test: a record without an owner could be read and cancelled through a public queue.
 	it("is nobody's if its record names no owner", async () => {
 		const domain = await createMixedDomain()
--- a/src/controllers/domain/workflow-intake.ts
+++ b/src/controllers/domain/workflow-intake.ts
@@ -18,6 +18,7 @@
 	type WorkflowRequest,
 	type WorkflowSpec,
 	type WorkspaceAccess,
+	ANY_VERSION,
 	CommandKind,
 	EventLevel,
 	FULL_RETRY_AFTER_MS,
@@ -251,7 +252,7 @@
 		return [
 			{key: formatTombstoneKeyFor(caller, workflowId), ifVersion: 0, value: undefined},
 			{key: formatWorkflowKey(workflowId), ifVersion: 0, value: JSON.stringify(record)},
-			{key: formatPendingKey(workflowId), ifVersion: 0, value: pending}
+			{key: formatPendingKey(workflowId), ifVersion: ANY_VERSION, value: pending}
 		]
 	}
 
@@ -284,7 +285,7 @@
 		)
 		if (operation.refusals > INTAKE_REFUSED_RETRIES && !operation.mayHaveTakenEffect)
 			this.#giveUp(board, operation, now)
-		else operation.retryAt = now + INTAKE_RETRY_DELAY_MS * 2 ** operation.retries++
+		else scheduleRetry(operation, now)
 	}
 
 	#settleCommit(
@@ -310,19 +311,15 @@
 			return
 		}
 		const record = existing.get(formatWorkflowKey(workflowId))
-		if (record === undefined && existing.has(formatTombstoneKeyFor(caller, workflowId)))
+		if (record !== undefined) this.#replyAccepted(board, operation, record, now)
+		else if (existing.has(formatTombstoneKeyFor(caller, workflowId)))
 			this.#replyCancelled(board, operation, now)
-		else this.#replyAccepted(board, operation, record, now)
+		else scheduleRetry(operation, now)
 	}
 
-	/** Answers a submission whose id is known; without its row, an earlier commit of the same submission succeeded. */
-	#replyAccepted(
-		board: Board,
-		operation: IntakeOperation,
-		existing: TableRow | undefined,
-		now: number
-	): void {
-		if (existing === undefined || isRowFor(mayRepeat, operation, existing))
+	/** Answers a submission whose id is known. */
+	#replyAccepted(board: Board, operation: IntakeOperation, record: TableRow, now: number): void {
+		if (isRowFor(mayRepeat, operation, record))
 			this.#replyState(board, operation, WorkflowState.queued, now)
 		else {
 			const detail = `workflow id ${operation.workflowId} is already used by another workspace`
@@ -491,6 +488,10 @@
 	return request.arrivedAt + Math.max(INTAKE_MARGIN_MS, replyTimeoutMs - INTAKE_MARGIN_MS)
 }
 
+function scheduleRetry(operation: IntakeOperation, now: number): void {
+	operation.retryAt = now + INTAKE_RETRY_DELAY_MS * 2 ** operation.retries++
+}
+
 /** Deadline of the next call for the operation. */
 function computeTimeout(operation: IntakeOperation, now: number): number {
 	return Math.max(1, Math.min(INTAKE_CALL_TIMEOUT_MS, computeGiveUpAt(operation) - now))
