Cancel a workflow on condition of its record

The commit now asks for the record that was read.

Evidence: the test fails on the code before, and passes now.

--- a/__tests__/tombstones.test.ts
+++ b/__tests__/tombstones.test.ts
@@ -264,3 +264,20 @@
 		expect(answer).to.equal("answer-lost")
 	}).timeout(60_000)
 })
+
+describe("a cancellation whose commit is carried out late", () => {
+	// Regression test: it left a row that cancelled the next workflow of the id under the next holder.
+	it("leaves no row once the workflow is gone", async () => {
+		const domain = await createMixedDomain({settings: {stateKeptMs: 1000}})
+		const {hosts, first, plan, call, advance, fleet} = domain
+		const [, other] = hosts as [DomainHost, DomainHost]
+		await call(first, submit, `${BATCH}${ID}`)
+		plan.computeDelay = (hostId, request) => (hostId === other.id && isCommit(request) ? 4000 : 2)
+		const cancelled = call(other, cancel, `${BATCH}${ID}`)
+		await advance(500)
+		expect(await call(first, cancel, `${BATCH}${ID}`)).to.equal(queued)
+		expect(await cancelled).to.equal("cancelled")
+		await advance(6000)
+		expect(readRows(fleet, "workflow")).to.deep.equal([])
+	})
+})
--- a/src/controllers/domain/workflow-intake.ts
+++ b/src/controllers/domain/workflow-intake.ts
@@ -363,8 +363,11 @@
 			this.#replyState(board, operation, state, now)
 			return
 		}
-		const write = {key: formatCancelKey(operation.workflowId), ifVersion: 0, value: ""}
-		this.#commit(board, operation, [write], now)
+		const writes = [
+			{key: record.key, ifVersion: record.version, value: undefined},
+			{key: formatCancelKey(operation.workflowId), ifVersion: 0, value: ""}
+		]
+		this.#commit(board, operation, writes, now)
 	}
 
 	#writeTombstones(
