--- a/src/controllers/domain/workflow-intake.ts
+++ b/src/controllers/domain/workflow-intake.ts
@@ -9,25 +9,16 @@
 	type CatalogEntry,
 	type Completion,
 	type Controller,
+	type IntakeOperation,
 	type QueueConfig,
-	type RecordOwner,
 	type RowWrite,
 	type TableRow,
-	type WorkflowCaller,
-	type WorkflowRecord,
 	type WorkflowRequest,
-	type WorkflowSpec,
-	type WorkspaceAccess,
 	ANY_VERSION,
 	CommandKind,
 	EventLevel,
 	FULL_RETRY_AFTER_MS,
-	INTAKE_CALL_TIMEOUT_MS,
-	INTAKE_MARGIN_MS,
 	INTAKE_REFUSED_RETRIES,
-	INTAKE_REPEATED_MAX_MS,
-	INTAKE_RETRY_DELAY_MS,
-	PLATFORM_RETRY_AFTER_MS,
 	ROW_BYTES_MAX,
 	RanState,
 	ReasonCode,
@@ -41,57 +32,36 @@
 	WorkflowState,
 	buildRefusal,
 	buildTombstones,
+	buildWorkflowRecord,
 	checkAccess,
-	decodeRecordOwner,
+	computeCallTimeout,
+	computeGiveUpAt,
+	computeRetryAfter,
 	decodeWorkflowState,
-	describeExcess,
 	encodePending,
+	findNewWorkRefusal,
 	findQueue,
 	findWorkspace,
 	formatCancelKey,
-	formatIntakePair,
 	formatPendingKey,
 	formatTombstoneKeyFor,
 	formatWorkflowKey,
 	isCatalogStale,
 	isFinal,
 	isPlatformLost,
+	isRecordFor,
 	issueTableCommit,
 	issueTableScan,
+	mayIntakeWrite,
 	mayRepeat,
 	mayUse,
-	parseWorkflowKey
+	parseWorkflowKey,
+	recordIntakeAnswer,
+	scheduleIntakeRetry
 } from "../../internal.js"
 
 const ID_PATTERN = /^[0-9a-f]{16}$/
 
-interface NewWorkRefusal {
-	readonly reason: ReasonCode
-	readonly detail: string
-}
-
-/** A caller's request while calls to the platform's table are made for it. */
-interface IntakeOperation {
-	readonly request: WorkflowRequest
-	readonly action: WorkflowAction
-	readonly caller: WorkflowCaller
-	readonly workflowId: string
-	readonly catalogVersion: number
-	readonly evidenceAgeMs: number
-	/** Why the submission is refused unless it was accepted before; undefined if it may be accepted. */
-	readonly refusalIfNew: NewWorkRefusal | undefined
-	/** True once a commit was sent that may still take effect. */
-	mayHaveTakenEffect: boolean
-	/** True once the caller's quota has been charged for the operation's tombstones. */
-	isCharged: boolean
-	/** True while the commit in flight writes tombstones. */
-	isDenying: boolean
-	refusals: number
-	retries: number
-	commandId: string | undefined
-	retryAt: number | undefined
-}
-
 export class WorkflowIntakeController implements Controller {
 	readonly name = "workflow-intake"
 	readonly reads = [SectionName.requests, SectionName.completions]
@@ -190,7 +160,7 @@
 			return
 		}
 		if (action === WorkflowAction.submit && spec?.isOk() === true) {
-			const record = buildRecord(rest, caller, spec.value, this.#readWallClock())
+			const record = buildWorkflowRecord(rest, caller, spec.value, this.#readWallClock())
 			const bytes = Buffer.byteLength(JSON.stringify(record))
 			if (bytes > ROW_BYTES_MAX) {
 				const detail = `the workflow takes ${bytes} bytes in the platform's table, which stores up to ${ROW_BYTES_MAX}`
@@ -227,7 +197,7 @@
 			return
 		}
 		const prefix = formatWorkflowKey(operation.workflowId)
-		const timeoutMs = computeTimeout(operation, now)
+		const timeoutMs = computeCallTimeout(operation, now)
 		const {id} = operation.request
 		operation.commandId = issueTableScan(board, this.name, id, prefix, now, timeoutMs)
 	}
@@ -238,7 +208,7 @@
 		writes: readonly RowWrite[],
 		now: number
 	): void {
-		const timeoutMs = computeTimeout(operation, now)
+		const timeoutMs = computeCallTimeout(operation, now)
 		const {id} = operation.request
 		operation.commandId = issueTableCommit(board, this.name, id, writes, now, timeoutMs)
 	}
@@ -247,7 +217,7 @@
 		if (request.spec?.isOk() !== true) return undefined
 		const {value: spec} = request.spec
 		const {name, isPublic} = caller.queue
-		const record = buildRecord(workflowId, caller, spec, this.#readWallClock())
+		const record = buildWorkflowRecord(workflowId, caller, spec, this.#readWallClock())
 		const pending = encodePending({queue: name, isPublic})
 		return [
 			{key: formatTombstoneKeyFor(caller, workflowId), ifVersion: 0, value: undefined},
@@ -274,7 +244,7 @@
 	/** A refusal by the platform means that nothing was done; after any other error a commit may still take effect. */
 	#retry(board: Board, operation: IntakeOperation, error: Error, now: number): void {
 		const isRefused = error instanceof RefusedError
-		if (!isRefused && mayWrite(operation)) operation.mayHaveTakenEffect = true
+		if (!isRefused && mayIntakeWrite(operation)) operation.mayHaveTakenEffect = true
 		if (isRefused) operation.refusals++
 		const fields = {workflow: operation.workflowId, action: operation.action, detail: error.message}
 		board.record(
@@ -285,7 +255,7 @@
 		)
 		if (operation.refusals > INTAKE_REFUSED_RETRIES && !operation.mayHaveTakenEffect)
 			this.#giveUp(board, operation, now)
-		else scheduleRetry(operation, now)
+		else scheduleIntakeRetry(operation, now)
 	}
 
 	#settleCommit(
@@ -314,12 +284,12 @@
 		if (record !== undefined) this.#replyAccepted(board, operation, record, now)
 		else if (existing.has(formatTombstoneKeyFor(caller, workflowId)))
 			this.#replyCancelled(board, operation, now)
-		else scheduleRetry(operation, now)
+		else scheduleIntakeRetry(operation, now)
 	}
 
 	/** Answers a submission whose id is known. */
 	#replyAccepted(board: Board, operation: IntakeOperation, record: TableRow, now: number): void {
-		if (isRowFor(mayRepeat, operation, record))
+		if (isRecordFor(mayRepeat, operation, record))
 			this.#replyState(board, operation, WorkflowState.queued, now)
 		else {
 			const detail = `workflow id ${operation.workflowId} is already used by another workspace`
@@ -346,7 +316,7 @@
 				this.#finish(board, operation, refusalIfNew.reason, RanState.no, refusalIfNew.detail, now)
 			return
 		}
-		if (record === undefined || !isRowFor(mayUse, operation, record)) {
+		if (record === undefined || !isRecordFor(mayUse, operation, record)) {
 			if (operation.action === WorkflowAction.cancel)
 				this.#writeTombstones(board, operation, result.value, now)
 			else this.#replyUnknown(board, operation, now)
@@ -401,12 +371,12 @@
 	#replyState(board: Board, operation: IntakeOperation, state: WorkflowState, now: number): void {
 		this.#operations.delete(operation.request.id)
 		board.replies.set(operation.request.id, {kind: ReplyKind.workflow, state})
-		recordAnswer(board, operation, state, now)
+		recordIntakeAnswer(board, operation, state, now)
 	}
 
 	#giveUp(board: Board, operation: IntakeOperation, now: number): void {
 		// A commit in flight may take effect after the caller has its reply.
-		const isWriting = operation.commandId !== undefined && mayWrite(operation)
+		const isWriting = operation.commandId !== undefined && mayIntakeWrite(operation)
 		if (operation.mayHaveTakenEffect || isWriting) {
 			const detail = "the platform's table did not answer"
 			this.#finish(board, operation, ReasonCode.answerLost, RanState.unknown, detail, now)
@@ -425,7 +395,7 @@
 		now: number
 	): void {
 		this.#operations.delete(operation.request.id)
-		recordAnswer(board, operation, reason, now)
+		recordIntakeAnswer(board, operation, reason, now)
 		const retryAfterMs =
 			reason === ReasonCode.queueFull ? FULL_RETRY_AFTER_MS : computeRetryAfter(operation.action)
 		const refusal = {...buildRefusal(reason, ran, detail, operation.workflowId), retryAfterMs}
@@ -466,87 +436,6 @@
 	}
 }
 
-function buildRecord(
-	id: string,
-	{queue, workspace = ""}: WorkflowCaller,
-	spec: WorkflowSpec,
-	acceptedAtWallMs: number
-): WorkflowRecord {
-	const {name, isPublic, service, priority, maxAttempts} = queue
-	return {
-		id,
-		workspace,
-		queue: name,
-		isPublic,
-		service,
-		priority,
-		maxAttempts,
-		acceptedAtWallMs,
-		spec
-	}
-}
-
-function computeGiveUpAt({request}: IntakeOperation): number {
-	const replyTimeoutMs = Math.min(request.replyTimeoutMs, INTAKE_REPEATED_MAX_MS)
-	return request.arrivedAt + Math.max(INTAKE_MARGIN_MS, replyTimeoutMs - INTAKE_MARGIN_MS)
-}
-
-function scheduleRetry(operation: IntakeOperation, now: number): void {
-	operation.retryAt = now + INTAKE_RETRY_DELAY_MS * 2 ** operation.retries++
-}
-
-/** Deadline of the next call for the operation. */
-function computeTimeout(operation: IntakeOperation, now: number): number {
-	return Math.max(1, Math.min(INTAKE_CALL_TIMEOUT_MS, computeGiveUpAt(operation) - now))
-}
-
-/**
- * A question is best repeated at another host at once. A submission or cancellation is repeated later, so that the few
- * repetitions that a caller makes outlast a short outage of the whole platform.
- */
-function computeRetryAfter(action: WorkflowAction | undefined): number {
-	return action === WorkflowAction.get ? 0 : PLATFORM_RETRY_AFTER_MS
-}
-
-/**
- * Why the workspace may not hand in this work: it never fits into its cap, or the queue is closed to it for now, since it waits
- * for its own work, so that a repetition is of use only once some of it has ended.
- */
-function findNewWorkRefusal(
-	{intakeLimits}: Board,
-	{action, spec}: WorkflowRequest,
-	access: WorkspaceAccess | undefined,
-	{name}: QueueConfig
-): NewWorkRefusal | undefined {
-	if (action !== WorkflowAction.submit) return undefined
-	const excess =
-		access === undefined || spec?.isOk() !== true ? undefined : describeExcess(spec.value, access)
-	if (excess !== undefined) return {reason: ReasonCode.overQuota, detail: excess}
-	const workspace = access?.name ?? ""
-	const isClosed = intakeLimits.get("current")?.closed.has(formatIntakePair(workspace, name))
-	if (isClosed !== true) return undefined
-	const detail = `the unfinished work of workspace "${workspace}" in queue "${name}" takes all of its share`
-	return {reason: ReasonCode.queueFull, detail}
-}
-
-/** True if its calls to the table may have an effect. */
-function mayWrite({action, refusalIfNew}: IntakeOperation): boolean {
-	const isAccepting = action === WorkflowAction.submit && refusalIfNew === undefined
-	return action === WorkflowAction.cancel || isAccepting
-}
-
-/** False if the record is malformed: it names no owner. */
-function isRowFor(
-	isAllowed: (caller: WorkflowCaller, owner: RecordOwner) => boolean,
-	{caller}: IntakeOperation,
-	{value}: TableRow
-): boolean {
-	return decodeRecordOwner(value).match(
-		owner => isAllowed(caller, owner),
-		() => false
-	)
-}
-
 /** Undefined if the row is malformed. */
 function readState(row: TableRow | undefined): WorkflowState | undefined {
 	if (row === undefined) return WorkflowState.queued
@@ -555,24 +444,3 @@
 		() => undefined
 	)
 }
-
-function recordAnswer(
-	board: Board,
-	operation: IntakeOperation,
-	outcome: string,
-	now: number
-): void {
-	const {request, workflowId, action, caller, catalogVersion, evidenceAgeMs} = operation
-	// Callers poll states all the time, so these answers are counted, but logged only at debug level.
-	const level = action === WorkflowAction.get ? EventLevel.debug : EventLevel.info
-	board.record(level, "request-answered", {
-		workflow: workflowId,
-		action,
-		queue: caller.queue.name,
-		workspace: caller.workspace ?? "",
-		outcome,
-		catalogVersion,
-		evidenceAgeMs,
-		tookMs: Math.round(now - request.arrivedAt)
-	})
-}
