Test three conditions of shares, caps and forecasts that none held

- the cap withheld for a waiting gang (shares/caps.ts, withhold)
- guaranteed work stays in the order of acceptance (weighted-run-queue.ts, isShared)
- critical paths follow what was learned (run-times/forecast.ts)

--- a/__tests__/caps.test.ts
+++ b/__tests__/caps.test.ts
@@ -152,4 +152,17 @@
 		await advanceUntil(() => countRunning(ID_B) === 18, 6000)
 		expect(countRunning()).to.be.within(18, 20)
 	})
+
+	// Nothing else fails if later work of the workspace takes what the gang waits for.
+	it("is withheld for a gang from the later work of its workspace, until the gang runs", async () => {
+		const domain = await createCappedDomain({office: {cap: createCap(20)}})
+		const {first, submit, advance, advanceUntil, countRunning, observe} = domain
+		await submit(first, `${BATCH}${ID_A}`, createJob({count: 12, workMs: 4000}))
+		await advance(500)
+		await submit(first, `${BATCH}${ID_B}`, createJob({count: 18, gang: true, workMs: 4000}))
+		await submit(first, `${BATCH}${ID_C}`, createJob({count: 100, workMs: 4000}))
+		expect(await observe(3000, ID_C)).to.equal(0)
+		await advanceUntil(() => countRunning(ID_B) > 0, 3000)
+		expect(countRunning(ID_B)).to.equal(18)
+	})
 })
--- a/__tests__/run-times.test.ts
+++ b/__tests__/run-times.test.ts
@@ -63,6 +63,22 @@
 		expect(expectation?.medianMs).to.be.within(WORK_MS * 0.9, WORK_MS * 1.2)
 	})
 
+	// Nothing else fails if the critical paths stay those of the caller's estimates.
+	it("expects of each step what is left until the last one ends, by what was learned", async () => {
+		const domain = await createServingDomain()
+		await runJobs(domain)
+		const job = createEstimatedJob(0x900, WORK_MS * 3, {requires: "kind-of-no-worker"})
+		const [step] = job.steps
+		const chain = [step, {...step, after: [0]}, {...step, after: [1]}]
+		await domain.submit(domain.first, `${BATCH}${formatId(0x900)}`, {...job, steps: chain})
+		await domain.advance(300)
+		const {steps, criticalPathsMs} = domain.first.board.workflows.get(formatId(0x900))!.forecast
+		const [learned, ...estimated] = steps.map(({medianMs}) => medianMs)
+		expect(learned).to.be.within(WORK_MS * 0.9, WORK_MS * 1.2)
+		expect(estimated).to.deep.equal([WORK_MS * 3, WORK_MS * 3])
+		expect(criticalPathsMs).to.deep.equal([learned! + WORK_MS * 6, WORK_MS * 6, WORK_MS * 3])
+	})
+
 	it("expects what callers estimate where the settings say so", async () => {
 		const domain = await createServingDomain({settings: {learnRunTimes: false}})
 		await runJobs(domain)
--- a/__tests__/shares.test.ts
+++ b/__tests__/shares.test.ts
@@ -1,7 +1,17 @@
 /** Workspaces that share workers which are all in use, by their weights. */
 import {expect} from "chai"
 import fc from "fast-check"
-import {listCapUse, listWeightedShares} from "../src/internal.js"
+import {
+	type ReadyStep,
+	GUARANTEED_RANK,
+	Punctuality,
+	WeightedRunQueue,
+	WorkspaceShares,
+	listCapUse,
+	listWeightedShares
+} from "../src/internal.js"
+import {decodeWorkflow} from "../platform/records.js"
+import {DEFAULT_CAPACITY} from "../standins/fleet/fleet.js"
 import {createCap, createCappedDomain, createId} from "./fixtures/caps.js"
 import {BATCH, CALLER_KEY, OTHER_KEY, URGENT, createJob} from "./fixtures/domain.js"
 
@@ -74,6 +84,36 @@
 		expect(await advanceUntil(() => countRunning(createId(3)) === 16)).to.be.below(1500)
 	})
 
+	// Nothing else fails if guaranteed work takes turns by share as well.
+	it("leave guaranteed work in the order of acceptance, whatever its workspace has", async () => {
+		const {first} = await createCappedDomain(EVEN)
+		const catalog = first.board.catalog.get("current")!.catalog
+		const shares = new WorkspaceShares(first.board, catalog, [DEFAULT_CAPACITY])
+		const [step] = decodeWorkflow(createJob())._unsafeUnwrap().steps
+		shares.reserve("office", step!, 4)
+		const createReady = (workspace: string, acceptedAt: number, rank: number) => {
+			const workflow = {record: {workspace}, acceptedAt}
+			return {workflow, rank, punctuality: Punctuality.onTime} as ReadyStep
+		}
+		for (const [rank, expected] of [
+			[GUARANTEED_RANK, ["office", "other", "office"]],
+			[GUARANTEED_RANK + 1, ["other", "office", "office"]]
+		] as const) {
+			const steps = [
+				createReady("office", 1, rank),
+				createReady("other", 2, rank),
+				createReady("office", 3, rank)
+			]
+			const round = new WeightedRunQueue().open(steps, shares)
+			const order: string[] = []
+			for (let ready = round.next(); ready !== undefined; ready = round.next()) {
+				order.push(ready.workflow.record.workspace)
+				round.close()
+			}
+			expect(order).to.deep.equal(expected)
+		}
+	})
+
 	// With tasks that each fit anywhere, all that runs beyond its share has ended after the longest run.
 	it("keep no workspace with waiting work below its share for longer than a run takes, and none above its cap", async () => {
 		const runMaxMs = 1200
