--- a/src/adapters/problems.ts
+++ b/src/adapters/problems.ts
@@ -27,6 +27,7 @@
 	[ReasonCode.generationConflict]: 409,
 	[ReasonCode.alreadyEnded]: 409,
 	[ReasonCode.unknownWorkflow]: 410,
+	[ReasonCode.cancelled]: 410,
 	[ReasonCode.badSignature]: 422,
 	[ReasonCode.neverFits]: 422,
 	[ReasonCode.guaranteesDoNotFit]: 422,
