Check how old a key's evidence is on public queues too

Since a key gives a right to the workflows of its workspace through a public queue as well, it must not do so on a configuration that is too old to say that the key is still in force. A host that was paused accepted a key that had been taken away, for a question through a public queue. Callers without a known key are answered as before.

--- a/__tests__/workflow-access.test.ts
+++ b/__tests__/workflow-access.test.ts
@@ -10,6 +10,7 @@
 	replaceRoute,
 	createMixedCatalog,
 	createMixedDomain,
+	formatAnswer,
 	readRows,
 	writeRow
 } from "./fixtures/access.js"
@@ -101,6 +102,26 @@
 		expect(await call(first, cancel, `${OPEN}${ID}`)).to.equal(queued)
 	})
 
+	// Guards against a key that was taken away: a public queue needs none, and had no reason to ask how old its evidence is.
+	it("is closed to a key on evidence from before a pause, through a public queue too", async () => {
+		const {first, hosts, call, advance, fleet} = await createMixedDomain()
+		const second = hosts[1]!
+		await call(first, submit, `${BATCH}${ID}`)
+		await call(first, submit, `${OPEN}${formatId(1)}`, {key: NO_KEY})
+		second.clock.pause()
+		fleet.store.putRow("op", "config", {...CHANGES["its key is gone"], version: 9})
+		await advance(8000)
+		second.clock.resume()
+		const answers = await Promise.all([
+			second.ask({path: `${OPEN}${ID}`, key: CALLER_KEY}),
+			second.ask({path: `${OPEN}${formatId(1)}`, key: NO_KEY}),
+			advance(500)
+		])
+		const [withKey, withoutKey] = answers
+		expect(formatAnswer(withKey)).to.equal("platform-unavailable")
+		expect(formatAnswer(withoutKey)).to.equal(running)
+	})
+
 	it("is its workspace's alone if an earlier version has written its record", async () => {
 		const domain = await createMixedDomain()
 		const {first, fleet, call} = domain
--- a/src/intake/queue-access.ts
+++ b/src/intake/queue-access.ts
@@ -16,7 +16,10 @@
 	readonly detail: string
 }
 
-/** Checks keys only against a configuration that was confirmed recently. */
+/**
+ * Checks keys only against a configuration that was confirmed recently. A key that a public queue doesn't need is checked as well,
+ * since it gives a right to the workflows of its workspace.
+ */
 export function checkAccess(
 	board: Board,
 	entry: CatalogEntry,
@@ -26,11 +29,12 @@
 ): AccessRefusal | undefined {
 	if (board.lifecycle.get("state") === Lifecycle.drained)
 		return {reason: ReasonCode.stopping, detail: "this host is stopping"}
-	if (queue.isPublic) return undefined
+	const isKnown = findWorkspace(entry.catalog, key) !== undefined
+	if (queue.isPublic && !isKnown) return undefined
 	const revokeMs = board.settings.domain?.revokeMs ?? Infinity
 	if (now - entry.evidenceAt > revokeMs * KEY_EVIDENCE_SHARE)
 		return {reason: ReasonCode.platformUnavailable, detail: ""}
-	if (findWorkspace(entry.catalog, key) !== undefined) return undefined
+	if (isKnown) return undefined
 	return {reason: ReasonCode.unauthenticated, detail: "the key is not known"}
 }
 
