--- a/__tests__/tombstones.test.ts
+++ b/__tests__/tombstones.test.ts
@@ -2,6 +2,7 @@
 import {expect} from "chai"
 import {
 	INTAKE_REPEATED_MAX_MS,
+	LONG_POLL_WAIT_MS,
 	TOMBSTONES_MAX,
 	TOMBSTONE_KEPT_MS,
 	WorkflowAction,
@@ -215,6 +216,30 @@
 		expect(await call(near, submit, `${BATCH}${ID}`)).to.equal("cancelled")
 	}).timeout(60_000)
 
+	// Nothing else fails if the holder goes on to delete a row that has gone without its notice.
+	it("hold up no other work if they go away while the holder can't see it", async () => {
+		const domain = await createThreeHosts()
+		const {holder, near, far, call, advance, fleet, plan} = domain
+		await call(far, cancel, `${BATCH}${ID}`)
+		await advance(1000)
+		plan.isLost = (hostId, {path, query}) =>
+			hostId === holder.id && path === "/v1/rows-feed" && query.get("table") === "workflow"
+		await advance(LONG_POLL_WAIT_MS + 100)
+		const rows = readRows(fleet, "workflow").map(({key}) => ({
+			table: "workflow",
+			part: "main",
+			key
+		}))
+		fleet.store.transact({precondition: [], put: [], delete: rows})
+		fleet.store.clearHistory()
+		await advance(3000)
+		plan.isLost = () => false
+		await advance(TOMBSTONE_KEPT_MS)
+		expect(await call(near, submit, `${BATCH}${formatId(1)}`)).to.equal(queued)
+		await advance(2000)
+		expect(await call(near, get, `${BATCH}${formatId(1)}`)).to.equal(running)
+	}).timeout(60_000)
+
 	it("are no more than a host's share, of which a stranger leaves half to others", async () => {
 		const domain = await createThreeHosts()
 		const {near, far, call, advance} = domain
