--- a/src/intake/tombstones.ts
+++ b/src/intake/tombstones.ts
@@ -21,7 +21,7 @@
 /** An owner may always have this part of the tombstones that a host writes. */
 const FLOOR_SHARE = 1 / 64
 
-/** The commit that a submission must not follow, if the caller has no workflow of this id among the rows. */
+/** The writes of a cancellation whose caller may use none of the workflows among the rows, on condition of these rows. */
 export function buildTombstones(
 	{workspace}: WorkflowCaller,
 	id: string,
